--- /dev/null
+++ b/balance/api.go
@@ -0,0 +1,236 @@
+// Package balance decides where connections go. This file is its interface: settings, events
+// and actions in the terms of the domain. Every decision is in balance.go.
+//
+// The package does no I/O and keeps no clock. Times are durations since one fixed moment that
+// the caller chooses, the same for every instance that is told of the same servers.
+package balance
+
+import "time"
+
+// ServerID names a server, on every node and through its restarts.
+type ServerID uint64
+
+// RequestID names one try of a client; it never comes twice.
+type RequestID uint64
+
+// Effect tells what a repeated request does.
+type Effect int
+
+const (
+	Unsafe Effect = iota // a repeat does its work again; also what an unknown class gets
+	Keyed                // repeats are dropped within a scope of servers and a window of time
+	Safe                 // repeats do no harm
+)
+
+// Scope is the group of servers that drops repeats of a keyed request.
+type Scope int
+
+const (
+	ScopeCell Scope = iota
+	ScopeZone
+	ScopeAll
+)
+
+// Class holds what the site says of a kind of request.
+type Class struct {
+	Effect     Effect
+	Scope      Scope
+	Window     time.Duration // how long repeats of a keyed request are dropped
+	SetupAim   time.Duration // a connection set up within it is worth most
+	MessageAim time.Duration // a message on the open connection should take no longer
+}
+
+// Settings are fixed for the life of an instance. A zero limit has the meaning beside it.
+type Settings struct {
+	Nodes   int // nodes that share the servers, this one included; 0 means one
+	Classes map[string]Class
+	Pushed  bool // changes of the server list come unasked
+
+	MaxAttempts   int  // attempts for one request; 0 means one
+	MayDuplicate  bool // two attempts of one request may be out together
+	MayProbe      bool
+	RetryAdvice   bool          // clients are told when to come back
+	MaxRetryAfter time.Duration // the longest advice they follow
+	MaxOpen       int           // requests held at once; 0 means a bound of the module's own
+	Tick          time.Duration // the shortest time between two batches of events
+
+	ColdFrom     float64       // least share of its capacity that a server starts with; 0 means unknown
+	ColdFor      time.Duration // a server is warm this long after its start
+	FallMultiple float64       // work over this multiple of its present capacity
+	FallWindow   time.Duration // for this long makes a cold server fall over
+	AskWithin    time.Duration // a list not asked for within it counts as known
+}
+
+// State is what the server list says of a server.
+type State int
+
+const (
+	Gone State = iota
+	Draining
+	Ready
+)
+
+// Server is an entry of the server list.
+type Server struct {
+	ID      ServerID
+	State   State
+	Zone    string
+	Cell    int
+	Weight  float64       // size against other servers; 1 where the site gives none
+	UpSince time.Duration // its last start; 0 means long ago
+}
+
+// Outcome tells how an attempt or a probe ended.
+type Outcome int
+
+const (
+	Error         Outcome = iota // the server answered with an error; it may have run
+	OK                           // served
+	Full                         // turned away unseen
+	TimedOut                     // no answer in time; it may have run
+	ConnectFailed                // no connection to the server; it never ran
+	Reset                        // the connection broke; it may have run
+	Cancelled                    // called off or left by the client; it may have run
+	Moot                         // never sent
+)
+
+// NeverRan tells whether the outcome proves that the server did nothing.
+func (o Outcome) NeverRan() bool { return o == Full || o == ConnectFailed || o == Moot }
+
+// Report is a server's own account of its load; a negative field was not told.
+type Report struct {
+	Load   float64 // work asked of it over what it can do
+	Piled  float64 // seconds of work piled up
+	Errors float64 // errors a second
+}
+
+// Event is something that happened at this node.
+type Event interface{ event() }
+
+// Members is news of the server list.
+type Members struct {
+	Kind    ListKind
+	Servers []Server
+}
+
+// ListKind tells how a Members event is to be read.
+type ListKind int
+
+const (
+	ListFailed  ListKind = iota // a call failed or the subscription broke; the old list stays
+	ListChanges                 // only the entries that changed
+	ListFull                    // all of the list: a server not in it is gone
+	ListCached                  // all of the list as last seen, maybe old
+)
+
+// Request is a client's try to get a connection. It is owed exactly one final answer.
+type Request struct {
+	ID      RequestID
+	Class   string
+	Key     string        // the client; may be empty
+	Group   string        // connections of one group share work; may be empty
+	Left    time.Duration // until the client gives up
+	MidFlow bool          // packets of a connection that stands already, at a server unknown
+}
+
+// Opened is a connection that stood already when this node started; Attempt 0 made it.
+type Opened struct {
+	Request
+	Server ServerID
+}
+
+// Left tells that the client is gone: nothing more is owed for the request.
+type Left struct{ ID RequestID }
+
+// Accepted tells that the connection stands.
+type Accepted struct {
+	ID      RequestID
+	Attempt int
+	Server  ServerID
+	Took    time.Duration
+}
+
+// Closed tells how an attempt ended.
+type Closed struct {
+	ID      RequestID
+	Attempt int
+	Server  ServerID
+	Outcome Outcome
+	Took    time.Duration
+	Final   bool // the request is finished; otherwise its answer is still owed
+	Report  *Report
+}
+
+// Slow tells how long a message takes now on one of the standing connections.
+type Slow struct {
+	ID      RequestID
+	Server  ServerID
+	Message time.Duration
+}
+
+// Probed is the result of a Probe.
+type Probed struct {
+	Server  ServerID
+	Outcome Outcome
+	Took    time.Duration
+	Report  *Report
+}
+
+// Timer is the end of a SetTimer.
+type Timer struct{ Token uint64 }
+
+func (Members) event()  {}
+func (Request) event()  {}
+func (Opened) event()   {}
+func (Left) event()     {}
+func (Accepted) event() {}
+func (Closed) event()   {}
+func (Slow) event()     {}
+func (Probed) event()   {}
+func (Timer) event()    {}
+
+// Action is something that the node is to do now, in the order given.
+type Action interface{ action() }
+
+// Attempt sends the request to a server. A request's attempts are numbered from 0.
+type Attempt struct {
+	ID      RequestID
+	Server  ServerID
+	Timeout time.Duration // 0 means until the client gives up
+}
+
+// Refuse is a final answer: not served, and trying again does no harm.
+type Refuse struct {
+	ID      RequestID
+	RetryIn time.Duration // advice on when to come back; 0 means none
+}
+
+// Fail is a final answer that promises nothing.
+type Fail struct{ ID RequestID }
+
+// Move ends a standing connection politely; its client comes again.
+type Move struct{ ID RequestID }
+
+// Probe asks a server for its load.
+type Probe struct{ Server ServerID }
+
+// SetTimer asks for a Timer event.
+type SetTimer struct {
+	After time.Duration
+	Token uint64
+}
+
+// Subscribe asks for the changes of the server list from now on.
+type Subscribe struct{}
+
+// Log is a line for the people on call.
+type Log struct{ Text string }
+
+func (Attempt) action()   {}
+func (Refuse) action()    {}
+func (Fail) action()      {}
+func (Move) action()      {}
+func (Probe) action()     {}
+func (SetTimer) action()  {}
+func (Subscribe) action() {}
+func (Log) action()       {}
--- /dev/null
+++ b/balance/balance.go
@@ -0,0 +1,494 @@
+// The decisions of brassmux; api.go beside this file holds their interface: settings, events, actions.
+//
+// Each new connection goes to the top server of a rendezvous ranking of its client key over the ready
+// servers. A bounded, aged table remembers that server; the connection stays there for its life.
+// docs/design.md says what was kept of the design, what was changed, and when each exception acts.
+
+package balance
+
+import (
+	"encoding/binary"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// A client's server is remembered this long after its last connection: the default of the design.
+	afterEnd = 30 * time.Second
+	// Entries of the table and requests held, where the settings name no limit.
+	defaultBound = 1 << 20
+	// Pauses before asking for the list anew.
+	askPause, askPauseMost = 200 * time.Millisecond, 3 * time.Second
+	// The time over which a node learns its usual rate of new connections.
+	rateMemory = 20 * time.Second
+	// The part of the cold budget used: connections differ in load, and nodes in their share.
+	coldMargin = 0.5
+	// Failures in a row that set a server aside, and for how long.
+	strikesMost           = 3
+	asideFirst, asideMost = 2 * time.Second, 16 * time.Second
+)
+
+const timerSubscribe = 1
+
+// Balancer is one node's decisions. It is not safe for concurrent use.
+type Balancer struct {
+	set      Settings
+	rng      *rand.Rand
+	now      time.Duration
+	out      []Action
+	servers  map[ServerID]*server
+	ready    []*server // by id, so that no decision depends on the order of a map
+	requests map[RequestID]*request
+	table    table
+	asks     int           // calls for the list that failed in a row
+	rate     float64       // new connections a second
+	rated    time.Duration // when rate was last brought up to date
+}
+
+type server struct {
+	Server
+	open    int     // connections of this node, attempts on their way included
+	budget  float64 // connections that may be sent to it while it is cold
+	counted time.Duration
+	strikes int           // failures in a row
+	aside   time.Duration // no new connections before it, while others can take them
+	asides  int
+}
+
+type request struct {
+	Request
+	deadline time.Duration
+	tries    []try
+	standing bool // the connection is up
+	answered bool
+	entry    *entry
+}
+
+type try struct {
+	server *server
+	sent   time.Duration
+	out    bool
+	ran    bool // it may have run
+}
+
+// New makes an instance that knows only its settings. The seed spreads what has no key.
+func New(set Settings, seed uint64) *Balancer {
+	set.Nodes, set.MaxAttempts = max(set.Nodes, 1), max(set.MaxAttempts, 1)
+	if set.MaxOpen <= 0 {
+		set.MaxOpen = defaultBound
+	}
+	return &Balancer{
+		set: set, rng: rand.New(rand.NewPCG(seed, 0)),
+		servers: map[ServerID]*server{}, requests: map[RequestID]*request{},
+		table: table{bound: set.MaxOpen, entries: map[string]*entry{}},
+	}
+}
+
+// Handle takes one event and returns what to do. The slice is valid until the next call.
+func (b *Balancer) Handle(now time.Duration, ev Event) []Action {
+	b.out = b.out[:0]
+	b.now = max(b.now, now)
+	b.table.expire(b.now)
+	switch ev := ev.(type) {
+	case Members:
+		b.members(ev)
+	case Request:
+		if r := b.admit(ev); r != nil {
+			b.place(r)
+		}
+	case Opened:
+		b.opened(ev)
+	case Accepted:
+		b.accepted(ev)
+	case Closed:
+		b.closed(ev)
+	case Left:
+		if r := b.requests[ev.ID]; r != nil {
+			r.answered = true
+			b.forget(r)
+		}
+	case Timer:
+		if ev.Token == timerSubscribe {
+			b.out = append(b.out, Subscribe{})
+		}
+	}
+	return b.out
+}
+
+// members follows the list. A server that is missing from a full list is gone, and one that started
+// anew is cold and has lost its connections, whatever it is called.
+func (b *Balancer) members(ev Members) {
+	if ev.Kind == ListFull || ev.Kind == ListCached {
+		for _, s := range b.servers {
+			s.State = Gone
+		}
+	}
+	for _, e := range ev.Servers {
+		s := b.servers[e.ID]
+		if s == nil {
+			s = &server{}
+			b.servers[e.ID] = s
+		}
+		if e.UpSince != s.UpSince {
+			s.budget, s.counted, s.strikes, s.aside, s.asides = 0, b.now, 0, 0, 0
+		}
+		s.Server = e
+	}
+	b.ready = b.ready[:0]
+	for _, s := range b.servers {
+		if s.State == Ready {
+			b.ready = append(b.ready, s)
+		}
+	}
+	slices.SortFunc(b.ready, func(a, c *server) int { return cmpID(a.ID, c.ID) })
+	switch {
+	case ev.Kind == ListFailed:
+		// Guards against a herd of nodes that all ask again at once: the pause grows and is spread.
+		pause := min(askPause<<min(b.asks, 10), askPauseMost)
+		b.asks++
+		pause = time.Duration(float64(pause) * (0.5 + b.rng.Float64()))
+		b.out = append(b.out, SetTimer{After: pause, Token: timerSubscribe})
+	case ev.Kind == ListCached && !b.set.Pushed:
+		b.out = append(b.out, Subscribe{})
+	default:
+		b.asks = 0
+	}
+}
+
+func cmpID(a, c ServerID) int {
+	if a < c {
+		return -1
+	}
+	return 1
+}
+
+func (b *Balancer) admit(ev Request) *request {
+	if b.requests[ev.ID] != nil {
+		return nil
+	}
+	r := &request{Request: ev, deadline: b.now + ev.Left}
+	b.requests[ev.ID] = r
+	return r
+}
+
+// opened takes over a connection that stood before this instance did: it is load like any other.
+func (b *Balancer) opened(ev Opened) {
+	s := b.servers[ev.Server]
+	if s == nil {
+		s = &server{Server: Server{ID: ev.Server}}
+		b.servers[ev.Server] = s
+	}
+	if r := b.admit(ev.Request); r != nil {
+		r.standing, r.answered = true, true
+		r.tries = append(r.tries, try{server: s, sent: b.now, out: true, ran: true})
+		s.open++
+		r.entry = b.table.hold(r.Key, s)
+	}
+}
+
+// place starts the next attempt of a request that has none out, or gives it up.
+func (b *Balancer) place(r *request) {
+	s := b.choose(r)
+	if s == nil {
+		b.giveUp(r)
+		return
+	}
+	left := r.deadline - b.now
+	timeout := time.Duration(0)
+	if len(r.tries)+1 < b.set.MaxAttempts && b.mayRepeat(r) {
+		timeout = left / 2 // a silent server must leave time for another attempt
+	}
+	b.learnRate(1)
+	if b.cold(s) {
+		s.budget--
+	}
+	s.open++
+	r.tries = append(r.tries, try{server: s, sent: b.now, out: true, ran: true})
+	b.table.release(r.entry, b.now)
+	r.entry = b.table.hold(r.Key, s)
+	b.out = append(b.out, Attempt{ID: r.ID, Server: s.ID, Timeout: timeout})
+}
+
+func (b *Balancer) mayRepeat(r *request) bool {
+	return b.set.Classes[r.Class].Effect == Safe
+}
+
+// choose names the server for the next attempt: the table's, else the ranking's, else nil.
+func (b *Balancer) choose(r *request) *server {
+	if len(r.tries) >= b.set.MaxAttempts || r.deadline-b.now <= b.set.Tick && len(r.tries) > 0 {
+		return nil
+	}
+	if s := b.table.server(r.Key); s != nil && b.allowed(r, s) && b.now >= s.aside {
+		return s
+	}
+	total := 0
+	for _, s := range b.ready {
+		total += s.open
+	}
+	var fallback *server
+	for _, s := range b.rank(r) {
+		if !b.allowed(r, s) {
+			continue
+		}
+		if fallback == nil {
+			fallback = s
+		}
+		n := len(b.ready)
+		crowded := n*s.open > 2*total && n*s.open >= total+3*n
+		if b.now >= s.aside && (r.MidFlow || !crowded) {
+			return s
+		}
+	}
+	return fallback // health fails open
+}
+
+// rank orders the ready servers by a hash of key and server id, highest first. A request without
+// a key is ranked by its group, one without either by a draw.
+func (b *Balancer) rank(r *request) []*server {
+	key := r.Key
+	if key == "" {
+		key = r.Group
+	}
+	buf := append(make([]byte, 0, 64), key...)
+	if key == "" {
+		buf = binary.LittleEndian.AppendUint64(buf, b.rng.Uint64())
+	}
+	type scored struct {
+		hash uint64
+		s    *server
+	}
+	all := make([]scored, len(b.ready))
+	for i, s := range b.ready {
+		all[i] = scored{xxhash.Sum64(binary.LittleEndian.AppendUint64(buf, uint64(s.ID))), s}
+	}
+	slices.SortStableFunc(all, func(x, y scored) int {
+		if x.hash > y.hash {
+			return -1
+		} else if x.hash < y.hash {
+			return 1
+		}
+		return 0 // ties go by id, the order of ready
+	})
+	order := make([]*server, len(all))
+	for i := range all {
+		order[i] = all[i].s
+	}
+	return order
+}
+
+// allowed tells whether the four rules let this request go to s now.
+func (b *Balancer) allowed(r *request, s *server) bool {
+	if s.State != Ready || b.cold(s) && !b.spend(s) {
+		return false
+	}
+	class := b.set.Classes[r.Class]
+	var first *try
+	for i := range r.tries {
+		t := &r.tries[i]
+		if t.server == s || t.out {
+			return false // a second attempt beside one that is out is never made, even where it may
+		}
+		if t.ran && first == nil {
+			first = t
+		}
+	}
+	switch {
+	case first == nil || class.Effect == Safe:
+		return true
+	case class.Effect == Unsafe || b.now >= first.sent+class.Window:
+		return false
+	case class.Scope == ScopeZone:
+		return s.Zone == first.server.Zone
+	case class.Scope == ScopeCell:
+		return s.Cell == first.server.Cell
+	}
+	return true
+}
+
+// cold tells whether a server started so lately that it may do only part of its work.
+func (b *Balancer) cold(s *server) bool { return s.UpSince > 0 && b.now < s.UpSince+b.set.ColdFor }
+
+// spend tells whether a cold server has budget for one more connection from this node. Guards against
+// pushing it over: the budget grows with what a server usually gets from this node, times the multiple
+// that fells it, times the part of its capacity that it surely has. All nodes keep their own part of it.
+func (b *Balancer) spend(s *server) bool {
+	b.learnRate(0)
+	age := float64(b.now-s.UpSince) / float64(b.set.ColdFor)
+	share := b.set.ColdFrom + (1-b.set.ColdFrom)*min(max(age, 0), 1)
+	usual := b.rate / float64(max(len(b.ready), 1))
+	grown := usual * b.set.FallMultiple * share * coldMargin * (b.now - s.counted).Seconds()
+	s.budget, s.counted = min(s.budget+grown, 1), b.now
+	return s.budget >= 1
+}
+
+// learnRate keeps a slow mean of the rate of new connections.
+func (b *Balancer) learnRate(n float64) {
+	gap := min(b.now-b.rated, rateMemory)
+	b.rated = b.now
+	b.rate += n/rateMemory.Seconds() - b.rate*gap.Seconds()/rateMemory.Seconds()
+}
+
+// giveUp sends the final answer at once: a refusal where trying again is harmless, else a failure.
+func (b *Balancer) giveUp(r *request) {
+	class := b.set.Classes[r.Class]
+	ran := slices.ContainsFunc(r.tries, func(t try) bool { return t.ran })
+	if ran && class.Effect != Safe && (class.Effect != Keyed || class.Scope != ScopeAll) {
+		b.out = append(b.out, Fail{ID: r.ID})
+	} else {
+		b.out = append(b.out, Refuse{ID: r.ID, RetryIn: b.advice()})
+	}
+	r.answered = true
+	b.forget(r)
+}
+
+func (b *Balancer) advice() time.Duration {
+	if !b.set.RetryAdvice {
+		return 0
+	}
+	return time.Duration(float64(b.set.MaxRetryAfter) * (0.5 + b.rng.Float64()/2))
+}
+
+func (b *Balancer) accepted(ev Accepted) {
+	if r := b.requests[ev.ID]; r != nil && ev.Attempt >= 0 && ev.Attempt < len(r.tries) {
+		r.standing, r.answered = true, true
+		s := r.tries[ev.Attempt].server
+		s.strikes, s.asides = 0, 0
+	}
+}
+
+func (b *Balancer) closed(ev Closed) {
+	r := b.requests[ev.ID]
+	if r == nil || ev.Attempt < 0 || ev.Attempt >= len(r.tries) || !r.tries[ev.Attempt].out {
+		return
+	}
+	t := &r.tries[ev.Attempt]
+	t.out, t.ran = false, !ev.Outcome.NeverRan()
+	t.server.open--
+	if !r.standing {
+		b.judge(t.server, ev.Outcome)
+	}
+	switch {
+	case r.answered || ev.Final:
+		r.answered = true
+		b.forget(r)
+	default:
+		b.place(r)
+	}
+}
+
+// judge sets a server aside after failures in a row, for a while that grows; then it is tried again.
+func (b *Balancer) judge(s *server, o Outcome) {
+	if o != TimedOut && o != ConnectFailed && o != Error && o != Reset {
+		return
+	}
+	if s.strikes++; s.strikes >= strikesMost {
+		s.aside = b.now + min(asideFirst<<min(s.asides, 10), asideMost)
+		s.asides++
+	}
+}
+
+// forget drops a request once it is answered and nothing of it is out.
+func (b *Balancer) forget(r *request) {
+	if slices.ContainsFunc(r.tries, func(t try) bool { return t.out }) {
+		return
+	}
+	b.table.release(r.entry, b.now)
+	delete(b.requests, r.ID)
+}
+
+// table remembers the server of each client key while a connection stands and for afterEnd more.
+type table struct {
+	bound       int
+	entries     map[string]*entry
+	first, last *entry // ended entries, oldest first
+}
+
+type entry struct {
+	key        string
+	server     *server
+	upSince    time.Duration
+	held       int // connections and attempts that hold it
+	until      time.Duration
+	prev, next *entry
+}
+
+// server gives the remembered server; an entry whose server is not ready, or started anew, is dropped.
+func (t *table) server(key string) *server {
+	e := t.entries[key]
+	if e == nil {
+		return nil
+	}
+	if e.server.State != Ready || e.server.UpSince != e.upSince {
+		t.drop(e)
+		return nil
+	}
+	return e.server
+}
+
+func (t *table) hold(key string, s *server) *entry {
+	if key == "" {
+		return nil
+	}
+	e := t.entries[key]
+	if e == nil {
+		if len(t.entries) >= t.bound {
+			if t.first == nil {
+				return nil
+			}
+			t.drop(t.first)
+		}
+		e = &entry{key: key}
+		t.entries[key] = e
+	} else if e.held == 0 {
+		t.unlink(e)
+	}
+	e.server, e.upSince = s, s.UpSince
+	e.held++
+	return e
+}
+
+func (t *table) release(e *entry, now time.Duration) {
+	if e == nil {
+		return
+	}
+	if e.held--; e.held > 0 || t.entries[e.key] != e {
+		return
+	}
+	e.until = now + afterEnd
+	if e.prev = t.last; t.last != nil {
+		t.last.next = e
+	} else {
+		t.first = e
+	}
+	t.last = e
+}
+
+func (t *table) expire(now time.Duration) {
+	for t.first != nil && t.first.until <= now {
+		t.drop(t.first)
+	}
+}
+
+func (t *table) drop(e *entry) {
+	if e.held == 0 {
+		t.unlink(e)
+	}
+	delete(t.entries, e.key)
+}
+
+func (t *table) unlink(e *entry) {
+	if e.prev != nil {
+		e.prev.next = e.next
+	} else {
+		t.first = e.next
+	}
+	if e.next != nil {
+		e.next.prev = e.prev
+	} else {
+		t.last = e.prev
+	}
+	e.prev, e.next = nil, nil
+}
--- /dev/null
+++ b/cmd/adapter/main.go
@@ -0,0 +1,17 @@
+// Command adapter runs the decisions of package balance on the simulator's wire: batches of events
+// on standard input, their replies on standard output.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"brassmux/internal/simhost"
+)
+
+func main() {
+	if err := simhost.Run(os.Stdin, os.Stdout); err != nil {
+		fmt.Fprintln(os.Stderr, "adapter:", err)
+		os.Exit(1)
+	}
+}
