--- a/balance/api.go
+++ b/balance/api.go
@@ -131,6 +131,7 @@
 	Group   string        // connections of one group share work; may be empty
 	Left    time.Duration // until the client gives up
 	MidFlow bool          // packets of a connection that stands already, at a server unknown
+	Again   bool          // the client was here before: a repeat, or back after a break
 }
 
 // Opened is a connection that stood already when this node started; Attempt 0 made it.
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -8,6 +8,7 @@
 
 import (
 	"encoding/binary"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -50,7 +51,8 @@
 
 type server struct {
 	Server
-	open    int     // connections of this node, attempts on their way included
+	open    int // connections of this node, attempts on their way included
+	byClass map[string]int
 	budget  float64 // connections that may be sent to it while it is cold
 	counted time.Duration
 	strikes int           // failures in a row
@@ -58,6 +60,11 @@
 	asides  int
 }
 
+func (s *server) add(class string, n int) {
+	s.open += n
+	s.byClass[class] += n
+}
+
 type request struct {
 	Request
 	deadline time.Duration
@@ -129,13 +136,15 @@
 	for _, e := range ev.Servers {
 		s := b.servers[e.ID]
 		if s == nil {
-			s = &server{}
+			s = &server{byClass: map[string]int{}}
 			b.servers[e.ID] = s
 		}
 		if e.UpSince != s.UpSince {
 			s.budget, s.counted, s.strikes, s.aside, s.asides = 0, b.now, 0, 0, 0
 		}
-		s.Server = e
+		if s.Server = e; !(s.Weight > 0) {
+			s.Weight = 1
+		}
 	}
 	b.ready = b.ready[:0]
 	for _, s := range b.servers {
@@ -171,6 +180,9 @@
 	}
 	r := &request{Request: ev, deadline: b.now + ev.Left}
 	b.requests[ev.ID] = r
+	if !ev.Again {
+		b.learnRate(1) // guards against a wave of returning clients that looks like usual traffic
+	}
 	return r
 }
 
@@ -178,13 +190,13 @@
 func (b *Balancer) opened(ev Opened) {
 	s := b.servers[ev.Server]
 	if s == nil {
-		s = &server{Server: Server{ID: ev.Server}}
+		s = &server{Server: Server{ID: ev.Server, Weight: 1}, byClass: map[string]int{}}
 		b.servers[ev.Server] = s
 	}
 	if r := b.admit(ev.Request); r != nil {
 		r.standing, r.answered = true, true
 		r.tries = append(r.tries, try{server: s, sent: b.now, out: true, ran: true})
-		s.open++
+		s.add(r.Class, 1)
 		r.entry = b.table.hold(r.Key, s)
 	}
 }
@@ -201,11 +213,10 @@
 	if len(r.tries)+1 < b.set.MaxAttempts && b.mayRepeat(r) {
 		timeout = left / 2 // a silent server must leave time for another attempt
 	}
-	b.learnRate(1)
 	if b.cold(s) {
 		s.budget--
 	}
-	s.open++
+	s.add(r.Class, 1)
 	r.tries = append(r.tries, try{server: s, sent: b.now, out: true, ran: true})
 	b.table.release(r.entry, b.now)
 	r.entry = b.table.hold(r.Key, s)
@@ -224,9 +235,10 @@
 	if s := b.table.server(r.Key); s != nil && b.allowed(r, s) && b.now >= s.aside {
 		return s
 	}
-	total := 0
+	total, weight := 0, 0.0
 	for _, s := range b.ready {
-		total += s.open
+		total += s.byClass[r.Class]
+		weight += s.Weight
 	}
 	var fallback *server
 	for _, s := range b.rank(r) {
@@ -236,8 +248,7 @@
 		if fallback == nil {
 			fallback = s
 		}
-		n := len(b.ready)
-		crowded := n*s.open > 2*total && n*s.open >= total+3*n
+		crowded := float64(s.byClass[r.Class]) > float64(total)*s.Weight/weight*1.1+0.5
 		if b.now >= s.aside && (r.MidFlow || !crowded) {
 			return s
 		}
@@ -257,17 +268,18 @@
 		buf = binary.LittleEndian.AppendUint64(buf, b.rng.Uint64())
 	}
 	type scored struct {
-		hash uint64
-		s    *server
+		score float64
+		s     *server
 	}
 	all := make([]scored, len(b.ready))
 	for i, s := range b.ready {
-		all[i] = scored{xxhash.Sum64(binary.LittleEndian.AppendUint64(buf, uint64(s.ID))), s}
+		h := xxhash.Sum64(binary.LittleEndian.AppendUint64(buf, uint64(s.ID)))
+		all[i] = scored{-s.Weight / math.Log((float64(h>>11)+0.5)/(1<<53)), s}
 	}
 	slices.SortStableFunc(all, func(x, y scored) int {
-		if x.hash > y.hash {
+		if x.score > y.score {
 			return -1
-		} else if x.hash < y.hash {
+		} else if x.score < y.score {
 			return 1
 		}
 		return 0 // ties go by id, the order of ready
@@ -366,7 +378,7 @@
 	}
 	t := &r.tries[ev.Attempt]
 	t.out, t.ran = false, !ev.Outcome.NeverRan()
-	t.server.open--
+	t.server.add(r.Class, -1)
 	if !r.standing {
 		b.judge(t.server, ev.Outcome)
 	}
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -147,7 +147,9 @@
 }
 
 const (
+	bitRepeat  = 2
 	bitMidFlow = 8
+	bitBack    = 16
 	noteSlow   = 2
 )
 
@@ -326,7 +328,8 @@
 
 func request(c *common) balance.Request {
 	return balance.Request{ID: balance.RequestID(c.Request), Class: c.Class, Key: c.Resource,
-		Group: c.Channel, Left: us(c.Grace), MidFlow: c.Bits&bitMidFlow != 0}
+		Group: c.Channel, Left: us(c.Grace), MidFlow: c.Bits&bitMidFlow != 0,
+		Again: c.Bits&(bitRepeat|bitBack) != 0}
 }
 
 func us(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
