--- a/balance/balance.go
+++ b/balance/balance.go
@@ -381,6 +381,10 @@
 	t.server.add(r.Class, -1)
 	if !r.standing {
 		b.judge(t.server, ev.Outcome)
+	} else if ev.Outcome == Reset {
+		// Guards against clients that a server dropped coming straight back to it, to be dropped again.
+		t.server.aside = max(t.server.aside, b.now+asideFirst)
+		b.table.drop(r.entry)
 	}
 	switch {
 	case r.answered || ev.Final:
@@ -485,6 +489,9 @@
 }
 
 func (t *table) drop(e *entry) {
+	if e == nil || t.entries[e.key] != e {
+		return
+	}
 	if e.held == 0 {
 		t.unlink(e)
 	}
