--- a/balance/balance.go
+++ b/balance/balance.go
@@ -259,9 +259,9 @@
 // rank orders the ready servers by a hash of key and server id, highest first. A request without
 // a key is ranked by its group, one without either by a draw.
 func (b *Balancer) rank(r *request) []*server {
-	key := r.Key
+	key := r.Group
 	if key == "" {
-		key = r.Group
+		key = r.Key
 	}
 	buf := append(make([]byte, 0, 64), key...)
 	if key == "" {
