--- a/balance/balance.go
+++ b/balance/balance.go
@@ -47,6 +47,7 @@
 	asks     int           // calls for the list that failed in a row
 	rate     float64       // new connections a second
 	rated    time.Duration // when rate was last brought up to date
+	pace     pace
 }
 
 type server struct {
@@ -204,7 +205,7 @@
 // place starts the next attempt of a request that has none out, or gives it up.
 func (b *Balancer) place(r *request) {
 	s := b.choose(r)
-	if s == nil {
+	if s == nil || !r.MidFlow && !b.pace.take(b.now, b.rate) {
 		b.giveUp(r)
 		return
 	}
@@ -368,6 +369,11 @@
 		r.standing, r.answered = true, true
 		s := r.tries[ev.Attempt].server
 		s.strikes, s.asides = 0, 0
+		if aim := b.set.Classes[r.Class].SetupAim; aim > 0 && ev.Took > aim {
+			b.pace.slow(b.now, s, r.tries[ev.Attempt].sent)
+		} else {
+			b.pace.grow()
+		}
 	}
 }
 
@@ -380,6 +386,9 @@
 	t.out, t.ran = false, !ev.Outcome.NeverRan()
 	t.server.add(r.Class, -1)
 	if !r.standing {
+		if ev.Outcome == Error || ev.Outcome == TimedOut {
+			b.pace.slow(b.now, t.server, t.sent)
+		}
 		b.judge(t.server, ev.Outcome)
 	} else if ev.Outcome == Reset {
 		// Guards against clients that a server dropped coming straight back to it, to be dropped again.
@@ -397,7 +406,7 @@
 
 // judge sets a server aside after failures in a row, for a while that grows; then it is tried again.
 func (b *Balancer) judge(s *server, o Outcome) {
-	if o != TimedOut && o != ConnectFailed && o != Error && o != Reset {
+	if o != TimedOut && o != ConnectFailed && o != Error && o != Reset || b.pace.limited() {
 		return
 	}
 	if s.strikes++; s.strikes >= strikesMost {
@@ -406,6 +415,55 @@
 	}
 }
 
+// pace limits the start of new connections while set-ups fail or come late on different servers: then
+// something that all servers share is slow, and trying harder keeps it so. It guards against retries
+// that hold a shared store down after its trouble is over, and against condemning single servers for it.
+type pace struct {
+	times  float64 // the limit, as a multiple of the usual rate; 0 means none
+	tokens float64
+	at     time.Duration // when tokens were last counted
+	last   *server       // the server of the last bad set-up
+	lastAt time.Duration
+	cut    time.Duration // the last time the limit was lowered
+}
+
+const paceMost, paceLeast, paceStep = 8, 0.25, 0.1
+
+func (p *pace) limited() bool { return p.times > 0 }
+
+func (p *pace) take(now time.Duration, usual float64) bool {
+	if p.times == 0 {
+		return true
+	}
+	p.tokens = min(p.tokens+(now-p.at).Seconds()*p.times*usual, 2)
+	p.at = now
+	if p.tokens < 1 {
+		return false
+	}
+	p.tokens--
+	return true
+}
+
+func (p *pace) slow(now time.Duration, s *server, sent time.Duration) {
+	other := p.last != nil && p.last != s && now-p.lastAt < asideFirst
+	p.last, p.lastAt = s, now
+	if !other || sent < p.cut {
+		return
+	}
+	if p.times == 0 {
+		p.times, p.tokens, p.at = paceMost, 1, now
+	}
+	p.times, p.cut = max(p.times/2, paceLeast), now
+}
+
+func (p *pace) grow() {
+	if p.times > 0 {
+		if p.times += paceStep; p.times > paceMost {
+			p.times = 0
+		}
+	}
+}
+
 // forget drops a request once it is answered and nothing of it is out.
 func (b *Balancer) forget(r *request) {
 	if slices.ContainsFunc(r.tries, func(t try) bool { return t.out }) {
