--- a/balance/balance.go
+++ b/balance/balance.go
@@ -7,6 +7,8 @@
 package balance
 
 import (
+	"cmp"
+	"container/list"
 	"encoding/binary"
 	"math"
 	"math/rand/v2"
@@ -91,7 +93,7 @@
 	return &Balancer{
 		set: set, rng: rand.New(rand.NewPCG(seed, 0)),
 		servers: map[ServerID]*server{}, requests: map[RequestID]*request{},
-		table: table{bound: set.MaxOpen, entries: map[string]*entry{}},
+		table: table{bound: set.MaxOpen, entries: map[string]*entry{}, ended: list.New()},
 	}
 }
 
@@ -153,7 +155,7 @@
 			b.ready = append(b.ready, s)
 		}
 	}
-	slices.SortFunc(b.ready, func(a, c *server) int { return cmpID(a.ID, c.ID) })
+	slices.SortFunc(b.ready, func(x, y *server) int { return cmp.Compare(x.ID, y.ID) })
 	switch {
 	case ev.Kind == ListFailed:
 		// Guards against a herd of nodes that all ask again at once: the pause grows and is spread.
@@ -168,13 +170,6 @@
 	}
 }
 
-func cmpID(a, c ServerID) int {
-	if a < c {
-		return -1
-	}
-	return 1
-}
-
 func (b *Balancer) admit(ev Request) *request {
 	if b.requests[ev.ID] != nil {
 		return nil
@@ -277,14 +272,8 @@
 		h := xxhash.Sum64(binary.LittleEndian.AppendUint64(buf, uint64(s.ID)))
 		all[i] = scored{-s.Weight / math.Log((float64(h>>11)+0.5)/(1<<53)), s}
 	}
-	slices.SortStableFunc(all, func(x, y scored) int {
-		if x.score > y.score {
-			return -1
-		} else if x.score < y.score {
-			return 1
-		}
-		return 0 // ties go by id, the order of ready
-	})
+	// Ties go by id, the order of ready.
+	slices.SortStableFunc(all, func(x, y scored) int { return cmp.Compare(y.score, x.score) })
 	order := make([]*server, len(all))
 	for i := range all {
 		order[i] = all[i].s
@@ -475,18 +464,18 @@
 
 // table remembers the server of each client key while a connection stands and for afterEnd more.
 type table struct {
-	bound       int
-	entries     map[string]*entry
-	first, last *entry // ended entries, oldest first
+	bound   int
+	entries map[string]*entry
+	ended   *list.List // of *entry, oldest first
 }
 
 type entry struct {
-	key        string
-	server     *server
-	upSince    time.Duration
-	held       int // connections and attempts that hold it
-	until      time.Duration
-	prev, next *entry
+	key     string
+	server  *server
+	upSince time.Duration
+	held    int // connections and attempts that hold it
+	until   time.Duration
+	ended   *list.Element // nil while held
 }
 
 // server gives the remembered server; an entry whose server is not ready, or started anew, is dropped.
@@ -503,21 +492,19 @@
 }
 
 func (t *table) hold(key string, s *server) *entry {
-	if key == "" {
-		return nil
-	}
 	e := t.entries[key]
-	if e == nil {
-		if len(t.entries) >= t.bound {
-			if t.first == nil {
-				return nil
-			}
-			t.drop(t.first)
+	switch {
+	case key == "":
+		return nil
+	case e == nil:
+		if len(t.entries) >= t.bound && t.ended.Len() > 0 {
+			t.drop(t.ended.Front().Value.(*entry))
 		}
 		e = &entry{key: key}
 		t.entries[key] = e
-	} else if e.held == 0 {
-		t.unlink(e)
+	case e.ended != nil:
+		t.ended.Remove(e.ended)
+		e.ended = nil
 	}
 	e.server, e.upSince = s, s.UpSince
 	e.held++
@@ -528,21 +515,15 @@
 	if e == nil {
 		return
 	}
-	if e.held--; e.held > 0 || t.entries[e.key] != e {
-		return
-	}
-	e.until = now + afterEnd
-	if e.prev = t.last; t.last != nil {
-		t.last.next = e
-	} else {
-		t.first = e
+	if e.held--; e.held == 0 && t.entries[e.key] == e {
+		e.until = now + afterEnd
+		e.ended = t.ended.PushBack(e)
 	}
-	t.last = e
 }
 
 func (t *table) expire(now time.Duration) {
-	for t.first != nil && t.first.until <= now {
-		t.drop(t.first)
+	for e := t.ended.Front(); e != nil && e.Value.(*entry).until <= now; e = t.ended.Front() {
+		t.drop(e.Value.(*entry))
 	}
 }
 
@@ -550,22 +531,8 @@
 	if e == nil || t.entries[e.key] != e {
 		return
 	}
-	if e.held == 0 {
-		t.unlink(e)
+	if e.ended != nil {
+		t.ended.Remove(e.ended)
 	}
 	delete(t.entries, e.key)
 }
-
-func (t *table) unlink(e *entry) {
-	if e.prev != nil {
-		e.prev.next = e.next
-	} else {
-		t.first = e.next
-	}
-	if e.next != nil {
-		e.next.prev = e.prev
-	} else {
-		t.last = e.prev
-	}
-	e.prev, e.next = nil, nil
-}
