--- a/balance/balance.go
+++ b/balance/balance.go
@@ -29,12 +29,19 @@
 	rateMemory = 20 * time.Second
 	// The part of the cold budget used: connections differ in load, and nodes in their share.
 	coldMargin = 0.5
+	// How often a server is probed by all nodes together.
+	probeEvery = time.Second
+	// A report counts this long.
+	reportFor = 5 * time.Second
 	// Failures in a row that set a server aside, and for how long.
 	strikesMost           = 3
 	asideFirst, asideMost = 2 * time.Second, 16 * time.Second
 )
 
-const timerSubscribe = 1
+const (
+	timerSubscribe = iota + 1
+	timerProbe
+)
 
 // Balancer is one node's decisions. It is not safe for concurrent use.
 type Balancer struct {
@@ -50,6 +57,8 @@
 	rate     float64       // new connections a second
 	rated    time.Duration // when rate was last brought up to date
 	pace     pace
+	probing  bool
+	probed   int // how many probes were sent
 }
 
 type server struct {
@@ -61,11 +70,15 @@
 	strikes int           // failures in a row
 	aside   time.Duration // no new connections before it, while others can take them
 	asides  int
+	load    float64       // its last report: work asked of it over what it can do
+	loaded  time.Duration // when that came; 0 means never
+	since   int           // connections that this node added since then
 }
 
 func (s *server) add(class string, n int) {
 	s.open += n
 	s.byClass[class] += n
+	s.since += n
 }
 
 type request struct {
@@ -121,8 +134,20 @@
 			b.forget(r)
 		}
 	case Timer:
-		if ev.Token == timerSubscribe {
+		switch ev.Token {
+		case timerSubscribe:
 			b.out = append(b.out, Subscribe{})
+		case timerProbe:
+			b.probing = false
+			if len(b.ready) > 0 {
+				b.out = append(b.out, Probe{Server: b.ready[b.probed%len(b.ready)].ID})
+				b.probed++
+			}
+			b.probeSoon()
+		}
+	case Probed:
+		if s := b.servers[ev.Server]; s != nil && ev.Report != nil && ev.Report.Load >= 0 {
+			s.load, s.loaded, s.since = ev.Report.Load, b.now, 0
 		}
 	}
 	return b.out
@@ -156,6 +181,7 @@
 		}
 	}
 	slices.SortFunc(b.ready, func(x, y *server) int { return cmp.Compare(x.ID, y.ID) })
+	b.probeSoon()
 	switch {
 	case ev.Kind == ListFailed:
 		// Guards against a herd of nodes that all ask again at once: the pause grows and is spread.
@@ -170,6 +196,15 @@
 	}
 }
 
+// probeSoon arms the next probe: each server is asked once in probeEvery by all nodes together.
+func (b *Balancer) probeSoon() {
+	if b.set.MayProbe && !b.probing && len(b.ready) > 0 {
+		b.probing = true
+		after := probeEvery * time.Duration(b.set.Nodes) / time.Duration(len(b.ready))
+		b.out = append(b.out, SetTimer{After: after, Token: timerProbe})
+	}
+}
+
 func (b *Balancer) admit(ev Request) *request {
 	if b.requests[ev.ID] != nil {
 		return nil
@@ -232,9 +267,19 @@
 		return s
 	}
 	total, weight := 0, 0.0
+	known, load, unit := 0.0, 0.0, 0.0
 	for _, s := range b.ready {
 		total += s.byClass[r.Class]
 		weight += s.Weight
+		if s.loaded > 0 && b.now < s.loaded+reportFor {
+			known++
+			load += s.load
+			unit += float64(max(s.open-s.since, 1))
+		}
+	}
+	if known > 0 {
+		unit = load / unit
+		load /= known
 	}
 	var fallback *server
 	for _, s := range b.rank(r) {
@@ -245,6 +290,9 @@
 			fallback = s
 		}
 		crowded := float64(s.byClass[r.Class]) > float64(total)*s.Weight/weight*1.1+0.5
+		if s.loaded > 0 && b.now < s.loaded+reportFor {
+			crowded = s.load+float64(s.since)*unit > max(0.6, load+0.1)
+		}
 		if b.now >= s.aside && (r.MidFlow || !crowded) {
 			return s
 		}
