--- a/balance/balance.go
+++ b/balance/balance.go
@@ -286,12 +286,16 @@
 		if !b.allowed(r, s) {
 			continue
 		}
-		if fallback == nil {
-			fallback = s
-		}
 		crowded := float64(s.byClass[r.Class]) > float64(total)*s.Weight/weight*1.1+0.5
 		if s.loaded > 0 && b.now < s.loaded+reportFor {
-			crowded = s.load+float64(s.since)*unit > max(0.6, load+0.1)
+			est := s.load + float64(s.since)*unit
+			crowded = est > max(0.6, load+0.1)
+			if est > 0.95 {
+				continue // it could only take this one at the cost of those it holds
+			}
+		}
+		if fallback == nil {
+			fallback = s
 		}
 		if b.now >= s.aside && (r.MidFlow || !crowded) {
 			return s
