--- a/balance/balance.go
+++ b/balance/balance.go
@@ -434,7 +434,6 @@
 	} else if ev.Outcome == Reset {
 		// Guards against clients that a server dropped coming straight back to it, to be dropped again.
 		t.server.aside = max(t.server.aside, b.now+asideFirst)
-		b.table.drop(r.entry)
 	}
 	switch {
 	case r.answered || ev.Final:
