--- a/balance/balance.go
+++ b/balance/balance.go
@@ -33,6 +33,10 @@
 	probeEvery = time.Second
 	// A report counts this long.
 	reportFor = 5 * time.Second
+	// A server is crowded over this load, if also over the mean by the slack; over fullLoad it is full.
+	easyLoad, loadSlack, fullLoad = 0.6, 0.1, 0.95
+	// Without reports it is crowded over this multiple of its fair part of the class.
+	fairShare = 1.1
 	// Failures in a row that set a server aside, and for how long.
 	strikesMost           = 3
 	asideFirst, asideMost = 2 * time.Second, 16 * time.Second
@@ -63,16 +67,18 @@
 
 type server struct {
 	Server
-	open    int // connections of this node, attempts on their way included
-	byClass map[string]int
-	budget  float64 // connections that may be sent to it while it is cold
-	counted time.Duration
-	strikes int           // failures in a row
-	aside   time.Duration // no new connections before it, while others can take them
-	asides  int
-	load    float64       // its last report: work asked of it over what it can do
-	loaded  time.Duration // when that came; 0 means never
-	since   int           // connections that this node added since then
+	open         int     // connections of this node, attempts on their way included
+	score        float64 // in the ranking of the request at hand
+	byClass      map[string]int
+	budget       float64 // connections that may be sent to it while it is cold
+	counted      time.Duration
+	strikes      int           // failures in a row
+	aside        time.Duration // no new connections before it, while others can take them
+	asides       int
+	slow         time.Duration // messages there took too long until then
+	reportedLoad float64       // its last report: work asked of it over what it can do
+	loaded       time.Duration // when that came; 0 means never
+	since        int           // connections that this node added since then
 }
 
 func (s *server) add(class string, n int) {
@@ -133,6 +139,11 @@
 			r.answered = true
 			b.forget(r)
 		}
+	case Slow:
+		r, s := b.requests[ev.ID], b.servers[ev.Server]
+		if r != nil && s != nil && ev.Message*2 > b.set.Classes[r.Class].MessageAim {
+			s.slow = b.now + asideFirst
+		}
 	case Timer:
 		switch ev.Token {
 		case timerSubscribe:
@@ -147,7 +158,7 @@
 		}
 	case Probed:
 		if s := b.servers[ev.Server]; s != nil && ev.Report != nil && ev.Report.Load >= 0 {
-			s.load, s.loaded, s.since = ev.Report.Load, b.now, 0
+			s.reportedLoad, s.loaded, s.since = ev.Report.Load, b.now, 0
 		}
 	}
 	return b.out
@@ -162,11 +173,7 @@
 		}
 	}
 	for _, e := range ev.Servers {
-		s := b.servers[e.ID]
-		if s == nil {
-			s = &server{byClass: map[string]int{}}
-			b.servers[e.ID] = s
-		}
+		s := b.server(e.ID)
 		if e.UpSince != s.UpSince {
 			s.budget, s.counted, s.strikes, s.aside, s.asides = 0, b.now, 0, 0, 0
 		}
@@ -175,9 +182,11 @@
 		}
 	}
 	b.ready = b.ready[:0]
-	for _, s := range b.servers {
+	for id, s := range b.servers {
 		if s.State == Ready {
 			b.ready = append(b.ready, s)
+		} else if s.State == Gone && s.open == 0 {
+			delete(b.servers, id)
 		}
 	}
 	slices.SortFunc(b.ready, func(x, y *server) int { return cmp.Compare(x.ID, y.ID) })
@@ -217,13 +226,16 @@
 	return r
 }
 
+func (b *Balancer) server(id ServerID) *server {
+	if b.servers[id] == nil {
+		b.servers[id] = &server{Server: Server{ID: id, Weight: 1}, byClass: map[string]int{}}
+	}
+	return b.servers[id]
+}
+
 // opened takes over a connection that stood before this instance did: it is load like any other.
 func (b *Balancer) opened(ev Opened) {
-	s := b.servers[ev.Server]
-	if s == nil {
-		s = &server{Server: Server{ID: ev.Server, Weight: 1}, byClass: map[string]int{}}
-		b.servers[ev.Server] = s
-	}
+	s := b.server(ev.Server)
 	if r := b.admit(ev.Request); r != nil {
 		r.standing, r.answered = true, true
 		r.tries = append(r.tries, try{server: s, sent: b.now, out: true, ran: true})
@@ -239,10 +251,9 @@
 		b.giveUp(r)
 		return
 	}
-	left := r.deadline - b.now
 	timeout := time.Duration(0)
-	if len(r.tries)+1 < b.set.MaxAttempts && b.mayRepeat(r) {
-		timeout = left / 2 // a silent server must leave time for another attempt
+	if len(r.tries)+1 < b.set.MaxAttempts && b.set.Classes[r.Class].Effect == Safe {
+		timeout = (r.deadline - b.now) / 2 // a silent server must leave time for another attempt
 	}
 	if b.cold(s) {
 		s.budget--
@@ -254,11 +265,8 @@
 	b.out = append(b.out, Attempt{ID: r.ID, Server: s.ID, Timeout: timeout})
 }
 
-func (b *Balancer) mayRepeat(r *request) bool {
-	return b.set.Classes[r.Class].Effect == Safe
-}
-
-// choose names the server for the next attempt: the table's, else the ranking's, else nil.
+// choose names the server for the next attempt: the table's, else the ranking's, else nil. Servers that
+// are full are passed by; those that are crowded, slow or set aside only while another has room.
 func (b *Balancer) choose(r *request) *server {
 	if len(r.tries) >= b.set.MaxAttempts || r.deadline-b.now <= b.set.Tick && len(r.tries) > 0 {
 		return nil
@@ -266,42 +274,61 @@
 	if s := b.table.server(r.Key); s != nil && b.allowed(r, s) && b.now >= s.aside {
 		return s
 	}
-	total, weight := 0, 0.0
-	known, load, unit := 0.0, 0.0, 0.0
-	for _, s := range b.ready {
-		total += s.byClass[r.Class]
-		weight += s.Weight
-		if s.loaded > 0 && b.now < s.loaded+reportFor {
-			known++
-			load += s.load
-			unit += float64(max(s.open-s.since, 1))
-		}
-	}
-	if known > 0 {
-		unit = load / unit
-		load /= known
-	}
-	var fallback *server
+	with, top := b.roomy(r)
+	return cmp.Or(with, top) // health fails open
+}
+
+// roomy gives the first server of the ranking that has room, and the first that is not full.
+func (b *Balancer) roomy(r *request) (with, top *server) {
+	v := b.survey(r.Class)
 	for _, s := range b.rank(r) {
 		if !b.allowed(r, s) {
 			continue
 		}
-		crowded := float64(s.byClass[r.Class]) > float64(total)*s.Weight/weight*1.1+0.5
-		if s.loaded > 0 && b.now < s.loaded+reportFor {
-			est := s.load + float64(s.since)*unit
-			crowded = est > max(0.6, load+0.1)
-			if est > 0.95 {
-				continue // it could only take this one at the cost of those it holds
-			}
+		load, crowded := v.load(b, s)
+		if load > fullLoad {
+			continue // it could only take this one at the cost of those it holds
+		}
+		if top == nil {
+			top = s
 		}
-		if fallback == nil {
-			fallback = s
+		if b.now >= s.aside && (r.MidFlow || !crowded && b.now >= s.slow) {
+			return s, top
 		}
-		if b.now >= s.aside && (r.MidFlow || !crowded) {
-			return s
+	}
+	return nil, top
+}
+
+// view is what a node knows of the load of all ready servers.
+type view struct {
+	class      string
+	fair       float64 // connections of the class for each unit of weight
+	mean, each float64 // of the reported loads: their mean, and the part of one connection
+}
+
+func (b *Balancer) survey(class string) view {
+	count, weight, known, load, open := 0, 0.0, 0, 0.0, 0
+	for _, s := range b.ready {
+		count += s.byClass[class]
+		weight += s.Weight
+		if s.reported(b.now) {
+			known++
+			load += s.reportedLoad
+			open += max(s.open-s.since, 1)
 		}
 	}
-	return fallback // health fails open
+	return view{class, float64(count) / weight, load / float64(max(known, 1)), load / float64(max(open, 1))}
+}
+
+func (s *server) reported(now time.Duration) bool { return s.loaded > 0 && now < s.loaded+reportFor }
+
+// load gives the load of s if it is known, and whether s holds clearly more than its part.
+func (v view) load(b *Balancer, s *server) (float64, bool) {
+	if s.reported(b.now) {
+		load := s.reportedLoad + float64(s.since)*v.each
+		return load, load > max(easyLoad, v.mean+loadSlack)
+	}
+	return 0, float64(s.byClass[v.class]) > v.fair*s.Weight*fairShare+0.5
 }
 
 // rank orders the ready servers by a hash of key and server id, highest first. A request without
@@ -315,21 +342,13 @@
 	if key == "" {
 		buf = binary.LittleEndian.AppendUint64(buf, b.rng.Uint64())
 	}
-	type scored struct {
-		score float64
-		s     *server
-	}
-	all := make([]scored, len(b.ready))
-	for i, s := range b.ready {
+	order := slices.Clone(b.ready)
+	for _, s := range order {
 		h := xxhash.Sum64(binary.LittleEndian.AppendUint64(buf, uint64(s.ID)))
-		all[i] = scored{-s.Weight / math.Log((float64(h>>11)+0.5)/(1<<53)), s}
+		s.score = -s.Weight / math.Log((float64(h>>11)+0.5)/(1<<53))
 	}
 	// Ties go by id, the order of ready.
-	slices.SortStableFunc(all, func(x, y scored) int { return cmp.Compare(y.score, x.score) })
-	order := make([]*server, len(all))
-	for i := range all {
-		order[i] = all[i].s
-	}
+	slices.SortStableFunc(order, func(x, y *server) int { return cmp.Compare(y.score, x.score) })
 	return order
 }
 
@@ -392,19 +411,16 @@
 	if ran && class.Effect != Safe && (class.Effect != Keyed || class.Scope != ScopeAll) {
 		b.out = append(b.out, Fail{ID: r.ID})
 	} else {
-		b.out = append(b.out, Refuse{ID: r.ID, RetryIn: b.advice()})
+		advice := time.Duration(0)
+		if b.set.RetryAdvice { // spread, so that the refused do not come back as one wave
+			advice = time.Duration(float64(b.set.MaxRetryAfter) * (0.5 + b.rng.Float64()/2))
+		}
+		b.out = append(b.out, Refuse{ID: r.ID, RetryIn: advice})
 	}
 	r.answered = true
 	b.forget(r)
 }
 
-func (b *Balancer) advice() time.Duration {
-	if !b.set.RetryAdvice {
-		return 0
-	}
-	return time.Duration(float64(b.set.MaxRetryAfter) * (0.5 + b.rng.Float64()/2))
-}
-
 func (b *Balancer) accepted(ev Accepted) {
 	if r := b.requests[ev.ID]; r != nil && ev.Attempt >= 0 && ev.Attempt < len(r.tries) {
 		r.standing, r.answered = true, true
@@ -435,18 +451,16 @@
 		// Guards against clients that a server dropped coming straight back to it, to be dropped again.
 		t.server.aside = max(t.server.aside, b.now+asideFirst)
 	}
-	switch {
-	case r.answered || ev.Final:
-		r.answered = true
+	if r.answered = r.answered || ev.Final; r.answered {
 		b.forget(r)
-	default:
+	} else {
 		b.place(r)
 	}
 }
 
 // judge sets a server aside after failures in a row, for a while that grows; then it is tried again.
 func (b *Balancer) judge(s *server, o Outcome) {
-	if o != TimedOut && o != ConnectFailed && o != Error && o != Reset || b.pace.limited() {
+	if o != TimedOut && o != ConnectFailed && o != Error && o != Reset || b.pace.times > 0 {
 		return
 	}
 	if s.strikes++; s.strikes >= strikesMost {
@@ -469,8 +483,6 @@
 
 const paceMost, paceLeast, paceStep = 8, 0.25, 0.1
 
-func (p *pace) limited() bool { return p.times > 0 }
-
 func (p *pace) take(now time.Duration, usual float64) bool {
 	if p.times == 0 {
 		return true
