--- a/balance/balance.go
+++ b/balance/balance.go
@@ -37,9 +37,8 @@
 	easyLoad, loadSlack, fullLoad = 0.6, 0.1, 0.95
 	// Without reports it is crowded over this multiple of its fair part of the class.
 	fairShare = 1.1
-	// Failures in a row that set a server aside, and for how long.
-	strikesMost           = 3
-	asideFirst, asideMost = 2 * time.Second, 16 * time.Second
+	// A server that failed, dropped connections or was slow takes no new ones for so long.
+	asideFor = 2 * time.Second
 )
 
 const (
@@ -72,9 +71,7 @@
 	byClass      map[string]int
 	budget       float64 // connections that may be sent to it while it is cold
 	counted      time.Duration
-	strikes      int           // failures in a row
 	aside        time.Duration // no new connections before it, while others can take them
-	asides       int
 	slow         time.Duration // messages there took too long until then
 	reportedLoad float64       // its last report: work asked of it over what it can do
 	loaded       time.Duration // when that came; 0 means never
@@ -142,7 +139,7 @@
 	case Slow:
 		r, s := b.requests[ev.ID], b.servers[ev.Server]
 		if r != nil && s != nil && ev.Message*2 > b.set.Classes[r.Class].MessageAim {
-			s.slow = b.now + asideFirst
+			s.slow = b.now + asideFor
 		}
 	case Timer:
 		switch ev.Token {
@@ -175,7 +172,7 @@
 	for _, e := range ev.Servers {
 		s := b.server(e.ID)
 		if e.UpSince != s.UpSince {
-			s.budget, s.counted, s.strikes, s.aside, s.asides = 0, b.now, 0, 0, 0
+			s.budget, s.counted, s.aside = 0, b.now, 0
 		}
 		if s.Server = e; !(s.Weight > 0) {
 			s.Weight = 1
@@ -425,7 +422,6 @@
 	if r := b.requests[ev.ID]; r != nil && ev.Attempt >= 0 && ev.Attempt < len(r.tries) {
 		r.standing, r.answered = true, true
 		s := r.tries[ev.Attempt].server
-		s.strikes, s.asides = 0, 0
 		if aim := b.set.Classes[r.Class].SetupAim; aim > 0 && ev.Took > aim {
 			b.pace.slow(b.now, s, r.tries[ev.Attempt].sent)
 		} else {
@@ -446,10 +442,12 @@
 		if ev.Outcome == Error || ev.Outcome == TimedOut {
 			b.pace.slow(b.now, t.server, t.sent)
 		}
-		b.judge(t.server, ev.Outcome)
+		if ev.Outcome == TimedOut || ev.Outcome == ConnectFailed {
+			t.server.aside = b.now + asideFor // guards against a silent server: it is tried again later
+		}
 	} else if ev.Outcome == Reset {
 		// Guards against clients that a server dropped coming straight back to it, to be dropped again.
-		t.server.aside = max(t.server.aside, b.now+asideFirst)
+		t.server.aside = b.now + asideFor
 	}
 	if r.answered = r.answered || ev.Final; r.answered {
 		b.forget(r)
@@ -458,17 +456,6 @@
 	}
 }
 
-// judge sets a server aside after failures in a row, for a while that grows; then it is tried again.
-func (b *Balancer) judge(s *server, o Outcome) {
-	if o != TimedOut && o != ConnectFailed && o != Error && o != Reset || b.pace.times > 0 {
-		return
-	}
-	if s.strikes++; s.strikes >= strikesMost {
-		s.aside = b.now + min(asideFirst<<min(s.asides, 10), asideMost)
-		s.asides++
-	}
-}
-
 // pace limits the start of new connections while set-ups fail or come late on different servers: then
 // something that all servers share is slow, and trying harder keeps it so. It guards against retries
 // that hold a shared store down after its trouble is over, and against condemning single servers for it.
@@ -497,7 +484,7 @@
 }
 
 func (p *pace) slow(now time.Duration, s *server, sent time.Duration) {
-	other := p.last != nil && p.last != s && now-p.lastAt < asideFirst
+	other := p.last != nil && p.last != s && now-p.lastAt < asideFor
 	p.last, p.lastAt = s, now
 	if !other || sent < p.cut {
 		return
