--- a/balance/balance.go
+++ b/balance/balance.go
@@ -39,6 +39,8 @@
 	fairShare = 1.1
 	// A server that failed, dropped connections or was slow takes no new ones for so long.
 	asideFor = 2 * time.Second
+	// The pace of set-ups, as a multiple of the usual rate: its bounds, and what a good set-up adds.
+	paceMost, paceLeast, paceStep = 8, 0.25, 0.1
 )
 
 const (
@@ -60,7 +62,6 @@
 	rate     float64       // new connections a second
 	rated    time.Duration // when rate was last brought up to date
 	pace     pace
-	probing  bool
 	probed   int // how many probes were sent
 }
 
@@ -72,7 +73,6 @@
 	budget       float64 // connections that may be sent to it while it is cold
 	counted      time.Duration
 	aside        time.Duration // no new connections before it, while others can take them
-	slow         time.Duration // messages there took too long until then
 	reportedLoad float64       // its last report: work asked of it over what it can do
 	loaded       time.Duration // when that came; 0 means never
 	since        int           // connections that this node added since then
@@ -137,21 +137,13 @@
 			b.forget(r)
 		}
 	case Slow:
-		r, s := b.requests[ev.ID], b.servers[ev.Server]
-		if r != nil && s != nil && ev.Message*2 > b.set.Classes[r.Class].MessageAim {
-			s.slow = b.now + asideFor
-		}
+		b.slow(ev)
 	case Timer:
 		switch ev.Token {
 		case timerSubscribe:
 			b.out = append(b.out, Subscribe{})
 		case timerProbe:
-			b.probing = false
-			if len(b.ready) > 0 {
-				b.out = append(b.out, Probe{Server: b.ready[b.probed%len(b.ready)].ID})
-				b.probed++
-			}
-			b.probeSoon()
+			b.probe()
 		}
 	case Probed:
 		if s := b.servers[ev.Server]; s != nil && ev.Report != nil && ev.Report.Load >= 0 {
@@ -187,7 +179,9 @@
 		}
 	}
 	slices.SortFunc(b.ready, func(x, y *server) int { return cmp.Compare(x.ID, y.ID) })
-	b.probeSoon()
+	if ev.Kind == ListCached && b.set.MayProbe {
+		b.probe()
+	}
 	switch {
 	case ev.Kind == ListFailed:
 		// Guards against a herd of nodes that all ask again at once: the pause grows and is spread.
@@ -202,13 +196,14 @@
 	}
 }
 
-// probeSoon arms the next probe: each server is asked once in probeEvery by all nodes together.
-func (b *Balancer) probeSoon() {
-	if b.set.MayProbe && !b.probing && len(b.ready) > 0 {
-		b.probing = true
-		after := probeEvery * time.Duration(b.set.Nodes) / time.Duration(len(b.ready))
-		b.out = append(b.out, SetTimer{After: after, Token: timerProbe})
+// probe asks the next server for its load, so that all nodes together ask each once in probeEvery.
+func (b *Balancer) probe() {
+	n := max(len(b.ready), 1)
+	if b.probed++; len(b.ready) > 0 {
+		b.out = append(b.out, Probe{Server: b.ready[b.probed%n].ID})
 	}
+	after := probeEvery * time.Duration(b.set.Nodes) / time.Duration(n)
+	b.out = append(b.out, SetTimer{After: after, Token: timerProbe})
 }
 
 func (b *Balancer) admit(ev Request) *request {
@@ -289,7 +284,7 @@
 		if top == nil {
 			top = s
 		}
-		if b.now >= s.aside && (r.MidFlow || !crowded && b.now >= s.slow) {
+		if b.now >= s.aside && (r.MidFlow || !crowded) {
 			return s, top
 		}
 	}
@@ -456,6 +451,21 @@
 	}
 }
 
+// slow sets a server aside where a message takes over half its class's aim, and moves that connection
+// if another server has room. Guards against clients pinned to a failing or crowded server.
+func (b *Balancer) slow(ev Slow) {
+	r, s := b.requests[ev.ID], b.servers[ev.Server]
+	if r == nil || s == nil || ev.Message*2 <= b.set.Classes[r.Class].MessageAim {
+		return
+	}
+	s.aside = max(s.aside, b.now+asideFor)
+	with, _ := b.roomy(&request{Request: r.Request})
+	if with != nil && (!with.reported(b.now) || with.reportedLoad < easyLoad) {
+		b.table.drop(r.entry)
+		b.out = append(b.out, Move{ID: r.ID})
+	}
+}
+
 // pace limits the start of new connections while set-ups fail or come late on different servers: then
 // something that all servers share is slow, and trying harder keeps it so. It guards against retries
 // that hold a shared store down after its trouble is over, and against condemning single servers for it.
@@ -468,8 +478,6 @@
 	cut    time.Duration // the last time the limit was lowered
 }
 
-const paceMost, paceLeast, paceStep = 8, 0.25, 0.1
-
 func (p *pace) take(now time.Duration, usual float64) bool {
 	if p.times == 0 {
 		return true
