--- a/balance/balance.go
+++ b/balance/balance.go
@@ -43,10 +43,7 @@
 	paceMost, paceLeast, paceStep = 8, 0.25, 0.1
 )
 
-const (
-	timerSubscribe = iota + 1
-	timerProbe
-)
+const timerSubscribe, timerProbe = 1, 2
 
 // Balancer is one node's decisions. It is not safe for concurrent use.
 type Balancer struct {
@@ -139,11 +136,10 @@
 	case Slow:
 		b.slow(ev)
 	case Timer:
-		switch ev.Token {
-		case timerSubscribe:
-			b.out = append(b.out, Subscribe{})
-		case timerProbe:
+		if ev.Token == timerProbe {
 			b.probe()
+		} else {
+			b.out = append(b.out, Subscribe{})
 		}
 	case Probed:
 		if s := b.servers[ev.Server]; s != nil && ev.Report != nil && ev.Report.Load >= 0 {
