--- a/balance/api.go
+++ b/balance/api.go
@@ -49,8 +49,7 @@
 	MaxAttempts   int  // attempts for one request; 0 means one
 	MayDuplicate  bool // two attempts of one request may be out together
 	MayProbe      bool
-	RetryAdvice   bool          // clients are told when to come back
-	MaxRetryAfter time.Duration // the longest advice they follow
+	MaxRetryAfter time.Duration // the longest advice that clients follow; 0 where they get none
 	MaxOpen       int           // requests held at once; 0 means a bound of the module's own
 	Tick          time.Duration // the shortest time between two batches of events
 
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -35,10 +35,10 @@
 	reportFor = 5 * time.Second
 	// A server is crowded over this load, if also over the mean by the slack; over fullLoad it is full.
 	easyLoad, loadSlack, fullLoad = 0.6, 0.1, 0.95
-	// Without reports it is crowded over this multiple of its fair part of the class.
-	fairShare = 1.1
 	// A server that failed, dropped connections or was slow takes no new ones for so long.
 	asideFor = 2 * time.Second
+	// What a limit grows by in a second.
+	limitGrowth = 0.05
 	// The pace of set-ups, as a multiple of the usual rate: its bounds, and what a good set-up adds.
 	paceMost, paceLeast, paceStep = 8, 0.25, 0.1
 )
@@ -70,6 +70,8 @@
 	budget       float64 // connections that may be sent to it while it is cold
 	counted      time.Duration
 	aside        time.Duration // no new connections before it, while others can take them
+	limit        float64       // connections that proved too many for it, 0 where none did
+	limited      time.Duration // when they did
 	reportedLoad float64       // its last report: work asked of it over what it can do
 	loaded       time.Duration // when that came; 0 means never
 	since        int           // connections that this node added since then
@@ -81,6 +83,11 @@
 	s.since += n
 }
 
+// full tells whether s holds what proved too much for it; that counts less as time goes by.
+func (s *server) full(now time.Duration) bool {
+	return s.limit > 0 && float64(s.open) >= s.limit*(1+limitGrowth*(now-s.limited).Seconds())
+}
+
 type request struct {
 	Request
 	deadline time.Duration
@@ -103,8 +110,7 @@
 	if set.MaxOpen <= 0 {
 		set.MaxOpen = defaultBound
 	}
-	return &Balancer{
-		set: set, rng: rand.New(rand.NewPCG(seed, 0)),
+	return &Balancer{set: set, rng: rand.New(rand.NewPCG(seed, 0)),
 		servers: map[ServerID]*server{}, requests: map[RequestID]*request{},
 		table: table{bound: set.MaxOpen, entries: map[string]*entry{}, ended: list.New()},
 	}
@@ -129,10 +135,7 @@
 	case Closed:
 		b.closed(ev)
 	case Left:
-		if r := b.requests[ev.ID]; r != nil {
-			r.answered = true
-			b.forget(r)
-		}
+		b.answered(b.requests[ev.ID])
 	case Slow:
 		b.slow(ev)
 	case Timer:
@@ -160,7 +163,7 @@
 	for _, e := range ev.Servers {
 		s := b.server(e.ID)
 		if e.UpSince != s.UpSince {
-			s.budget, s.counted, s.aside = 0, b.now, 0
+			s.budget, s.counted, s.aside, s.limit = 0, b.now, 0, 0
 		}
 		if s.Server = e; !(s.Weight > 0) {
 			s.Weight = 1
@@ -178,18 +181,16 @@
 	if ev.Kind == ListCached && b.set.MayProbe {
 		b.probe()
 	}
-	switch {
-	case ev.Kind == ListFailed:
-		// Guards against a herd of nodes that all ask again at once: the pause grows and is spread.
-		pause := min(askPause<<min(b.asks, 10), askPauseMost)
-		b.asks++
-		pause = time.Duration(float64(pause) * (0.5 + b.rng.Float64()))
-		b.out = append(b.out, SetTimer{After: pause, Token: timerSubscribe})
-	case ev.Kind == ListCached && !b.set.Pushed:
+	if ev.Kind == ListCached && !b.set.Pushed {
 		b.out = append(b.out, Subscribe{})
-	default:
+	}
+	if b.asks++; ev.Kind != ListFailed {
 		b.asks = 0
+		return
 	}
+	// Guards against a herd of nodes that all ask again at once: the pause grows and is spread.
+	pause := min(askPause<<min(b.asks-1, 10), askPauseMost)
+	b.out = append(b.out, SetTimer{After: b.spread(pause), Token: timerSubscribe})
 }
 
 // probe asks the next server for its load, so that all nodes together ask each once in probeEvery.
@@ -274,7 +275,7 @@
 			continue
 		}
 		load, crowded := v.load(b, s)
-		if load > fullLoad {
+		if load > fullLoad || s.full(b.now) {
 			continue // it could only take this one at the cost of those it holds
 		}
 		if top == nil {
@@ -316,7 +317,7 @@
 		load := s.reportedLoad + float64(s.since)*v.each
 		return load, load > max(easyLoad, v.mean+loadSlack)
 	}
-	return 0, float64(s.byClass[v.class]) > v.fair*s.Weight*fairShare+0.5
+	return 0, float64(s.byClass[v.class]) >= v.fair*s.Weight+1
 }
 
 // rank orders the ready servers by a hash of key and server id, highest first. A request without
@@ -399,14 +400,10 @@
 	if ran && class.Effect != Safe && (class.Effect != Keyed || class.Scope != ScopeAll) {
 		b.out = append(b.out, Fail{ID: r.ID})
 	} else {
-		advice := time.Duration(0)
-		if b.set.RetryAdvice { // spread, so that the refused do not come back as one wave
-			advice = time.Duration(float64(b.set.MaxRetryAfter) * (0.5 + b.rng.Float64()/2))
-		}
-		b.out = append(b.out, Refuse{ID: r.ID, RetryIn: advice})
+		// The advice is spread, so that the refused do not come back as one wave.
+		b.out = append(b.out, Refuse{ID: r.ID, RetryIn: b.spread(b.set.MaxRetryAfter * 2 / 3)})
 	}
-	r.answered = true
-	b.forget(r)
+	b.answered(r)
 }
 
 func (b *Balancer) accepted(ev Accepted) {
@@ -438,10 +435,11 @@
 		}
 	} else if ev.Outcome == Reset {
 		// Guards against clients that a server dropped coming straight back to it, to be dropped again.
-		t.server.aside = b.now + asideFor
+		s := t.server
+		s.aside, s.limit, s.limited = b.now+asideFor, float64(s.open), b.now
 	}
-	if r.answered = r.answered || ev.Final; r.answered {
-		b.forget(r)
+	if r.answered || ev.Final {
+		b.answered(r)
 	} else {
 		b.place(r)
 	}
@@ -507,13 +505,20 @@
 	}
 }
 
-// forget drops a request once it is answered and nothing of it is out.
-func (b *Balancer) forget(r *request) {
-	if slices.ContainsFunc(r.tries, func(t try) bool { return t.out }) {
+func (b *Balancer) spread(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * (0.5 + b.rng.Float64()))
+}
+
+// answered notes that nothing more is owed for a request, and forgets it when nothing of it is out.
+func (b *Balancer) answered(r *request) {
+	if r == nil {
 		return
 	}
-	b.table.release(r.entry, b.now)
-	delete(b.requests, r.ID)
+	r.answered = true
+	if !slices.ContainsFunc(r.tries, func(t try) bool { return t.out }) {
+		b.table.release(r.entry, b.now)
+		delete(b.requests, r.ID)
+	}
 }
 
 // table remembers the server of each client key while a connection stands and for afterEnd more.
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -301,11 +301,14 @@
 	s := balance.Settings{
 		Nodes: in.Balancers, Classes: map[string]balance.Class{}, Pushed: in.Membership == "pushed",
 		MaxAttempts: in.Ceilings.SendCap, MayDuplicate: in.Ceilings.MayDuplicate,
-		MayProbe: in.Ceilings.MayProbe, RetryAdvice: in.Ceilings.RetryAfter,
-		MaxRetryAfter: us(in.Ceilings.MaxRetryAfter), MaxOpen: in.Ceilings.MaxOpen, Tick: us(in.Tick),
+		MayProbe: in.Ceilings.MayProbe,
+		MaxOpen:  in.Ceilings.MaxOpen, Tick: us(in.Tick),
 		ColdFrom: in.Rules.ColdFrom, ColdFor: us(in.Rules.Cold), FallMultiple: in.Rules.FallMultiple,
 		FallWindow: us(in.Rules.Fall), AskWithin: us(in.Rules.AskWithin),
 	}
+	if in.Ceilings.RetryAfter {
+		s.MaxRetryAfter = us(in.Ceilings.MaxRetryAfter)
+	}
 	for i, c := range in.Classes {
 		class := balance.Class{Effect: effects[c.Effect], Scope: scopes[c.Scope], Window: us(c.Window),
 			SetupAim: us(c.Aim)}
