--- a/balance/balance.go
+++ b/balance/balance.go
@@ -40,7 +40,7 @@
 	// What a limit grows by in a second.
 	limitGrowth = 0.05
 	// The pace of set-ups, as a multiple of the usual rate: its bounds, and what a good set-up adds.
-	paceMost, paceLeast, paceStep = 8, 0.25, 0.1
+	paceMost, paceLeast, paceStep = 8, 0.25, 0.4
 )
 
 const timerSubscribe, timerProbe = 1, 2
