--- a/balance/balance.go
+++ b/balance/balance.go
@@ -241,7 +241,7 @@
 		return
 	}
 	timeout := time.Duration(0)
-	if len(r.tries)+1 < b.set.MaxAttempts && b.set.Classes[r.Class].Effect == Safe {
+	if len(r.tries)+1 < b.set.MaxAttempts && b.set.Classes[r.Class].Effect == Safe && b.pace.times == 0 {
 		timeout = (r.deadline - b.now) / 2 // a silent server must leave time for another attempt
 	}
 	if b.cold(s) {
