--- a/balance/balance.go
+++ b/balance/balance.go
@@ -19,28 +19,22 @@
 )
 
 const (
-	// A client's server is remembered this long after its last connection: the default of the design.
-	afterEnd = 30 * time.Second
-	// Entries of the table and requests held, where the settings name no limit.
-	defaultBound = 1 << 20
-	// Pauses before asking for the list anew.
-	askPause, askPauseMost = 200 * time.Millisecond, 3 * time.Second
-	// The time over which a node learns its usual rate of new connections.
-	rateMemory = 20 * time.Second
-	// The part of the cold budget used: connections differ in load, and nodes in their share.
-	coldMargin = 0.5
-	// How often a server is probed by all nodes together.
-	probeEvery = time.Second
-	// A report counts this long.
-	reportFor = 5 * time.Second
-	// A server is crowded over this load, if also over the mean by the slack; over fullLoad it is full.
-	easyLoad, loadSlack, fullLoad = 0.6, 0.1, 0.95
-	// A server that failed, dropped connections or was slow takes no new ones for so long.
-	asideFor = 2 * time.Second
-	// What a limit grows by in a second.
-	limitGrowth = 0.05
-	// The pace of set-ups, as a multiple of the usual rate: its bounds, and what a good set-up adds.
-	paceMost, paceLeast, paceStep = 8, 0.25, 0.4
+	afterEnd     = 30 * time.Second       // a client's server is remembered, the default of the design
+	defaultBound = 1 << 20                // requests held, where the settings name no limit
+	asideFor     = 2 * time.Second        // no new connections after a failure or a slow message
+	probeEvery   = time.Second            // each server, by all nodes together
+	reportFor    = 5 * time.Second        // a report counts
+	rateMemory   = 20 * time.Second       // over which the usual rate of new clients is learned
+	askPause     = 200 * time.Millisecond // before asking for the list anew, doubled each time
+	askPauseMost = 3 * time.Second
+	coldMargin   = 0.5  // part of the cold budget used: connections differ in load, nodes in traffic
+	easyLoad     = 0.6  // a server is crowded over this load, if also
+	loadSlack    = 0.1  // by so much over the mean
+	fullLoad     = 0.95 // and takes nothing new over this one
+	limitGrowth  = 0.05 // part that the limit of a server which dropped connections grows by in a second
+	paceMost     = 8.0  // the pace of set-ups as a multiple of the usual rate: its bounds
+	paceLeast    = 0.25
+	paceStep     = 0.4 // and what each good set-up adds
 )
 
 const timerSubscribe, timerProbe = 1, 2
@@ -244,9 +238,7 @@
 	if len(r.tries)+1 < b.set.MaxAttempts && b.set.Classes[r.Class].Effect == Safe && b.pace.times == 0 {
 		timeout = (r.deadline - b.now) / 2 // a silent server must leave time for another attempt
 	}
-	if b.cold(s) {
-		s.budget--
-	}
+	s.budget-- // counts only while it is cold
 	s.add(r.Class, 1)
 	r.tries = append(r.tries, try{server: s, sent: b.now, out: true, ran: true})
 	b.table.release(r.entry, b.now)
@@ -446,18 +438,26 @@
 }
 
 // slow sets a server aside where a message takes over half its class's aim, and moves that connection
-// if another server has room. Guards against clients pinned to a failing or crowded server.
+// with its group to a server with room. Guards against clients pinned to a failing or crowded server,
+// and against a group whose shared work is then paid twice.
 func (b *Balancer) slow(ev Slow) {
 	r, s := b.requests[ev.ID], b.servers[ev.Server]
 	if r == nil || s == nil || ev.Message*2 <= b.set.Classes[r.Class].MessageAim {
 		return
 	}
 	s.aside = max(s.aside, b.now+asideFor)
-	with, _ := b.roomy(&request{Request: r.Request})
-	if with != nil && (!with.reported(b.now) || with.reportedLoad < easyLoad) {
-		b.table.drop(r.entry)
-		b.out = append(b.out, Move{ID: r.ID})
+	to, _ := b.roomy(&request{Request: r.Request})
+	if to == nil || to.reported(b.now) && to.reportedLoad >= easyLoad {
+		return
+	}
+	for _, o := range b.requests {
+		same := o == r || r.Group != "" && o.Group == r.Group
+		if same && o.standing && o.tries[len(o.tries)-1].server == s {
+			b.table.drop(o.entry)
+			b.out = append(b.out, Move{ID: o.ID})
+		}
 	}
+	slices.SortFunc(b.out, func(x, y Action) int { return cmp.Compare(x.(Move).ID, y.(Move).ID) })
 }
 
 // pace limits the start of new connections while set-ups fail or come late on different servers: then
