--- a/balance/balance.go
+++ b/balance/balance.go
@@ -8,8 +8,8 @@
 
 import (
 	"cmp"
-	"container/list"
 	"encoding/binary"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -106,7 +106,7 @@
 	}
 	return &Balancer{set: set, rng: rand.New(rand.NewPCG(seed, 0)),
 		servers: map[ServerID]*server{}, requests: map[RequestID]*request{},
-		table: table{bound: set.MaxOpen, entries: map[string]*entry{}, ended: list.New()},
+		table: table{bound: set.MaxOpen, entries: map[string]*entry{}},
 	}
 }
 
@@ -125,7 +125,10 @@
 	case Opened:
 		b.opened(ev)
 	case Accepted:
-		b.accepted(ev)
+		if r := b.requests[ev.ID]; r != nil {
+			r.standing, r.answered = true, true
+			b.pace.grow()
+		}
 	case Closed:
 		b.closed(ev)
 	case Left:
@@ -265,15 +268,15 @@
 	for _, s := range b.rank(r) {
 		if !b.allowed(r, s) {
 			continue
+		} else if r.MidFlow {
+			return s, s // no skip: it may stand there
 		}
 		load, crowded := v.load(b, s)
 		if load > fullLoad || s.full(b.now) {
 			continue // it could only take this one at the cost of those it holds
 		}
-		if top == nil {
-			top = s
-		}
-		if b.now >= s.aside && (r.MidFlow || !crowded) {
+		top = cmp.Or(top, s)
+		if b.now >= s.aside && !crowded {
 			return s, top
 		}
 	}
@@ -398,18 +401,6 @@
 	b.answered(r)
 }
 
-func (b *Balancer) accepted(ev Accepted) {
-	if r := b.requests[ev.ID]; r != nil && ev.Attempt >= 0 && ev.Attempt < len(r.tries) {
-		r.standing, r.answered = true, true
-		s := r.tries[ev.Attempt].server
-		if aim := b.set.Classes[r.Class].SetupAim; aim > 0 && ev.Took > aim {
-			b.pace.slow(b.now, s, r.tries[ev.Attempt].sent)
-		} else {
-			b.pace.grow()
-		}
-	}
-}
-
 func (b *Balancer) closed(ev Closed) {
 	r := b.requests[ev.ID]
 	if r == nil || ev.Attempt < 0 || ev.Attempt >= len(r.tries) || !r.tries[ev.Attempt].out {
@@ -437,27 +428,37 @@
 	}
 }
 
-// slow sets a server aside where a message takes over half its class's aim, and moves that connection
-// with its group to a server with room. Guards against clients pinned to a failing or crowded server,
-// and against a group whose shared work is then paid twice.
+// slow sets a server aside where a message takes over half its class's aim, and moves the smallest
+// group of connections for which another server has room. Guards against clients pinned to a failing
+// or crowded server, and against one group's shared work paid on many.
 func (b *Balancer) slow(ev Slow) {
-	r, s := b.requests[ev.ID], b.servers[ev.Server]
-	if r == nil || s == nil || ev.Message*2 <= b.set.Classes[r.Class].MessageAim {
+	noted, s := b.requests[ev.ID], b.servers[ev.Server]
+	if noted == nil || s == nil || ev.Message*2 <= b.set.Classes[noted.Class].MessageAim {
 		return
 	}
 	s.aside = max(s.aside, b.now+asideFor)
-	to, _ := b.roomy(&request{Request: r.Request})
-	if to == nil || to.reported(b.now) && to.reportedLoad >= easyLoad {
-		return
+	groups := map[string][]*request{}
+	for _, r := range b.requests {
+		if name := cmp.Or(r.Group, r.Key); name != "" && r.standing && r.tries[len(r.tries)-1].server == s {
+			groups[name] = append(groups[name], r)
+		}
 	}
-	for _, o := range b.requests {
-		same := o == r || r.Group != "" && o.Group == r.Group
-		if same && o.standing && o.tries[len(o.tries)-1].server == s {
-			b.table.drop(o.entry)
-			b.out = append(b.out, Move{ID: o.ID})
+	bySize := slices.SortedFunc(maps.Keys(groups), func(x, y string) int {
+		return cmp.Or(cmp.Compare(len(groups[x]), len(groups[y])), cmp.Compare(x, y))
+	})
+	for _, name := range bySize {
+		group := groups[name]
+		slices.SortFunc(group, func(x, y *request) int { return cmp.Compare(x.ID, y.ID) })
+		to, _ := b.roomy(&request{Request: group[0].Request})
+		if to == nil || to == s || to.reported(b.now) && to.reportedLoad >= easyLoad {
+			continue
+		}
+		for _, r := range group {
+			b.table.drop(r.entry)
+			b.out = append(b.out, Move{ID: r.ID})
 		}
+		return
 	}
-	slices.SortFunc(b.out, func(x, y Action) int { return cmp.Compare(x.(Move).ID, y.(Move).ID) })
 }
 
 // pace limits the start of new connections while set-ups fail or come late on different servers: then
@@ -525,7 +526,7 @@
 type table struct {
 	bound   int
 	entries map[string]*entry
-	ended   *list.List // of *entry, oldest first
+	ended   []ended // oldest first; those held again or dropped since do not count
 }
 
 type entry struct {
@@ -534,7 +535,11 @@
 	upSince time.Duration
 	held    int // connections and attempts that hold it
 	until   time.Duration
-	ended   *list.Element // nil while held
+}
+
+type ended struct {
+	entry *entry
+	until time.Duration
 }
 
 // server gives the remembered server; an entry whose server is not ready, or started anew, is dropped.
@@ -551,19 +556,13 @@
 }
 
 func (t *table) hold(key string, s *server) *entry {
-	e := t.entries[key]
-	switch {
-	case key == "":
+	if key == "" {
 		return nil
-	case e == nil:
-		if len(t.entries) >= t.bound && t.ended.Len() > 0 {
-			t.drop(t.ended.Front().Value.(*entry))
-		}
+	}
+	e := t.entries[key]
+	if e == nil {
 		e = &entry{key: key}
 		t.entries[key] = e
-	case e.ended != nil:
-		t.ended.Remove(e.ended)
-		e.ended = nil
 	}
 	e.server, e.upSince = s, s.UpSince
 	e.held++
@@ -574,24 +573,24 @@
 	if e == nil {
 		return
 	}
-	if e.held--; e.held == 0 && t.entries[e.key] == e {
+	if e.held--; e.held == 0 {
 		e.until = now + afterEnd
-		e.ended = t.ended.PushBack(e)
+		t.ended = append(t.ended, ended{e, e.until})
 	}
 }
 
+// expire drops what ended long ago, and the oldest of what ended while the table is at its bound.
 func (t *table) expire(now time.Duration) {
-	for e := t.ended.Front(); e != nil && e.Value.(*entry).until <= now; e = t.ended.Front() {
-		t.drop(e.Value.(*entry))
+	for len(t.ended) > 0 && (t.ended[0].until <= now || len(t.entries) >= t.bound) {
+		if old := t.ended[0]; old.entry.held == 0 && old.entry.until == old.until {
+			t.drop(old.entry)
+		}
+		t.ended = t.ended[1:]
 	}
 }
 
 func (t *table) drop(e *entry) {
-	if e == nil || t.entries[e.key] != e {
-		return
-	}
-	if e.ended != nil {
-		t.ended.Remove(e.ended)
+	if e != nil && t.entries[e.key] == e {
+		delete(t.entries, e.key)
 	}
-	delete(t.entries, e.key)
 }
