--- a/balance/balance.go
+++ b/balance/balance.go
@@ -286,13 +286,15 @@
 // view is what a node knows of the load of all ready servers.
 type view struct {
 	class      string
+	n, total   int     // ready servers, and the connections that they hold
 	fair       float64 // connections of the class for each unit of weight
 	mean, each float64 // of the reported loads: their mean, and the part of one connection
 }
 
 func (b *Balancer) survey(class string) view {
-	count, weight, known, load, open := 0, 0.0, 0, 0.0, 0
+	count, total, weight, known, load, open := 0, 0, 0.0, 0, 0.0, 0
 	for _, s := range b.ready {
+		total += s.open
 		count += s.byClass[class]
 		weight += s.Weight
 		if s.reported(b.now) {
@@ -301,27 +303,26 @@
 			open += max(s.open-s.since, 1)
 		}
 	}
-	return view{class, float64(count) / weight, load / float64(max(known, 1)), load / float64(max(open, 1))}
+	return view{class, len(b.ready), total, float64(count) / weight, load / float64(max(known, 1)), load / float64(max(open, 1))}
 }
 
 func (s *server) reported(now time.Duration) bool { return s.loaded > 0 && now < s.loaded+reportFor }
 
 // load gives the load of s if it is known, and whether s holds clearly more than its part.
 func (v view) load(b *Balancer, s *server) (float64, bool) {
+	over := v.n*s.open > 2*v.total && v.n*s.open >= v.total+3*v.n // the skip of the design, exactly
 	if s.reported(b.now) {
 		load := s.reportedLoad + float64(s.since)*v.each
-		return load, load > max(easyLoad, v.mean+loadSlack)
+		return load, over || load > max(easyLoad, v.mean+loadSlack)
 	}
-	return 0, float64(s.byClass[v.class]) >= v.fair*s.Weight+1
+	return 0, over || float64(s.byClass[v.class]) >= v.fair*s.Weight+1
 }
 
-// rank orders the ready servers by a hash of key and server id, highest first. A request without
-// a key is ranked by its group, one without either by a draw.
+// rank orders the ready servers by a hash of key and server id, highest first, weighted by their size.
+// The key is the group where connections share work, which is paid on each server that holds any of
+// it; else the client key; else a draw.
 func (b *Balancer) rank(r *request) []*server {
-	key := r.Group
-	if key == "" {
-		key = r.Key
-	}
+	key := cmp.Or(r.Group, r.Key)
 	buf := append(make([]byte, 0, 64), key...)
 	if key == "" {
 		buf = binary.LittleEndian.AppendUint64(buf, b.rng.Uint64())
