--- a/balance/balance.go
+++ b/balance/balance.go
@@ -101,9 +101,7 @@
 // New makes an instance that knows only its settings. The seed spreads what has no key.
 func New(set Settings, seed uint64) *Balancer {
 	set.Nodes, set.MaxAttempts = max(set.Nodes, 1), max(set.MaxAttempts, 1)
-	if set.MaxOpen <= 0 {
-		set.MaxOpen = defaultBound
-	}
+	set.MaxOpen = cmp.Or(max(set.MaxOpen, 0), defaultBound)
 	return &Balancer{set: set, rng: rand.New(rand.NewPCG(seed, 0)),
 		servers: map[ServerID]*server{}, requests: map[RequestID]*request{},
 		table: table{bound: set.MaxOpen, entries: map[string]*entry{}},
@@ -292,7 +290,7 @@
 }
 
 func (b *Balancer) survey(class string) view {
-	count, total, weight, known, load, open := 0, 0, 0.0, 0, 0.0, 0
+	count, total, weight, known, load, open := 0, 0, 0.0, 0.0, 0.0, 0.0
 	for _, s := range b.ready {
 		total += s.open
 		count += s.byClass[class]
@@ -300,10 +298,11 @@
 		if s.reported(b.now) {
 			known++
 			load += s.reportedLoad
-			open += max(s.open-s.since, 1)
+			open += float64(max(s.open-s.since, 1))
 		}
 	}
-	return view{class, len(b.ready), total, float64(count) / weight, load / float64(max(known, 1)), load / float64(max(open, 1))}
+	n, fair := len(b.ready), float64(count)/weight
+	return view{class, n, total, fair, load / max(known, 1), load / max(open, 1)}
 }
 
 func (s *server) reported(now time.Duration) bool { return s.loaded > 0 && now < s.loaded+reportFor }
--- /dev/null
+++ b/balance/balance_test.go
@@ -0,0 +1,658 @@
+package balance
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+const ms = time.Millisecond
+
+// site gives settings with every limit set; tests change what they are about.
+func site() Settings {
+	return Settings{
+		Nodes: 1, Pushed: true, MaxAttempts: 3, MaxRetryAfter: time.Second, MaxOpen: 1000, Tick: 5 * ms,
+		ColdFrom: 0.3, ColdFor: 8 * time.Second, FallMultiple: 2.5, FallWindow: 2 * time.Second,
+		Classes: map[string]Class{
+			"safe":   {Effect: Safe, SetupAim: 500 * ms, MessageAim: 100 * ms},
+			"unsafe": {Effect: Unsafe, SetupAim: 500 * ms, MessageAim: 100 * ms},
+			"zone":   {Effect: Keyed, Scope: ScopeZone, Window: time.Second},
+			"cell":   {Effect: Keyed, Scope: ScopeCell, Window: time.Second},
+			"all":    {Effect: Keyed, Scope: ScopeAll, Window: time.Second},
+		},
+	}
+}
+
+// node is a Balancer with a clock, and what it did.
+type node struct {
+	*Balancer
+	now  time.Duration
+	next RequestID
+}
+
+func newNode(set Settings, servers ...Server) *node {
+	n := &node{Balancer: New(set, 7), now: time.Minute, next: 1}
+	n.do(Members{Kind: ListCached, Servers: servers})
+	return n
+}
+
+func ready(ids ...ServerID) []Server {
+	var list []Server
+	for _, id := range ids {
+		list = append(list, Server{ID: id, State: Ready, Weight: 1, Zone: fmt.Sprint("z", id%2), Cell: int(id % 3)})
+	}
+	return list
+}
+
+func (n *node) do(ev Event) []Action { return slices.Clone(n.Handle(n.now, ev)) }
+
+func (n *node) request(class, key string) (RequestID, []Action) {
+	id := n.next
+	n.next++
+	return id, n.do(Request{ID: id, Class: class, Key: key, Left: 2 * time.Second})
+}
+
+// place sends a request and returns where it went; 0 means nowhere.
+func (n *node) place(class, key string) (RequestID, ServerID) {
+	id, acts := n.request(class, key)
+	return id, sentTo(acts)
+}
+
+func (n *node) stand(class, key string) (RequestID, ServerID) {
+	id, s := n.place(class, key)
+	n.do(Accepted{ID: id, Server: s})
+	return id, s
+}
+
+func (n *node) end(id RequestID, s ServerID) {
+	n.do(Closed{ID: id, Server: s, Outcome: OK, Final: true})
+}
+
+func sentTo(acts []Action) ServerID {
+	for _, a := range acts {
+		if a, ok := a.(Attempt); ok {
+			return a.Server
+		}
+	}
+	return 0
+}
+
+func answer(acts []Action) string {
+	for _, a := range acts {
+		switch a.(type) {
+		case Refuse:
+			return "refuse"
+		case Fail:
+			return "fail"
+		}
+	}
+	return ""
+}
+
+func TestRankingMovesOnlyTheKeysOfAServerThatLeaves(t *testing.T) {
+	before, after := newNode(site(), ready(1, 2, 3, 4, 5)...), newNode(site(), ready(1, 2, 4, 5)...)
+	moved := 0
+	for i := range 200 {
+		r := &request{Request: Request{Key: fmt.Sprint("client-", i)}}
+		was, is := before.rank(r)[0].ID, after.rank(r)[0].ID
+		if was != 3 && was != is {
+			t.Errorf("%s went from %d to %d though 3 left", r.Key, was, is)
+		}
+		if was == 3 {
+			moved++
+		}
+	}
+	if moved < 20 || moved > 60 {
+		t.Errorf("server 3 of 5 held %d of 200 keys", moved)
+	}
+}
+
+func TestRankingFollowsWeightAndIsTheSameOnAllNodes(t *testing.T) {
+	servers := ready(1, 2)
+	servers[1].Weight = 3
+	a, b := newNode(site(), servers...), New(site(), 99)
+	b.Handle(0, Members{Kind: ListFull, Servers: []Server{servers[1], servers[0]}})
+	heavy := 0
+	for i := range 400 {
+		r := &request{Request: Request{Key: fmt.Sprint("client-", i)}}
+		if a.rank(r)[0].ID != b.rank(r)[0].ID {
+			t.Fatalf("%s: two nodes differ", r.Key)
+		}
+		if a.rank(r)[0].ID == 2 {
+			heavy++
+		}
+	}
+	if heavy < 270 || heavy > 330 {
+		t.Errorf("the server of three quarters of the weight tops %d of 400", heavy)
+	}
+}
+
+func TestGroupDecidesWhereItIsGiven(t *testing.T) {
+	n := newNode(site(), ready(1, 2, 3, 4, 5)...)
+	top := n.rank(&request{Request: Request{Key: "a", Group: "g"}})[0]
+	if other := n.rank(&request{Request: Request{Key: "b", Group: "g"}})[0]; other != top {
+		t.Errorf("one group has two tops: %d and %d", top.ID, other.ID)
+	}
+}
+
+func TestNoKeyStillPlaces(t *testing.T) {
+	n := newNode(site(), ready(1, 2, 3)...)
+	if _, s := n.place("safe", ""); s == 0 {
+		t.Error("a request without a key went nowhere")
+	}
+}
+
+func TestTableKeepsAClientForTheWindowAndNoLonger(t *testing.T) {
+	for _, c := range []struct {
+		after time.Duration
+		kept  bool
+	}{{afterEnd - ms, true}, {afterEnd, false}} {
+		n := newNode(site(), ready(1, 2)...)
+		id, first := n.stand("safe", "client")
+		n.end(id, first)
+		n.now += c.after
+		n.do(Timer{Token: 99})
+		if got := n.table.server("client") != nil; got != c.kept {
+			t.Errorf("%v after the end the entry is there: %v", c.after, got)
+		}
+	}
+}
+
+func TestTableServerWinsOverTheRankingUntilNotReady(t *testing.T) {
+	n := newNode(site(), ready(1)...)
+	id, _ := n.stand("safe", "client")
+	n.end(id, 1)
+	all := ready(1, 2, 3, 4, 5, 6, 7, 8)
+	n.do(Members{Kind: ListFull, Servers: all})
+	if _, s := n.place("safe", "client"); s != 1 {
+		t.Errorf("the client went to %d, not back to 1", s)
+	}
+	all[0].State = Draining
+	n.do(Members{Kind: ListChanges, Servers: all[:1]})
+	if _, s := n.place("safe", "client"); s == 1 {
+		t.Error("the client went to a draining server")
+	}
+}
+
+func TestRestartDropsTheEntry(t *testing.T) {
+	n := newNode(site(), ready(1, 2)...)
+	n.stand("safe", "client")
+	at := n.table.server("client").Server
+	at.UpSince = n.now
+	n.do(Members{Kind: ListChanges, Servers: []Server{at}})
+	if n.table.server("client") != nil {
+		t.Error("the entry outlived a restart of its server")
+	}
+}
+
+func TestTableBoundEvictsTheOldestEndedFirst(t *testing.T) {
+	set := site()
+	set.MaxOpen = 4
+	n := newNode(set, ready(1, 2)...)
+	n.stand("safe", "standing")
+	for i := range 6 {
+		id, s := n.stand("safe", fmt.Sprint("ended-", i))
+		n.end(id, s)
+		if len(n.table.entries) > 4 {
+			t.Fatalf("the table holds %d entries, over its bound", len(n.table.entries))
+		}
+	}
+	if n.table.server("standing") == nil || n.table.server("ended-0") != nil || n.table.server("ended-5") == nil {
+		t.Errorf("wrong entries were evicted: %v left", len(n.table.entries))
+	}
+}
+
+// The skip of the design needs both thresholds. Each row is one server's connections against the
+// others'; the top is passed over only where both hold.
+func TestSkipThresholdsAtTheirEdges(t *testing.T) {
+	for _, c := range []struct {
+		open, rest int // on server 1, and on each of servers 2 to 4
+		skip       bool
+	}{
+		{5, 1, true},  // mean 2: 5 > 4 and 5 >= 5
+		{4, 1, false}, // mean 1.75: over twice, but not three above
+		{9, 4, false}, // mean 5.25: three above, but not over twice
+		{8, 2, true},  // mean 3.5: 8 > 7 and 8 >= 6.5
+		{6, 2, false}, // mean 3: 6 is not over 6
+	} {
+		n := newNode(site(), ready(1, 2, 3, 4)...)
+		for _, s := range n.ready {
+			s.open, s.loaded, s.reportedLoad = c.rest, n.now, 0.1
+		}
+		n.ready[0].open = c.open
+		if _, crowded := n.survey("safe").load(n.Balancer, n.ready[0]); crowded != c.skip {
+			t.Errorf("%d against %d each: passed over is %v", c.open, c.rest, crowded)
+		}
+	}
+}
+
+func TestMidFlowTakesTheTopWithoutSkip(t *testing.T) {
+	n := newNode(site(), ready(1, 2, 3)...)
+	r := Request{ID: 1, Class: "safe", Key: "flow", Left: time.Second, MidFlow: true}
+	top := n.rank(&request{Request: r})[0]
+	top.open, top.byClass["safe"] = 50, 50
+	if s := sentTo(n.do(r)); s != top.ID {
+		t.Errorf("went to %d, not to the top %d", s, top.ID)
+	}
+}
+
+func TestReportedLoadPassesByAndRefuses(t *testing.T) {
+	n := newNode(site(), ready(1, 2)...)
+	top := n.rank(&request{Request: Request{Key: "client"}})[0].ID
+	n.do(Probed{Server: top, Outcome: OK, Report: &Report{Load: 0.9}})
+	n.do(Probed{Server: 3 - top, Outcome: OK, Report: &Report{Load: 0.2}})
+	if _, s := n.place("safe", "client"); s != 3-top {
+		t.Error("the crowded top was not passed by")
+	}
+	n.do(Probed{Server: 1, Outcome: OK, Report: &Report{Load: 1.2}})
+	n.do(Probed{Server: 2, Outcome: OK, Report: &Report{Load: 1.3}})
+	if _, acts := n.request("safe", "other"); answer(acts) != "refuse" {
+		t.Errorf("with all servers full: %v", acts)
+	}
+}
+
+// Rule 1.
+func TestEmptyListIsAnsweredAtOnce(t *testing.T) {
+	n := newNode(site())
+	for _, class := range []string{"safe", "unsafe", "unknown"} {
+		if _, acts := n.request(class, "client"); answer(acts) != "refuse" {
+			t.Errorf("%s: %v", class, acts)
+		}
+	}
+}
+
+func TestTimeOutAtTheDeadlineIsAnswered(t *testing.T) {
+	n := newNode(site(), ready(1, 2, 3)...)
+	id, s := n.place("safe", "client")
+	n.now += 2 * time.Second
+	acts := n.do(Closed{ID: id, Server: s, Outcome: TimedOut})
+	if answer(acts) != "refuse" || sentTo(acts) != 0 {
+		t.Errorf("at the deadline: %v", acts)
+	}
+}
+
+func TestSilentServerLeavesTimeForAnother(t *testing.T) {
+	n := newNode(site(), ready(1, 2, 3)...)
+	id, acts := n.request("safe", "client")
+	timeout := acts[0].(Attempt).Timeout
+	if timeout <= 0 || timeout > time.Second {
+		t.Fatalf("the first attempt may take %v of 2 s", timeout)
+	}
+	first := sentTo(acts)
+	n.now += timeout
+	if s := sentTo(n.do(Closed{ID: id, Server: first, Outcome: TimedOut})); s == 0 || s == first {
+		t.Errorf("after %d was silent it went to %d", first, s)
+	}
+}
+
+// Rule 2.
+func TestEffectsAreObeyed(t *testing.T) {
+	for _, c := range []struct {
+		class   string
+		outcome Outcome
+		after   time.Duration
+		servers []Server
+		want    string // "again", "refuse" or "fail"
+	}{
+		{"unsafe", ConnectFailed, 0, ready(1, 2), "again"},
+		{"unsafe", Full, 0, ready(1), "refuse"},
+		{"unsafe", Error, 0, ready(1, 2), "fail"},
+		{"unsafe", TimedOut, 0, ready(1, 2), "fail"},
+		{"unknown", Reset, 0, ready(1, 2), "fail"},
+		{"zone", Error, 0, ready(2, 4), "again"},
+		{"zone", Error, 0, ready(1, 2), "fail"},
+		{"zone", Error, time.Second, ready(2, 4), "fail"},
+		{"cell", Error, 0, ready(1, 4), "again"},
+		{"cell", Error, 0, ready(1, 2), "fail"},
+		{"all", Error, 0, ready(1, 2), "again"},
+		{"all", Error, time.Second, ready(1, 2), "refuse"},
+		{"safe", Error, 0, ready(1, 2), "again"},
+	} {
+		n := newNode(site(), c.servers...)
+		id, s := n.place(c.class, "client")
+		n.now += c.after
+		acts := n.do(Closed{ID: id, Server: s, Outcome: c.outcome})
+		got := answer(acts)
+		if sentTo(acts) != 0 {
+			got = "again"
+		}
+		if got != c.want {
+			t.Errorf("%s after %v, %v later: %s, want %s", c.class, c.outcome, c.after, got, c.want)
+		}
+	}
+}
+
+// Rule 3.
+func TestDrainMetMidRetry(t *testing.T) {
+	n := newNode(site(), ready(1, 2)...)
+	id, s := n.place("safe", "client")
+	left := Server{ID: 3 - s, State: Draining}
+	n.do(Members{Kind: ListChanges, Servers: []Server{left}})
+	if acts := n.do(Closed{ID: id, Server: s, Outcome: Full}); answer(acts) != "refuse" {
+		t.Errorf("with only a draining server left: %v", acts)
+	}
+}
+
+func TestServerMissingFromAFullListIsGone(t *testing.T) {
+	n := newNode(site(), ready(1, 2)...)
+	n.do(Members{Kind: ListFull, Servers: ready(2)})
+	for i := range 20 {
+		if _, s := n.place("safe", fmt.Sprint(i)); s == 1 {
+			t.Fatal("a server that is gone was used")
+		}
+	}
+}
+
+// Rule 4: a wave of returning clients meets a server that just started.
+func TestColdServerIsKeptWithinItsBudget(t *testing.T) {
+	const nodes, perSecond = 3, 10.0
+	set := site()
+	set.Nodes = nodes
+	sent := map[time.Duration]int{}
+	for seed := range nodes {
+		n := newNode(set, ready(1, 2, 3, 4)...)
+		for i := range 600 { // a minute of usual traffic
+			n.now += time.Duration(float64(time.Second) / perSecond)
+			id, s := n.stand("safe", fmt.Sprint(seed, "-", i))
+			n.end(id, s)
+		}
+		up := n.now
+		n.do(Members{Kind: ListChanges, Servers: []Server{{ID: 4, State: Ready, Weight: 1, UpSince: up}}})
+		for i := range 4000 { // the wave
+			n.now += 2 * ms
+			id := n.next
+			n.next++
+			r := Request{ID: id, Class: "safe", Key: fmt.Sprint("w", seed, i), Left: time.Second, Again: true}
+			if sentTo(n.do(r)) == 4 {
+				sent[(n.now-up)/set.FallWindow]++
+			}
+		}
+	}
+	// A server can do at least what it usually gets from all nodes; cold, it can do ColdFrom of that.
+	usual := nodes * perSecond / 4
+	for window, count := range sent {
+		age := float64(window) * set.FallWindow.Seconds() / set.ColdFor.Seconds()
+		share := set.ColdFrom + (1-set.ColdFrom)*min(age, 1)
+		if bound := set.FallMultiple * share * usual * set.FallWindow.Seconds(); float64(count) > bound {
+			t.Errorf("window %d: %d connections sent to the cold server, over %.1f", window, count, bound)
+		}
+	}
+	if len(sent) == 0 {
+		t.Error("the cold server got nothing in its whole warm-up")
+	}
+}
+
+func TestFailedListCallIsRetriedLaterAndLater(t *testing.T) {
+	set := site()
+	set.Pushed = false
+	n := &node{Balancer: New(set, 1)}
+	if !slices.Contains(n.do(Members{Kind: ListCached}), Action(Subscribe{})) {
+		t.Fatal("the list was not asked for at the start")
+	}
+	last := time.Duration(0)
+	for i := range 8 {
+		acts := n.do(Members{Kind: ListFailed})
+		timer, ok := acts[0].(SetTimer)
+		if !ok || timer.After <= 0 || timer.After > askPauseMost*3/2 {
+			t.Fatalf("after failure %d: %v", i, acts)
+		}
+		if i == 3 && timer.After < last {
+			t.Errorf("the pause shrank from %v to %v", last, timer.After)
+		}
+		if i == 0 {
+			last = timer.After
+		}
+		if !slices.Contains(n.do(Timer{Token: timer.Token}), Action(Subscribe{})) {
+			t.Fatal("the timer did not ask again")
+		}
+	}
+}
+
+// A server that dropped standing connections is passed by, for clients that it held too.
+func TestDroppedClientGoesElsewhere(t *testing.T) {
+	n := newNode(site(), ready(1, 2)...)
+	id, s := n.stand("safe", "client")
+	n.do(Closed{ID: id, Server: s, Outcome: Reset, Final: true})
+	if _, again := n.place("safe", "client"); again == s {
+		t.Error("the client went straight back to the server that dropped it")
+	}
+}
+
+// Failures on different servers point at something shared: fewer set-ups, and no server condemned.
+func TestFailuresOnDifferentServersSlowTheSetUps(t *testing.T) {
+	n := newNode(site(), ready(1, 2, 3, 4)...)
+	answers := map[string]int{}
+	for i := range 60 {
+		n.now += 10 * ms
+		id, s := n.place("safe", fmt.Sprint(i))
+		for attempt := 0; s != 0; attempt++ {
+			acts := n.do(Closed{ID: id, Attempt: attempt, Server: s, Outcome: Error})
+			answers[answer(acts)]++
+			s = sentTo(acts)
+		}
+	}
+	if n.pace.times == 0 || answers[""] > 40 {
+		t.Errorf("set-ups go on at full pace: %v", answers)
+	}
+	for _, s := range n.ready {
+		if n.now < s.aside {
+			t.Errorf("server %d is condemned for it", s.ID)
+		}
+	}
+	for range 60 {
+		n.pace.grow()
+	}
+	if n.pace.times != 0 {
+		t.Error("the pace stays limited after good set-ups")
+	}
+}
+
+// A slow server gives up its smallest group, and only to a server with room.
+func TestSlowServerGivesUpItsSmallestGroup(t *testing.T) {
+	n := newNode(site(), ready(1)...)
+	for i, group := range []string{"big", "big", "small"} {
+		id := RequestID(i + 1)
+		n.do(Request{ID: id, Class: "safe", Key: fmt.Sprint(i), Group: group, Left: time.Second})
+		n.do(Accepted{ID: id, Server: 1})
+	}
+	slow := Slow{ID: 1, Server: 1, Message: 60 * ms}
+	if acts := n.do(slow); len(acts) != 0 {
+		t.Errorf("moved with nowhere to go: %v", acts)
+	}
+	n.do(Members{Kind: ListChanges, Servers: ready(2)})
+	if acts := n.do(slow); !slices.Equal(acts, []Action{Move{ID: 3}}) {
+		t.Errorf("moved %v, want the small group", acts)
+	}
+	n.now += time.Minute
+	if acts := n.do(Slow{ID: 1, Server: 1, Message: 50 * ms}); len(acts) != 0 {
+		t.Errorf("moved at half the aim: %v", acts)
+	}
+}
+
+func TestUnknownAndFinishedIDsAreIgnored(t *testing.T) {
+	n := newNode(site(), ready(1)...)
+	id, s := n.stand("safe", "client")
+	n.end(id, s)
+	for _, ev := range []Event{
+		Closed{ID: id, Server: s, Outcome: OK, Final: true}, Closed{ID: 77, Attempt: -1}, Accepted{ID: 77},
+		Accepted{ID: id, Attempt: 9}, Left{ID: 77}, Slow{ID: 77, Server: 5}, Probed{Server: 9},
+		Timer{Token: 123},
+	} {
+		for _, a := range n.do(ev) {
+			if _, ok := a.(Subscribe); !ok {
+				t.Errorf("%#v led to %#v", ev, a)
+			}
+		}
+	}
+	if n.ready[0].open != 0 {
+		t.Errorf("%d connections counted, none stands", n.ready[0].open)
+	}
+}
+
+// TestRulesHoldOnRandomEvents plays random lists, requests and outcomes, and checks the rules on
+// every action from outside, with books of its own.
+func TestRulesHoldOnRandomEvents(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		set := site()
+		set.Pushed = rapid.Bool().Draw(t, "pushed")
+		set.MayProbe = rapid.Bool().Draw(t, "probes")
+		classes := []string{"safe", "unsafe", "zone", "cell", "all", "unknown"}
+		servers := map[ServerID]Server{}
+		for _, s := range ready(1, 2, 3, 4) {
+			servers[s.ID] = s
+		}
+		a, b := New(set, 5), New(set, 5)
+		play := newBooks(t, set, servers)
+		play.see(a, b, 0, Members{Kind: ListCached, Servers: ready(1, 2, 3, 4)})
+		now := time.Duration(0)
+		for range rapid.IntRange(1, 120).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * ms
+			switch rapid.IntRange(0, 9).Draw(t, "kind") {
+			case 0, 1, 2:
+				play.see(a, b, now, Request{ID: play.nextID(), Left: 2 * time.Second,
+					Class: rapid.SampledFrom(classes).Draw(t, "class"),
+					Key:   rapid.SampledFrom([]string{"", "a", "b", "c"}).Draw(t, "key"),
+					Group: rapid.SampledFrom([]string{"", "g", "h"}).Draw(t, "group")})
+			case 3:
+				id := ServerID(rapid.IntRange(1, 6).Draw(t, "server"))
+				s := ready(id)[0]
+				s.State = rapid.SampledFrom([]State{Gone, Draining, Ready}).Draw(t, "state")
+				if rapid.Bool().Draw(t, "restart") {
+					s.UpSince = now
+				}
+				servers[id] = s
+				play.see(a, b, now, Members{Kind: ListChanges, Servers: []Server{s}})
+			case 4:
+				play.see(a, b, now, Probed{Server: ServerID(rapid.IntRange(1, 7).Draw(t, "probed")),
+					Report: &Report{Load: rapid.Float64Range(0, 1.5).Draw(t, "load")}})
+			default:
+				play.outcome(a, b, now)
+			}
+		}
+		for play.outcome(a, b, now+time.Minute) {
+		}
+		play.allAnswered()
+	})
+}
+
+// books are what a witness knows: every attempt, outcome and answer.
+type books struct {
+	t        *rapid.T
+	set      Settings
+	servers  map[ServerID]Server
+	requests map[RequestID]*witness
+	order    []RequestID
+}
+
+type witness struct {
+	class    Class
+	attempts []sent
+	standing bool
+	answers  int
+}
+
+type sent struct {
+	to      Server
+	at      time.Duration
+	out     bool
+	outcome Outcome
+}
+
+func newBooks(t *rapid.T, set Settings, servers map[ServerID]Server) *books {
+	return &books{t: t, set: set, servers: servers, requests: map[RequestID]*witness{}}
+}
+
+func (p *books) nextID() RequestID { return RequestID(len(p.order) + 1) }
+
+// see plays one event to two equal instances and checks what they do.
+func (p *books) see(a, b *Balancer, now time.Duration, ev Event) {
+	if r, ok := ev.(Request); ok {
+		p.requests[r.ID] = &witness{class: p.set.Classes[r.Class]}
+		p.order = append(p.order, r.ID)
+	}
+	acts := slices.Clone(a.Handle(now, ev))
+	if other := b.Handle(now, ev); !slices.Equal(acts, other) {
+		p.t.Fatalf("the same events gave %v and %v", acts, other)
+	}
+	for _, act := range acts {
+		switch act := act.(type) {
+		case Attempt:
+			p.attempt(act, now)
+		case Refuse:
+			w := p.requests[act.ID]
+			w.answers++
+			for _, s := range w.attempts {
+				harmless := w.class.Effect == Safe || w.class.Effect == Keyed && w.class.Scope == ScopeAll
+				if !s.outcome.NeverRan() && !harmless {
+					p.t.Fatalf("refused %d though it may have run", act.ID)
+				}
+			}
+		case Fail:
+			p.requests[act.ID].answers++
+		}
+	}
+}
+
+func (p *books) attempt(act Attempt, now time.Duration) {
+	w, to := p.requests[act.ID], p.servers[act.Server]
+	if w.answers > 0 || w.standing {
+		p.t.Fatalf("request %d was sent after its answer", act.ID)
+	}
+	if to.State != Ready {
+		p.t.Fatalf("request %d was sent to server %d, which is not ready", act.ID, act.Server)
+	}
+	if len(w.attempts) >= p.set.MaxAttempts {
+		p.t.Fatalf("request %d has too many attempts", act.ID)
+	}
+	for _, s := range w.attempts {
+		if s.out {
+			p.t.Fatalf("request %d has two attempts out", act.ID)
+		}
+		if s.outcome.NeverRan() || w.class.Effect == Safe {
+			continue
+		}
+		same := w.class.Scope == ScopeAll || w.class.Scope == ScopeZone && s.to.Zone == to.Zone ||
+			w.class.Scope == ScopeCell && s.to.Cell == to.Cell
+		if w.class.Effect == Unsafe || !same || now-s.at >= w.class.Window {
+			p.t.Fatalf("request %d was repeated though it may have run", act.ID)
+		}
+	}
+	w.attempts = append(w.attempts, sent{to: to, at: now, out: true})
+}
+
+// outcome ends some attempt that is out; it tells whether there was one.
+func (p *books) outcome(a, b *Balancer, now time.Duration) bool {
+	var out []RequestID
+	for _, id := range p.order {
+		if n := len(p.requests[id].attempts); n > 0 && p.requests[id].attempts[n-1].out {
+			out = append(out, id)
+		}
+	}
+	if len(out) == 0 {
+		return false
+	}
+	id := rapid.SampledFrom(out).Draw(p.t, "request")
+	w := p.requests[id]
+	n := len(w.attempts) - 1
+	s := &w.attempts[n]
+	if !w.standing && rapid.Bool().Draw(p.t, "accept") {
+		w.standing, w.answers = true, w.answers+1
+		p.see(a, b, now, Accepted{ID: id, Attempt: n, Server: s.to.ID})
+		return true
+	}
+	s.out = false
+	s.outcome = rapid.SampledFrom([]Outcome{Error, Full, TimedOut, ConnectFailed, Reset, Cancelled}).Draw(p.t, "outcome")
+	p.see(a, b, now, Closed{ID: id, Attempt: n, Server: s.to.ID, Outcome: s.outcome, Final: w.standing})
+	return true
+}
+
+func (p *books) allAnswered() {
+	for _, id := range p.order {
+		if n := p.requests[id].answers; n != 1 {
+			p.t.Fatalf("request %d got %d final answers", id, n)
+		}
+	}
+}
