--- a/balance/balance.go
+++ b/balance/balance.go
@@ -378,8 +378,8 @@
 	b.learnRate(0)
 	age := float64(b.now-s.UpSince) / float64(b.set.ColdFor)
 	share := b.set.ColdFrom + (1-b.set.ColdFrom)*min(max(age, 0), 1)
-	grown := b.rate / float64(max(len(b.ready), 1)) * b.set.FallMultiple * share * coldMargin * (b.now - s.counted).Seconds()
-	s.budget, s.counted = min(s.budget+grown, 1), b.now
+	usual := b.rate / float64(max(len(b.ready), 1)) * (b.now - s.counted).Seconds()
+	s.budget, s.counted = min(s.budget+usual*b.set.FallMultiple*share*coldMargin, 1), b.now
 	return s.budget >= 1
 }
 
