--- a/balance/balance.go
+++ b/balance/balance.go
@@ -226,7 +226,8 @@
 	}
 }
 
-// place starts the next attempt of a request that has none out, or gives it up.
+// place starts the next attempt of a request, or gives it up. It is called only when none is out, so a
+// second attempt never runs beside another, even where it may.
 func (b *Balancer) place(r *request) {
 	if r == nil {
 		return
@@ -339,17 +340,17 @@
 	return order
 }
 
-// allowed tells whether the four rules let this request go to s now.
+// allowed tells whether the rules let this request go to s now, a ready server.
 func (b *Balancer) allowed(r *request, s *server) bool {
-	if s.State != Ready || b.cold(s) && !b.spend(s) {
+	if b.cold(s) && !b.spend(s) {
 		return false
 	}
 	class := b.set.Classes[r.Class]
 	var first *try
 	for i := range r.tries {
 		t := &r.tries[i]
-		if t.server == s || t.out {
-			return false // a second attempt beside one that is out is never made, even where it may
+		if t.server == s {
+			return false
 		}
 		if t.ran && first == nil {
 			first = t
