--- a/balance/balance.go
+++ b/balance/balance.go
@@ -56,18 +56,16 @@
 
 type server struct {
 	Server
-	open         int            // connections of this node, attempts on their way included
-	score        float64        // in the ranking of the request at hand
-	byClass      map[string]int // connections by class
-	held         map[string]int // connections by group
-	budget       float64        // connections that may be sent to it while it is cold
-	counted      time.Duration
-	aside        time.Duration // no new connections before it, while others can take them
-	limit        float64       // connections that proved too many for it, 0 where none did
-	limited      time.Duration // when they did
-	reportedLoad float64       // its last report: work asked of it over what it can do
-	loaded       time.Duration // when that came; 0 means never
-	since        int           // connections that this node added since then
+	open, since   int            // connections, attempts included; those added since its last report
+	score         float64        // in the ranking of the request at hand
+	byClass, held map[string]int // connections by class, by group
+	budget        float64        // connections that may be sent to it while it is cold
+	counted       time.Duration
+	aside         time.Duration // no new connections before it, while others can take them
+	limit         float64       // connections that proved too many for it, 0 where none did
+	limited       time.Duration // when they did
+	reportedLoad  float64       // its last report: work asked of it over what it can do
+	loaded        time.Duration // when that came; 0 means never
 }
 
 func (s *server) add(r *request, n int) {
@@ -95,10 +93,9 @@
 }
 
 type try struct {
-	server *server
-	sent   time.Duration
-	out    bool
-	ran    bool // it may have run
+	server   *server
+	sent     time.Duration
+	out, ran bool // on its way; it may have run
 }
 
 // New makes an instance that knows only its settings. The seed spreads what has no key.
@@ -178,7 +175,7 @@
 	}
 	// Guards against a herd of nodes that all ask again at once: the pause grows and is spread.
 	pause := min(askPause<<min(b.asks-1, 10), askPauseMost)
-	b.out = append(b.out, SetTimer{After: b.spread(pause), Token: timerSubscribe})
+	b.out = append(b.out, SetTimer{b.spread(pause), timerSubscribe}, Log{"the server list did not answer"})
 }
 
 // ask probes the next server, as often as all nodes together may, or asks for the list.
@@ -418,6 +415,8 @@
 	case !r.standing && (ev.Outcome == Error || ev.Outcome == TimedOut || ev.Outcome == ConnectFailed):
 		if b.pace.slow(b.now, t.server, t.sent); b.pace.times == 0 {
 			t.server.aside = b.now + asideFor // guards against a silent server: it is tried again later
+		} else if b.pace.times == paceMost/2 {
+			b.out = append(b.out, Log{"set-ups fail on different servers: new connections are paced"})
 		}
 	}
 	if r.answered || ev.Final {
