--- a/balance/balance.go
+++ b/balance/balance.go
@@ -20,15 +20,15 @@
 const (
 	afterEnd     = 30 * time.Second // a client's server is remembered, the default of the design
 	defaultBound = 1 << 20          // requests held, where the settings name no limit
-	asideFor     = 2 * time.Second  // no new connections after a failure or a slow message
+	asideFor     = 2 * time.Second  // no new connections after a failed set-up
 	probeEvery   = time.Second      // each server, by all nodes together
 	reportFor    = 5 * time.Second  // a report counts
 	rateMemory   = 20 * time.Second // over which the usual rate of new clients is learned
 	coldMargin   = 0.5              // part of the cold budget used: connections differ, and nodes too
-	limitGrowth  = 0.05             // a second, of the limit of a server that dropped connections
 
-	// Before asking for the list anew, doubled each time.
-	askPause, askPauseMost = 200 * time.Millisecond, 3 * time.Second
+	// After drops a server's limit is this part of what it kept, growing by so much a second.
+	limitPart, limitGrowth = 0.7, 0.05
+	askPause, askPauseMost = 200 * time.Millisecond, 3 * time.Second // before the list is asked for anew
 	// A server is crowded over this load, if also by so much over the mean; it is full over the last.
 	easyLoad, loadSlack, fullLoad = 0.6, 0.1, 0.95
 	// The pace of set-ups: its bounds as multiples of the usual rate, and what a good set-up adds.
@@ -205,12 +205,11 @@
 }
 
 func (b *Balancer) server(id ServerID) *server {
-	s := b.servers[id]
-	if s == nil {
-		s = &server{Server: Server{ID: id, Weight: 1}, byClass: map[string]int{}, held: map[string]int{}}
-		b.servers[id] = s
+	if b.servers[id] == nil {
+		s := Server{ID: id, Weight: 1}
+		b.servers[id] = &server{Server: s, byClass: map[string]int{}, held: map[string]int{}}
 	}
-	return s
+	return b.servers[id]
 }
 
 // opened takes over a connection that stood before this instance did: it is load like any other.
@@ -253,6 +252,9 @@
 		return nil
 	}
 	if s := b.table.server(r.Key); s != nil && b.allowed(r, s) && b.now >= s.aside {
+		if s.full(b.now) {
+			return nil // guards against clients that come straight back to be dropped again
+		}
 		return s
 	}
 	with, top := b.roomy(r)
@@ -411,7 +413,7 @@
 	switch {
 	case r.standing && ev.Outcome == Reset:
 		// Guards against filling a server again that has just dropped what it could not carry.
-		t.server.limit, t.server.limited = float64(t.server.open), b.now
+		t.server.limit, t.server.limited = limitPart*float64(t.server.open), b.now
 	case !r.standing && (ev.Outcome == Error || ev.Outcome == TimedOut || ev.Outcome == ConnectFailed):
 		if b.pace.slow(b.now, t.server, t.sent); b.pace.times == 0 {
 			t.server.aside = b.now + asideFor // guards against a silent server: it is tried again later
@@ -507,10 +509,7 @@
 }
 
 func (p *pace) grow() {
-	if p.times > 0 {
-		p.times += paceStep
-	}
-	if p.times > paceMost {
+	if p.times += paceStep; p.times == paceStep || p.times > paceMost {
 		p.times = 0
 	}
 }
