--- a/balance/balance.go
+++ b/balance/balance.go
@@ -429,8 +429,8 @@
 }
 
 // slow acts where a message takes over half its class's aim: the smallest group of connections there that
-// another server can take is moved, best to one that holds as much of it. Guards against clients pinned
-// to a failing or crowded server, and against one group's shared work paid on many.
+// another server can take is moved, best up its own ranking. Guards against clients pinned to a failing
+// or crowded server, and against one group's shared work paid on many.
 func (b *Balancer) slow(ev Slow) {
 	noted, s := b.requests[ev.ID], b.servers[ev.Server]
 	if noted == nil || s == nil || ev.Message*2 <= b.set.Classes[noted.Class].MessageAim {
@@ -448,7 +448,7 @@
 	for _, name := range names {
 		group := held[name]
 		slices.SortFunc(group, func(x, y *request) int { return cmp.Compare(x.ID, y.ID) })
-		home := b.home(name, s)
+		home := b.home(group[0], s)
 		if home == nil {
 			to, _ := b.roomy(&request{Request: group[0].Request})
 			if to == nil || to == s || to.reported(b.now) && to.reportedLoad >= easyLoad {
@@ -467,19 +467,21 @@
 	}
 }
 
-// home finds another ready server, less busy than s, that holds as much of the group.
-func (b *Balancer) home(name string, s *server) (home *server) {
-	most := s.held[name]
-	for _, o := range b.ready {
+// home finds a less busy server above s in the ranking, where all nodes gather the group.
+func (b *Balancer) home(r *request, s *server) *server {
+	for _, o := range b.rank(r) {
+		if o == s {
+			break
+		}
 		busier := float64(o.open)/o.Weight > float64(s.open)/s.Weight
 		if o.reported(b.now) {
 			busier = o.reportedLoad > s.reportedLoad
 		}
-		if o != s && b.now >= o.aside && o.held[name] >= most && !busier {
-			home, most = o, o.held[name]+1
+		if b.now >= o.aside && !busier {
+			return o
 		}
 	}
-	return home
+	return nil
 }
 
 // pace limits the start of new connections while set-ups fail on different servers: then something that
