--- a/balance/balance.go
+++ b/balance/balance.go
@@ -413,7 +413,7 @@
 	switch {
 	case r.standing && ev.Outcome == Reset:
 		// Guards against filling a server again that has just dropped what it could not carry.
-		t.server.limit, t.server.limited = limitPart*float64(t.server.open), b.now
+		t.server.limit, t.server.limited = limitPart*float64(max(t.server.open, 1)), b.now
 	case !r.standing && (ev.Outcome == Error || ev.Outcome == TimedOut || ev.Outcome == ConnectFailed):
 		if b.pace.slow(b.now, t.server, t.sent); b.pace.times == 0 {
 			t.server.aside = b.now + asideFor // guards against a silent server: it is tried again later
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -459,6 +459,19 @@
 	}
 }
 
+// A server that dropped the only connection it had from this node gets one at a time.
+func TestServerThatDropsItsLastGetsOneAtATime(t *testing.T) {
+	n := newNode(site(), ready(1)...)
+	id, _ := n.stand("safe", "dropped")
+	n.do(Closed{ID: id, Server: 1, Outcome: Reset, Final: true})
+	if _, s := n.place("safe", "first"); s != 1 {
+		t.Error("an empty server gets nothing")
+	}
+	if _, acts := n.request("safe", "second"); answer(acts) != "refuse" {
+		t.Errorf("the second came too: %v", acts)
+	}
+}
+
 // A silent server is passed by for a while, and then tried again.
 func TestSilentServerIsSetAsideAndTriedAgain(t *testing.T) {
 	n := newNode(site(), ready(1, 2)...)
