--- a/balance/balance.go
+++ b/balance/balance.go
@@ -29,8 +29,8 @@
 	// After drops a server's limit is this part of what it kept, growing by so much a second.
 	limitPart, limitGrowth = 0.7, 0.05
 	askPause, askPauseMost = 200 * time.Millisecond, 3 * time.Second // before the list is asked for anew
-	// A server is crowded over this load, if also by so much over the mean; it is full over the last.
-	easyLoad, loadSlack, fullLoad = 0.6, 0.1, 0.95
+	// A server is crowded over this load, if also by so much over the mean.
+	easyLoad, loadSlack = 0.6, 0.1
 	// The pace of set-ups: its bounds as multiples of the usual rate, and what a good set-up adds.
 	paceMost, paceLeast, paceStep = 8.0, 0.25, 0.4
 )
@@ -270,14 +270,13 @@
 		} else if r.MidFlow {
 			return s, s // no skip: it may stand there
 		}
-		load, crowded := v.load(b, s)
-		if load > fullLoad || s.full(b.now) {
+		if s.full(b.now) {
 			continue // it could only take this one at the cost of those it holds
 		}
 		if top == nil || b.now < top.aside && b.now >= s.aside {
 			top = s // health comes before crowding
 		}
-		if b.now >= s.aside && !crowded {
+		if b.now >= s.aside && !v.crowded(b.now, s) {
 			return s, top
 		}
 	}
@@ -310,14 +309,14 @@
 
 func (s *server) reported(now time.Duration) bool { return s.loaded > 0 && now < s.loaded+reportFor }
 
-// load gives the load of s if it is known, and whether s holds clearly more than its part.
-func (v view) load(b *Balancer, s *server) (float64, bool) {
-	over := v.n*s.open > 2*v.total && v.n*s.open >= v.total+3*v.n // the skip of the design, exactly
-	if s.reported(b.now) {
-		load := s.reportedLoad + float64(s.since)*v.each
-		return load, over || load > max(easyLoad, v.mean+loadSlack)
+// crowded tells whether s holds clearly more than its part: by the skip of the design, exactly, or by its
+// load as reported and what this node added since, or without a report by its connections of the class.
+func (v view) crowded(now time.Duration, s *server) bool {
+	over := v.n*s.open > 2*v.total && v.n*s.open >= v.total+3*v.n
+	if s.reported(now) {
+		return over || s.reportedLoad+float64(s.since)*v.each > max(easyLoad, v.mean+loadSlack)
 	}
-	return 0, over || float64(s.byClass[v.class]) >= v.fair*s.Weight+1
+	return over || float64(s.byClass[v.class]) >= v.fair*s.Weight+1
 }
 
 // rank orders the ready servers by a hash of key and server id, highest first, weighted by their size.
