--- a/balance/balance.go
+++ b/balance/balance.go
@@ -23,6 +23,7 @@
 	asideFor     = 2 * time.Second  // no new connections after a failed set-up
 	probeEvery   = time.Second      // each server, by all nodes together
 	reportFor    = 5 * time.Second  // a report counts
+	movesMost    = 3                // connections that a late message moves before it stops
 	rateMemory   = 20 * time.Second // over which the usual rate of new clients is learned
 	coldMargin   = 0.5              // part of the cold budget used: connections differ, and nodes too
 
@@ -265,14 +266,11 @@
 func (b *Balancer) roomy(r *request) (with, top *server) {
 	v := b.survey(r.Class)
 	for _, s := range b.rank(r) {
-		if !b.allowed(r, s) {
+		if !b.allowed(r, s) || !r.MidFlow && s.full(b.now) {
 			continue
 		} else if r.MidFlow {
 			return s, s // no skip: it may stand there
 		}
-		if s.full(b.now) {
-			continue // it could only take this one at the cost of those it holds
-		}
 		if top == nil || b.now < top.aside && b.now >= s.aside {
 			top = s // health comes before crowding
 		}
@@ -462,7 +460,9 @@
 			}
 			b.out = append(b.out, Move{ID: r.ID})
 		}
-		return
+		if !s.reported(b.now) || len(b.out) >= movesMost {
+			return // where no load is told, one group: moves to the wrong place cost set-ups
+		}
 	}
 }
 
