--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -543,6 +543,26 @@
 	}
 }
 
+// Where loads are told, groups follow until three connections go; else one group does.
+func TestMoreGroupsMoveWhereLoadsAreTold(t *testing.T) {
+	for _, told := range []bool{false, true} {
+		n := newNode(site(), ready(1)...)
+		for id := RequestID(1); id <= 5; id++ {
+			n.do(Opened{Request: Request{ID: id, Class: "safe", Key: fmt.Sprint(id), Group: fmt.Sprint("g", id)}, Server: 1})
+		}
+		n.do(Members{Kind: ListChanges, Servers: ready(2)})
+		want := 1
+		if told {
+			want = 3
+			n.do(Probed{Server: 1, Outcome: OK, Report: &Report{Load: 0.9}})
+			n.do(Probed{Server: 2, Outcome: OK, Report: &Report{Load: 0.1}})
+		}
+		if acts := n.do(Slow{ID: 1, Server: 1, Message: 60 * ms}); len(acts) != want {
+			t.Errorf("loads told %v: %v, want %d moves", told, acts, want)
+		}
+	}
+}
+
 // Scattered groups gather up their ranking, so that all nodes choose the same server.
 func TestGroupsGatherUpTheirRanking(t *testing.T) {
 	for i := range 20 {
