--- a/balance/api.go
+++ b/balance/api.go
@@ -36,7 +36,6 @@
 	Effect     Effect
 	Scope      Scope
 	Window     time.Duration // how long repeats of a keyed request are dropped
-	SetupAim   time.Duration // a connection set up within it is worth most
 	MessageAim time.Duration // a message on the open connection should take no longer
 }
 
@@ -57,7 +56,6 @@
 	ColdFor      time.Duration // a server is warm this long after its start
 	FallMultiple float64       // work over this multiple of its present capacity
 	FallWindow   time.Duration // for this long makes a cold server fall over
-	AskWithin    time.Duration // a list not asked for within it counts as known
 }
 
 // State is what the server list says of a server.
@@ -96,11 +94,9 @@
 // NeverRan tells whether the outcome proves that the server did nothing.
 func (o Outcome) NeverRan() bool { return o == Full || o == ConnectFailed || o == Moot }
 
-// Report is a server's own account of its load; a negative field was not told.
+// Report is a server's own account of its load; a negative load was not told.
 type Report struct {
-	Load   float64 // work asked of it over what it can do
-	Piled  float64 // seconds of work piled up
-	Errors float64 // errors a second
+	Load float64 // work asked of it over what it can do
 }
 
 // Event is something that happened at this node.
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -253,7 +253,7 @@
 		return nil
 	}
 	if s := b.table.server(r.Key); s != nil && b.allowed(r, s) && b.now >= s.aside {
-		if s.full(b.now) {
+		if !r.MidFlow && s.full(b.now) {
 			return nil // guards against clients that come straight back to be dropped again
 		}
 		return s
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -30,8 +30,8 @@
 		Nodes: 1, Pushed: true, MaxAttempts: 3, MaxRetryAfter: time.Second, MaxOpen: 1000, Tick: 5 * ms,
 		ColdFrom: 0.3, ColdFor: 8 * time.Second, FallMultiple: 2.5, FallWindow: 2 * time.Second,
 		Classes: map[string]Class{
-			"safe":   {Effect: Safe, SetupAim: 500 * ms, MessageAim: 100 * ms},
-			"unsafe": {Effect: Unsafe, Window: time.Second, SetupAim: 500 * ms, MessageAim: 100 * ms},
+			"safe":   {Effect: Safe, MessageAim: 100 * ms},
+			"unsafe": {Effect: Unsafe, Window: time.Second, MessageAim: 100 * ms},
 			"zone":   {Effect: Keyed, Scope: ScopeZone, Window: time.Second},
 			"cell":   {Effect: Keyed, Scope: ScopeCell, Window: time.Second},
 			"all":    {Effect: Keyed, Scope: ScopeAll, Window: time.Second},
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -123,7 +123,6 @@
 		} `json:"ceilings"`
 		Classes []struct {
 			Name   string `json:"name"`
-			Aim    int64  `json:"aim_us"`
 			Effect string `json:"effect"`
 			Scope  string `json:"key_scope"`
 			Window int64  `json:"window_us"`
@@ -136,7 +135,6 @@
 			Fields []string `json:"fields"`
 		} `json:"report"`
 		Rules struct {
-			AskWithin    int64   `json:"ask_within_us"`
 			ColdFrom     float64 `json:"cold_from"`
 			Cold         int64   `json:"cold_us"`
 			FallMultiple float64 `json:"fall_multiple"`
@@ -279,18 +277,13 @@
 	if len(c.Feedback) == 0 {
 		return nil
 	}
-	report := balance.Report{Load: -1, Piled: -1, Errors: -1}
+	report := balance.Report{Load: -1}
 	for i, name := range r.report[c.Node] {
 		if i >= len(c.Feedback) {
 			break
 		}
-		switch name {
-		case "x0":
+		if name == "x0" {
 			report.Load = c.Feedback[i]
-		case "x1":
-			report.Piled = c.Feedback[i]
-		case "fail_rate":
-			report.Errors = c.Feedback[i]
 		}
 	}
 	return &report
@@ -304,14 +297,13 @@
 		MayProbe: in.Ceilings.MayProbe,
 		MaxOpen:  in.Ceilings.MaxOpen, Tick: us(in.Tick),
 		ColdFrom: in.Rules.ColdFrom, ColdFor: us(in.Rules.Cold), FallMultiple: in.Rules.FallMultiple,
-		FallWindow: us(in.Rules.Fall), AskWithin: us(in.Rules.AskWithin),
+		FallWindow: us(in.Rules.Fall),
 	}
 	if in.Ceilings.RetryAfter {
 		s.MaxRetryAfter = us(in.Ceilings.MaxRetryAfter)
 	}
 	for i, c := range in.Classes {
-		class := balance.Class{Effect: effects[c.Effect], Scope: scopes[c.Scope], Window: us(c.Window),
-			SetupAim: us(c.Aim)}
+		class := balance.Class{Effect: effects[c.Effect], Scope: scopes[c.Scope], Window: us(c.Window)}
 		if i < len(in.Family.MessageAim) {
 			class.MessageAim = us(int64(in.Family.MessageAim[i]))
 		}
