--- a/balance/balance.go
+++ b/balance/balance.go
@@ -247,7 +247,7 @@
 }
 
 // choose names the server for the next attempt: the table's, else the ranking's, else nil. Servers that
-// are full are passed by; those that are crowded, slow or set aside only while another has room.
+// are full are passed by; those that are crowded or set aside only while another has room.
 func (b *Balancer) choose(r *request) *server {
 	if len(r.tries) >= b.set.MaxAttempts || r.deadline-b.now <= b.set.Tick && len(r.tries) > 0 {
 		return nil
