--- a/balance/balance.go
+++ b/balance/balance.go
@@ -57,25 +57,22 @@
 
 type server struct {
 	Server
-	open, since   int            // connections, attempts included; those added since its last report
-	score         float64        // in the ranking of the request at hand
-	byClass, held map[string]int // connections by class, by group
-	budget        float64        // connections that may be sent to it while it is cold
-	counted       time.Duration
-	aside         time.Duration // no new connections before it, while others can take them
-	limit         float64       // connections that proved too many for it, 0 where none did
-	limited       time.Duration // when they did
-	reportedLoad  float64       // its last report: work asked of it over what it can do
-	loaded        time.Duration // when that came; 0 means never
+	open, since  int            // connections, attempts included; those added since its last report
+	score        float64        // in the ranking of the request at hand
+	byClass      map[string]int // connections by class
+	budget       float64        // connections that may be sent to it while it is cold
+	counted      time.Duration
+	aside        time.Duration // no new connections before it, while others can take them
+	limit        float64       // connections that proved too many for it, 0 where none did
+	limited      time.Duration // when they did
+	reportedLoad float64       // its last report: work asked of it over what it can do
+	loaded       time.Duration // when that came; 0 means never
 }
 
 func (s *server) add(r *request, n int) {
 	s.open += n
 	s.since += n
 	s.byClass[r.Class] += n
-	if s.held[r.name] += n; s.held[r.name] == 0 {
-		delete(s.held, r.name)
-	}
 }
 
 // full tells whether s holds what proved too much for it; that counts less as time goes by.
@@ -85,7 +82,6 @@
 
 type request struct {
 	Request
-	name     string // what is ranked: the group where connections share work, else the client key
 	deadline time.Duration
 	tries    []try
 	standing bool // the connection is up
@@ -93,6 +89,9 @@
 	entry    *entry
 }
 
+// name is what is ranked and moved together: the group where connections share work, else the client.
+func (r *request) name() string { return cmp.Or(r.Group, r.Key) }
+
 type try struct {
 	server   *server
 	sent     time.Duration
@@ -132,7 +131,11 @@
 	case Slow:
 		b.slow(ev)
 	case Timer:
-		b.ask(ev.Token == timerProbe, ev.Token == timerSubscribe)
+		if ev.Token == timerProbe {
+			b.probe()
+		} else if ev.Token == timerSubscribe {
+			b.out = append(b.out, Subscribe{})
+		}
 	case Probed:
 		if s := b.servers[ev.Server]; s != nil && ev.Report != nil && ev.Report.Load >= 0 {
 			s.reportedLoad, s.loaded, s.since = ev.Report.Load, b.now, 0
@@ -167,29 +170,28 @@
 		}
 	}
 	slices.SortFunc(b.ready, func(x, y *server) int { return cmp.Compare(x.ID, y.ID) })
-	if ev.Kind == ListCached {
-		b.ask(b.set.MayProbe, !b.set.Pushed)
+	if ev.Kind == ListCached && !b.set.Pushed {
+		b.out = append(b.out, Subscribe{})
+	}
+	if ev.Kind == ListCached && b.set.MayProbe {
+		b.probe()
 	}
-	if b.asks++; ev.Kind != ListFailed {
+	if ev.Kind != ListFailed {
 		b.asks = 0
 		return
 	}
 	// Guards against a herd of nodes that all ask again at once: the pause grows and is spread.
-	pause := min(askPause<<min(b.asks-1, 10), askPauseMost)
+	pause := min(askPause<<min(b.asks, 10), askPauseMost)
+	b.asks++
 	b.out = append(b.out, SetTimer{b.spread(pause), timerSubscribe}, Log{"the server list did not answer"})
 }
 
-// ask probes the next server, as often as all nodes together may, or asks for the list.
-func (b *Balancer) ask(load, list bool) {
-	if list {
-		b.out = append(b.out, Subscribe{})
-	}
-	if n := max(len(b.ready), 1); load {
-		after := probeEvery * time.Duration(b.set.Nodes) / time.Duration(n)
-		b.out = append(b.out, SetTimer{after, timerProbe})
-		if b.probed++; len(b.ready) > 0 {
-			b.out = append(b.out, Probe{b.ready[b.probed%n].ID})
-		}
+// probe asks the next server for its load, as often as all nodes together may.
+func (b *Balancer) probe() {
+	n := max(len(b.ready), 1)
+	b.out = append(b.out, SetTimer{probeEvery * time.Duration(b.set.Nodes) / time.Duration(n), timerProbe})
+	if b.probed++; len(b.ready) > 0 {
+		b.out = append(b.out, Probe{b.ready[b.probed%n].ID})
 	}
 }
 
@@ -197,7 +199,7 @@
 	if b.requests[ev.ID] != nil {
 		return nil
 	}
-	r := &request{Request: ev, name: cmp.Or(ev.Group, ev.Key), deadline: b.now + ev.Left}
+	r := &request{Request: ev, deadline: b.now + ev.Left}
 	b.requests[ev.ID] = r
 	if !ev.Again {
 		b.learnRate(1) // guards against a wave of returning clients that looks like usual traffic
@@ -207,8 +209,7 @@
 
 func (b *Balancer) server(id ServerID) *server {
 	if b.servers[id] == nil {
-		s := Server{ID: id, Weight: 1}
-		b.servers[id] = &server{Server: s, byClass: map[string]int{}, held: map[string]int{}}
+		b.servers[id] = &server{Server: Server{ID: id, Weight: 1}, byClass: map[string]int{}}
 	}
 	return b.servers[id]
 }
@@ -217,12 +218,18 @@
 func (b *Balancer) opened(ev Opened) {
 	if r, s := b.admit(ev.Request), b.server(ev.Server); r != nil {
 		r.standing, r.answered = true, true
-		r.tries = append(r.tries, try{server: s, sent: b.now, out: true, ran: true})
-		s.add(r, 1)
-		r.entry = b.table.hold(r.Key, s)
+		b.start(r, s)
 	}
 }
 
+// start counts an attempt, and makes the table name its server.
+func (b *Balancer) start(r *request, s *server) {
+	s.add(r, 1)
+	r.tries = append(r.tries, try{server: s, sent: b.now, out: true, ran: true})
+	b.table.release(r.entry, b.now)
+	r.entry = b.table.hold(r.Key, s)
+}
+
 // place starts the next attempt of a request, or gives it up. It is called only when none is out, so a
 // second attempt never runs beside another, even where it may.
 func (b *Balancer) place(r *request) {
@@ -239,10 +246,7 @@
 		timeout = (r.deadline - b.now) / 2 // a silent server must leave time for another attempt
 	}
 	s.budget-- // counts only while it is cold
-	s.add(r, 1)
-	r.tries = append(r.tries, try{server: s, sent: b.now, out: true, ran: true})
-	b.table.release(r.entry, b.now)
-	r.entry = b.table.hold(r.Key, s)
+	b.start(r, s)
 	b.out = append(b.out, Attempt{ID: r.ID, Server: s.ID, Timeout: timeout})
 }
 
@@ -317,13 +321,11 @@
 	return over || float64(s.byClass[v.class]) >= v.fair*s.Weight+1
 }
 
-// rank orders the ready servers by a hash of key and server id, highest first, weighted by their size.
-// The key is the group where connections share work, which is paid on each server that holds any of
-// it; else the client key; else a draw.
+// rank orders the ready servers by a hash of name and server id, weighted by size: highest first, ties by
+// id. A group is ranked as one, as its shared work is paid on each server that holds any of it.
 func (b *Balancer) rank(r *request) []*server {
-	key := cmp.Or(r.Group, r.Key)
-	buf := append(make([]byte, 0, 64), key...)
-	if key == "" {
+	buf := append(make([]byte, 0, 64), r.name()...)
+	if len(buf) == 0 {
 		buf = binary.LittleEndian.AppendUint64(buf, b.rng.Uint64())
 	}
 	order := slices.Clone(b.ready)
@@ -331,7 +333,6 @@
 		h := xxhash.Sum64(binary.LittleEndian.AppendUint64(buf, uint64(s.ID)))
 		s.score = -s.Weight / math.Log((float64(h>>11)+0.5)/(1<<53))
 	}
-	// Ties go by id, the order of ready.
 	slices.SortStableFunc(order, func(x, y *server) int { return cmp.Compare(y.score, x.score) })
 	return order
 }
@@ -435,8 +436,8 @@
 	}
 	held := map[string][]*request{}
 	for _, r := range b.requests {
-		if r.standing && r.name != "" && r.tries[len(r.tries)-1].server == s {
-			held[r.name] = append(held[r.name], r)
+		if name := r.name(); r.standing && name != "" && r.tries[len(r.tries)-1].server == s {
+			held[name] = append(held[name], r)
 		}
 	}
 	names := slices.SortedFunc(maps.Keys(held), func(x, y string) int {
@@ -510,7 +511,9 @@
 }
 
 func (p *pace) grow() {
-	if p.times += paceStep; p.times == paceStep || p.times > paceMost {
+	if p.times > 0 && p.times+paceStep <= paceMost {
+		p.times += paceStep
+	} else {
 		p.times = 0
 	}
 }
--- a/internal/simwire/writer.go
+++ b/internal/simwire/writer.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"time"
 
 	"brassmux/balance"
 )
@@ -58,10 +57,10 @@
 	f := action{Node: a.Node}
 	switch a := a.Action.(type) {
 	case balance.Attempt:
-		f.Request, f.Host, f.Patience = (*uint64)(&a.ID), (*uint64)(&a.Server), micros(a.Timeout)
+		f.Request, f.Host, f.Patience = (*uint64)(&a.ID), (*uint64)(&a.Server), a.Timeout.Microseconds()
 		return "ISSUE", f, nil
 	case balance.Refuse:
-		f.Request, f.RetryIn = (*uint64)(&a.ID), micros(a.RetryIn)
+		f.Request, f.RetryIn = (*uint64)(&a.ID), a.RetryIn.Microseconds()
 		return "BUSY", f, nil
 	case balance.Fail:
 		f.Request = (*uint64)(&a.ID)
@@ -73,7 +72,7 @@
 		f.Host = (*uint64)(&a.Server)
 		return "SAMPLE", f, nil
 	case balance.SetTimer:
-		after := micros(a.After)
+		after := a.After.Microseconds()
 		f.Offset, f.Mark = &after, &a.Token
 		return "SET_TIMER", f, nil
 	case balance.Subscribe:
@@ -85,5 +84,3 @@
 	}
 	return "", f, fmt.Errorf("no message for action %T", a.Action)
 }
-
-func micros(d time.Duration) int64 { return d.Microseconds() }
