--- a/balance/api.go
+++ b/balance/api.go
@@ -45,8 +45,7 @@
 	Classes map[string]Class
 	Pushed  bool // changes of the server list come unasked
 
-	MaxAttempts   int  // attempts for one request; 0 means one
-	MayDuplicate  bool // two attempts of one request may be out together
+	MaxAttempts   int // attempts for one request; 0 means one
 	MayProbe      bool
 	MaxRetryAfter time.Duration // the longest advice that clients follow; 0 where they get none
 	MaxOpen       int           // requests held at once; 0 means a bound of the module's own
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -116,7 +116,6 @@
 		Ceilings  struct {
 			MaxOpen       int   `json:"max_open"`
 			MaxRetryAfter int64 `json:"max_retry_after_us"`
-			MayDuplicate  bool  `json:"may_duplicate"`
 			MayProbe      bool  `json:"may_probe"`
 			RetryAfter    bool  `json:"retry_after"`
 			SendCap       int   `json:"send_cap"`
@@ -293,9 +292,9 @@
 	in := &c.Info
 	s := balance.Settings{
 		Nodes: in.Balancers, Classes: map[string]balance.Class{}, Pushed: in.Membership == "pushed",
-		MaxAttempts: in.Ceilings.SendCap, MayDuplicate: in.Ceilings.MayDuplicate,
-		MayProbe: in.Ceilings.MayProbe,
-		MaxOpen:  in.Ceilings.MaxOpen, Tick: us(in.Tick),
+		MaxAttempts: in.Ceilings.SendCap,
+		MayProbe:    in.Ceilings.MayProbe,
+		MaxOpen:     in.Ceilings.MaxOpen, Tick: us(in.Tick),
 		ColdFrom: in.Rules.ColdFrom, ColdFor: us(in.Rules.Cold), FallMultiple: in.Rules.FallMultiple,
 		FallWindow: us(in.Rules.Fall),
 	}
