--- a/balance/balance.go
+++ b/balance/balance.go
@@ -8,6 +8,7 @@
 import (
 	"cmp"
 	"encoding/binary"
+	"iter"
 	"maps"
 	"math"
 	"math/rand/v2"
@@ -60,7 +61,8 @@
 	open, since  int            // connections, attempts included; those added since its last report
 	score        float64        // in the ranking of the request at hand
 	byClass      map[string]int // connections by class
-	budget       float64        // connections that may be sent to it while it is cold
+	held         map[RequestID]*request
+	budget       float64 // connections that may be sent to it while it is cold
 	counted      time.Duration
 	aside        time.Duration // no new connections before it, while others can take them
 	limit        float64       // connections that proved too many for it, 0 where none did
@@ -174,6 +176,7 @@
 		b.out = append(b.out, Subscribe{})
 	}
 	if ev.Kind == ListCached && b.set.MayProbe {
+		b.probed = b.rng.IntN(len(b.ready) + 1) // guards against nodes that all probe one server at a time
 		b.probe()
 	}
 	if ev.Kind != ListFailed {
@@ -182,8 +185,10 @@
 	}
 	// Guards against a herd of nodes that all ask again at once: the pause grows and is spread.
 	pause := min(askPause<<min(b.asks, 10), askPauseMost)
-	b.asks++
-	b.out = append(b.out, SetTimer{b.spread(pause), timerSubscribe}, Log{"the server list did not answer"})
+	b.out = append(b.out, SetTimer{b.spread(pause), timerSubscribe})
+	if b.asks++; b.asks == 1 {
+		b.out = append(b.out, Log{"the server list did not answer"})
+	}
 }
 
 // probe asks the next server for its load, as often as all nodes together may.
@@ -209,7 +214,8 @@
 
 func (b *Balancer) server(id ServerID) *server {
 	if b.servers[id] == nil {
-		b.servers[id] = &server{Server: Server{ID: id, Weight: 1}, byClass: map[string]int{}}
+		b.servers[id] = &server{Server: Server{ID: id, Weight: 1}, byClass: map[string]int{},
+			held: map[RequestID]*request{}}
 	}
 	return b.servers[id]
 }
@@ -225,6 +231,7 @@
 // start counts an attempt, and makes the table name its server.
 func (b *Balancer) start(r *request, s *server) {
 	s.add(r, 1)
+	s.held[r.ID] = r
 	r.tries = append(r.tries, try{server: s, sent: b.now, out: true, ran: true})
 	b.table.release(r.entry, b.now)
 	r.entry = b.table.hold(r.Key, s)
@@ -269,7 +276,7 @@
 // roomy gives the first server of the ranking that has room, and the first that is not full.
 func (b *Balancer) roomy(r *request) (with, top *server) {
 	v := b.survey(r.Class)
-	for _, s := range b.rank(r) {
+	for s := range b.ranked(r) {
 		if !b.allowed(r, s) || !r.MidFlow && s.full(b.now) {
 			continue
 		} else if r.MidFlow {
@@ -321,20 +328,33 @@
 	return over || float64(s.byClass[v.class]) >= v.fair*s.Weight+1
 }
 
-// rank orders the ready servers by a hash of name and server id, weighted by size: highest first, ties by
-// id. A group is ranked as one, as its shared work is paid on each server that holds any of it.
-func (b *Balancer) rank(r *request) []*server {
+// ranked gives the ready servers by a hash of name and server id, weighted by size: highest first, ties by
+// id. A group is ranked as one, as its shared work is paid on each server that holds any of it. Most
+// requests take the top, so only the others pay for the order of the rest.
+func (b *Balancer) ranked(r *request) iter.Seq[*server] {
 	buf := append(make([]byte, 0, 64), r.name()...)
 	if len(buf) == 0 {
 		buf = binary.LittleEndian.AppendUint64(buf, b.rng.Uint64())
 	}
-	order := slices.Clone(b.ready)
-	for _, s := range order {
+	higher := func(x, y *server) int { return cmp.Or(cmp.Compare(y.score, x.score), cmp.Compare(x.ID, y.ID)) }
+	for _, s := range b.ready {
 		h := xxhash.Sum64(binary.LittleEndian.AppendUint64(buf, uint64(s.ID)))
 		s.score = -s.Weight / math.Log((float64(h>>11)+0.5)/(1<<53))
 	}
-	slices.SortStableFunc(order, func(x, y *server) int { return cmp.Compare(y.score, x.score) })
-	return order
+	return func(yield func(*server) bool) {
+		if len(b.ready) == 0 {
+			return
+		}
+		top := slices.MinFunc(b.ready, higher)
+		if !yield(top) {
+			return
+		}
+		for _, s := range slices.SortedFunc(slices.Values(b.ready), higher) {
+			if s != top && !yield(s) {
+				return
+			}
+		}
+	}
 }
 
 // allowed tells whether the rules let this request go to s now, a ready server.
@@ -408,6 +428,7 @@
 	t := &r.tries[ev.Attempt]
 	t.out, t.ran = false, !ev.Outcome.NeverRan()
 	t.server.add(r, -1)
+	delete(t.server.held, r.ID)
 	switch {
 	case r.standing && ev.Outcome == Reset:
 		// Guards against filling a server again that has just dropped what it could not carry.
@@ -435,8 +456,8 @@
 		return
 	}
 	held := map[string][]*request{}
-	for _, r := range b.requests {
-		if name := r.name(); r.standing && name != "" && r.tries[len(r.tries)-1].server == s {
+	for _, r := range s.held {
+		if name := r.name(); r.standing && name != "" {
 			held[name] = append(held[name], r)
 		}
 	}
@@ -469,7 +490,7 @@
 
 // home finds a less busy server above s in the ranking, where all nodes gather the group.
 func (b *Balancer) home(r *request, s *server) *server {
-	for _, o := range b.rank(r) {
+	for o := range b.ranked(r) {
 		if o == s {
 			break
 		}
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -93,6 +93,8 @@
 	return 0
 }
 
+func ranking(b *Balancer, r *request) []*server { return slices.Collect(b.ranked(r)) }
+
 func answer(acts []Action) string {
 	for _, a := range acts {
 		switch a.(type) {
@@ -110,7 +112,7 @@
 	moved := 0
 	for i := range 200 {
 		r := &request{Request: Request{Key: fmt.Sprint("client-", i)}}
-		was, is := before.rank(r)[0].ID, after.rank(r)[0].ID
+		was, is := ranking(before.Balancer, r)[0].ID, ranking(after.Balancer, r)[0].ID
 		if was != 3 && was != is {
 			t.Errorf("%s went from %d to %d though 3 left", r.Key, was, is)
 		}
@@ -131,10 +133,10 @@
 	heavy := 0
 	for i := range 400 {
 		r := &request{Request: Request{Key: fmt.Sprint("client-", i)}}
-		if a.rank(r)[0].ID != b.rank(r)[0].ID {
+		if ranking(a.Balancer, r)[0].ID != ranking(b, r)[0].ID {
 			t.Fatalf("%s: two nodes differ", r.Key)
 		}
-		if a.rank(r)[0].ID == 2 {
+		if ranking(a.Balancer, r)[0].ID == 2 {
 			heavy++
 		}
 	}
@@ -145,8 +147,8 @@
 
 func TestGroupDecidesWhereItIsGiven(t *testing.T) {
 	n := newNode(site(), ready(1, 2, 3, 4, 5)...)
-	top := n.rank(&request{Request: Request{Key: "a", Group: "g"}})[0]
-	if other := n.rank(&request{Request: Request{Key: "b", Group: "g"}})[0]; other != top {
+	top := ranking(n.Balancer, &request{Request: Request{Key: "a", Group: "g"}})[0]
+	if other := ranking(n.Balancer, &request{Request: Request{Key: "b", Group: "g"}})[0]; other != top {
 		t.Errorf("one group has two tops: %d and %d", top.ID, other.ID)
 	}
 }
@@ -245,7 +247,7 @@
 func TestMidFlowTakesTheTopWithoutSkip(t *testing.T) {
 	n := newNode(site(), ready(1, 2, 3)...)
 	r := Request{ID: 1, Class: "safe", Key: "flow", Left: time.Second, MidFlow: true}
-	top := n.rank(&request{Request: r})[0]
+	top := ranking(n.Balancer, &request{Request: r})[0]
 	top.open, top.byClass["safe"] = 50, 50
 	if s := sentTo(n.do(r)); s != top.ID {
 		t.Errorf("went to %d, not to the top %d", s, top.ID)
@@ -254,7 +256,7 @@
 
 func TestReportedLoadPassesBy(t *testing.T) {
 	n := newNode(site(), ready(1, 2)...)
-	top := n.rank(&request{Request: Request{Key: "client"}})[0].ID
+	top := ranking(n.Balancer, &request{Request: Request{Key: "client"}})[0].ID
 	n.do(Probed{Server: top, Outcome: OK, Report: &Report{Load: 0.9}})
 	n.do(Probed{Server: 3 - top, Outcome: OK, Report: &Report{Load: 0.2}})
 	if _, s := n.place("safe", "client"); s != 3-top {
@@ -568,7 +570,7 @@
 	for i := range 20 {
 		n := newNode(site(), ready(1, 2, 3)...)
 		group := fmt.Sprint("group-", i)
-		order := slices.Clone(n.rank(&request{Request: Request{Group: group}}))
+		order := ranking(n.Balancer, &request{Request: Request{Group: group}})
 		r := Request{ID: 1, Class: "safe", Key: "client", Group: group}
 		n.do(Opened{Request: r, Server: order[2].ID})
 		if acts := n.do(Slow{ID: 1, Server: order[2].ID, Message: 60 * ms}); !slices.Equal(acts, []Action{Move{ID: 1}}) {
