--- a/balance/balance.go
+++ b/balance/balance.go
@@ -22,8 +22,9 @@
 	afterEnd     = 30 * time.Second // a client's server is remembered, the default of the design
 	defaultBound = 1 << 20          // requests held, where the settings name no limit
 	asideFor     = 2 * time.Second  // no new connections after a failed set-up
-	probeEvery   = time.Second      // each server, by all nodes together
 	reportFor    = 5 * time.Second  // a report counts
+	askAfter     = time.Second      // a server whose report is older is asked anew before it gets a connection
+	asksMost     = 3                // servers asked for one request
 	movesMost    = 3                // connections that a late message moves before it stops
 	rateMemory   = 20 * time.Second // over which the usual rate of new clients is learned
 	coldMargin   = 0.5              // part of the cold budget used: connections differ, and nodes too
@@ -37,7 +38,7 @@
 	paceMost, paceLeast, paceStep = 8.0, 0.25, 0.4
 )
 
-const timerSubscribe, timerProbe = 1, 2
+const timerSubscribe, timerAsked = 1, 2 // timerAsked and up: a request that waits for a report
 
 // Balancer is one node's decisions. It is not safe for concurrent use.
 type Balancer struct {
@@ -53,7 +54,6 @@
 	rate     float64       // new connections a second
 	rated    time.Duration // when rate was last brought up to date
 	pace     pace
-	probed   int // how many probes were sent
 }
 
 type server struct {
@@ -69,6 +69,7 @@
 	limited      time.Duration // when they did
 	reportedLoad float64       // its last report: work asked of it over what it can do
 	loaded       time.Duration // when that came; 0 means never
+	waiting      []*request    // for its report
 }
 
 func (s *server) add(r *request, n int) {
@@ -89,6 +90,8 @@
 	standing bool // the connection is up
 	answered bool
 	entry    *entry
+	asks     int  // servers asked for it
+	waits    bool // for a report
 }
 
 // name is what is ranked and moved together: the group where connections share work, else the client.
@@ -133,19 +136,60 @@
 	case Slow:
 		b.slow(ev)
 	case Timer:
-		if ev.Token == timerProbe {
-			b.probe()
-		} else if ev.Token == timerSubscribe {
+		if ev.Token == timerSubscribe {
 			b.out = append(b.out, Subscribe{})
+		} else if r := b.requests[RequestID(ev.Token-timerAsked)]; r != nil {
+			r.asks = asksMost
+			b.resume(r)
 		}
 	case Probed:
-		if s := b.servers[ev.Server]; s != nil && ev.Report != nil && ev.Report.Load >= 0 {
-			s.reportedLoad, s.loaded, s.since = ev.Report.Load, b.now, 0
-		}
+		b.reported(ev)
 	}
 	return b.out
 }
 
+// ask puts a request off until its server tells its load, where the node has no fresh report. Guards
+// against nodes that see too little of a server's load to know that it is full.
+func (b *Balancer) ask(r *request, s *server) bool {
+	if !b.set.MayProbe || r.MidFlow || r.asks >= asksMost || s.loaded > 0 && b.now < s.loaded+askAfter {
+		return false
+	}
+	if len(s.waiting) == 0 {
+		b.out = append(b.out, Probe{s.ID})
+	}
+	if r.asks == 0 {
+		b.out = append(b.out, SetTimer{r.Left / 4, timerAsked + uint64(r.ID)})
+	}
+	r.asks++
+	r.waits = true
+	s.waiting = append(s.waiting, r)
+	return true
+}
+
+func (b *Balancer) resume(r *request) {
+	if r.waits && !r.answered {
+		r.waits = false
+		b.place(r)
+	}
+}
+
+func (b *Balancer) reported(ev Probed) {
+	s := b.servers[ev.Server]
+	if s == nil {
+		return
+	}
+	if ev.Report != nil && ev.Report.Load >= 0 {
+		s.reportedLoad, s.loaded, s.since = ev.Report.Load, b.now, 0
+	} else if ev.Outcome == TimedOut || ev.Outcome == ConnectFailed {
+		s.aside = b.now + asideFor
+	}
+	waiting := s.waiting
+	s.waiting = nil
+	for _, r := range waiting {
+		b.resume(r)
+	}
+}
+
 // members follows the list. A server that is missing from a full list is gone, and one that started
 // anew is cold and has lost its connections, whatever it is called.
 func (b *Balancer) members(ev Members) {
@@ -175,10 +219,6 @@
 	if ev.Kind == ListCached && !b.set.Pushed {
 		b.out = append(b.out, Subscribe{})
 	}
-	if ev.Kind == ListCached && b.set.MayProbe {
-		b.probed = b.rng.IntN(len(b.ready) + 1) // guards against nodes that all probe one server at a time
-		b.probe()
-	}
 	if ev.Kind != ListFailed {
 		b.asks = 0
 		return
@@ -191,15 +231,6 @@
 	}
 }
 
-// probe asks the next server for its load, as often as all nodes together may.
-func (b *Balancer) probe() {
-	n := max(len(b.ready), 1)
-	b.out = append(b.out, SetTimer{probeEvery * time.Duration(b.set.Nodes) / time.Duration(n), timerProbe})
-	if b.probed++; len(b.ready) > 0 {
-		b.out = append(b.out, Probe{b.ready[b.probed%n].ID})
-	}
-}
-
 func (b *Balancer) admit(ev Request) *request {
 	if b.requests[ev.ID] != nil {
 		return nil
@@ -244,6 +275,9 @@
 		return
 	}
 	s := b.choose(r)
+	if s != nil && b.ask(r, s) {
+		return
+	}
 	if s == nil || !r.MidFlow && !b.pace.take(b.now, b.rate) {
 		b.giveUp(r)
 		return
@@ -455,6 +489,11 @@
 	if noted == nil || s == nil || ev.Message*2 <= b.set.Classes[noted.Class].MessageAim {
 		return
 	}
+	// Guards against many nodes that all act on one slow server: each acts by its part of what stands there.
+	v := b.survey(noted.Class)
+	if b.rng.Float64()*float64(v.total*b.set.Nodes) > float64(s.open*v.n) {
+		return
+	}
 	held := map[string][]*request{}
 	for _, r := range s.held {
 		if name := r.name(); r.standing && name != "" {
