--- a/balance/balance.go
+++ b/balance/balance.go
@@ -22,7 +22,6 @@
 	afterEnd     = 30 * time.Second // a client's server is remembered, the default of the design
 	defaultBound = 1 << 20          // requests held, where the settings name no limit
 	asideFor     = 2 * time.Second  // no new connections after a failed set-up
-	probeEvery   = time.Second      // each server, by all nodes together
 	reportFor    = 5 * time.Second  // a report counts
 	askAfter     = time.Second      // a server whose report is older is asked anew before it gets a connection
 	asksMost     = 3                // servers asked for one request
@@ -39,7 +38,7 @@
 	paceMost, paceLeast, paceStep = 8.0, 0.25, 0.4
 )
 
-const timerSubscribe, timerProbe, timerAsked = 1, 2, 3 // timerAsked and up: a request that waits for a report
+const timerSubscribe, timerAsked = 1, 2 // timerAsked and up: a request that waits for a report
 
 // Balancer is one node's decisions. It is not safe for concurrent use.
 type Balancer struct {
@@ -55,7 +54,6 @@
 	rate     float64       // new connections a second
 	rated    time.Duration // when rate was last brought up to date
 	pace     pace
-	probed   int // how many probes were sent
 }
 
 type server struct {
@@ -138,9 +136,7 @@
 	case Slow:
 		b.slow(ev)
 	case Timer:
-		if ev.Token == timerProbe {
-			b.probe()
-		} else if ev.Token == timerSubscribe {
+		if ev.Token == timerSubscribe {
 			b.out = append(b.out, Subscribe{})
 		} else if r := b.requests[RequestID(ev.Token-timerAsked)]; r != nil {
 			r.asks = asksMost
@@ -223,10 +219,6 @@
 	if ev.Kind == ListCached && !b.set.Pushed {
 		b.out = append(b.out, Subscribe{})
 	}
-	if ev.Kind == ListCached && b.set.MayProbe {
-		b.probed = b.rng.IntN(len(b.ready) + 1) // guards against nodes that all probe one server at a time
-		b.probe()
-	}
 	if ev.Kind != ListFailed {
 		b.asks = 0
 		return
@@ -239,15 +231,6 @@
 	}
 }
 
-// probe asks the next server for its load, as often as all nodes together may.
-func (b *Balancer) probe() {
-	n := max(len(b.ready), 1)
-	b.out = append(b.out, SetTimer{probeEvery * time.Duration(b.set.Nodes) / time.Duration(n), timerProbe})
-	if b.probed++; len(b.ready) > 0 {
-		b.out = append(b.out, Probe{b.ready[b.probed%n].ID})
-	}
-}
-
 func (b *Balancer) admit(ev Request) *request {
 	if b.requests[ev.ID] != nil {
 		return nil
@@ -348,7 +331,8 @@
 	class      string
 	n, total   int     // ready servers, and the connections that they hold
 	fair       float64 // connections of the class for each unit of weight
-	mean, each float64 // of the reported loads: their mean, and the part of one connection
+	known      float64 // servers that reported their load
+	load, each float64 // the sum of the reported loads, and the part of one connection
 }
 
 func (b *Balancer) survey(class string) view {
@@ -364,7 +348,7 @@
 		}
 	}
 	n, fair := len(b.ready), float64(count)/weight
-	return view{class, n, total, fair, load / max(known, 1), load / max(open, 1)}
+	return view{class, n, total, fair, known, load, load / max(open, 1)}
 }
 
 func (s *server) reported(now time.Duration) bool { return s.loaded > 0 && now < s.loaded+reportFor }
@@ -374,7 +358,8 @@
 func (v view) crowded(now time.Duration, s *server) bool {
 	over := v.n*s.open > 2*v.total && v.n*s.open >= v.total+3*v.n
 	if s.reported(now) {
-		return over || s.reportedLoad+float64(s.since)*v.each > max(easyLoad, v.mean+loadSlack)
+		others := (v.load - s.reportedLoad) / max(v.known-1, 1)
+		return over || s.reportedLoad+float64(s.since)*v.each > max(easyLoad, others+loadSlack)
 	}
 	return over || float64(s.byClass[v.class]) >= v.fair*s.Weight+1
 }
