--- a/balance/balance.go
+++ b/balance/balance.go
@@ -22,6 +22,7 @@
 	afterEnd     = 30 * time.Second // a client's server is remembered, the default of the design
 	defaultBound = 1 << 20          // requests held, where the settings name no limit
 	asideFor     = 2 * time.Second  // no new connections after a failed set-up
+	probeEvery   = time.Second      // each server, by all nodes together
 	reportFor    = 5 * time.Second  // a report counts
 	askAfter     = time.Second      // a server whose report is older is asked anew before it gets a connection
 	asksMost     = 3                // servers asked for one request
@@ -38,7 +39,7 @@
 	paceMost, paceLeast, paceStep = 8.0, 0.25, 0.4
 )
 
-const timerSubscribe, timerAsked = 1, 2 // timerAsked and up: a request that waits for a report
+const timerSubscribe, timerProbe, timerAsked = 1, 2, 3 // timerAsked and up: a request that waits for a report
 
 // Balancer is one node's decisions. It is not safe for concurrent use.
 type Balancer struct {
@@ -54,6 +55,7 @@
 	rate     float64       // new connections a second
 	rated    time.Duration // when rate was last brought up to date
 	pace     pace
+	probed   int // how many probes were sent
 }
 
 type server struct {
@@ -136,7 +138,9 @@
 	case Slow:
 		b.slow(ev)
 	case Timer:
-		if ev.Token == timerSubscribe {
+		if ev.Token == timerProbe {
+			b.probe()
+		} else if ev.Token == timerSubscribe {
 			b.out = append(b.out, Subscribe{})
 		} else if r := b.requests[RequestID(ev.Token-timerAsked)]; r != nil {
 			r.asks = asksMost
@@ -219,6 +223,10 @@
 	if ev.Kind == ListCached && !b.set.Pushed {
 		b.out = append(b.out, Subscribe{})
 	}
+	if ev.Kind == ListCached && b.set.MayProbe {
+		b.probed = b.rng.IntN(len(b.ready) + 1) // guards against nodes that all probe one server at a time
+		b.probe()
+	}
 	if ev.Kind != ListFailed {
 		b.asks = 0
 		return
@@ -231,6 +239,15 @@
 	}
 }
 
+// probe asks the next server for its load, as often as all nodes together may.
+func (b *Balancer) probe() {
+	n := max(len(b.ready), 1)
+	b.out = append(b.out, SetTimer{probeEvery * time.Duration(b.set.Nodes) / time.Duration(n), timerProbe})
+	if b.probed++; len(b.ready) > 0 {
+		b.out = append(b.out, Probe{b.ready[b.probed%n].ID})
+	}
+}
+
 func (b *Balancer) admit(ev Request) *request {
 	if b.requests[ev.ID] != nil {
 		return nil
