--- a/balance/balance.go
+++ b/balance/balance.go
@@ -25,6 +25,7 @@
 	probeEvery   = time.Second      // each server, by all nodes together
 	reportFor    = 5 * time.Second  // a report counts
 	askAfter     = time.Second      // a server whose report is older is asked anew before it gets a connection
+	lateFor      = 1500 * time.Millisecond
 	asksMost     = 3                // servers asked for one request
 	movesMost    = 3                // connections that a late message moves before it stops
 	rateMemory   = 20 * time.Second // over which the usual rate of new clients is learned
@@ -55,6 +56,7 @@
 	rate     float64       // new connections a second
 	rated    time.Duration // when rate was last brought up to date
 	pace     pace
+	shortest time.Duration
 	probed   int // how many probes were sent
 }
 
@@ -72,6 +74,7 @@
 	reportedLoad float64       // its last report: work asked of it over what it can do
 	loaded       time.Duration // when that came; 0 means never
 	waiting      []*request    // for its report
+	late         time.Duration // when a message last took long there
 }
 
 func (s *server) add(r *request, n int) {
@@ -109,7 +112,11 @@
 func New(set Settings, seed uint64) *Balancer {
 	set.Nodes, set.MaxAttempts = max(set.Nodes, 1), max(set.MaxAttempts, 1)
 	set.MaxOpen = cmp.Or(max(set.MaxOpen, 0), defaultBound)
-	return &Balancer{set: set, rng: rand.New(rand.NewPCG(seed, 0)),
+	shortest := time.Duration(math.MaxInt64)
+	for _, c := range set.Classes {
+		shortest = min(shortest, c.MessageAim)
+	}
+	return &Balancer{set: set, shortest: shortest, rng: rand.New(rand.NewPCG(seed, 0)),
 		servers: map[ServerID]*server{}, requests: map[RequestID]*request{},
 		table: table{bound: set.MaxOpen, entries: map[string]*entry{}},
 	}
@@ -378,6 +385,9 @@
 		others := (v.load - s.reportedLoad) / max(v.known-1, 1)
 		return over || s.reportedLoad+float64(s.since)*v.each > max(easyLoad, others+loadSlack)
 	}
+	if s.late > 0 && now < s.late+lateFor {
+		return true
+	}
 	return over || float64(s.byClass[v.class]) >= v.fair*s.Weight+1
 }
 
@@ -505,6 +515,9 @@
 // or crowded server, and against one group's shared work paid on many.
 func (b *Balancer) slow(ev Slow) {
 	noted, s := b.requests[ev.ID], b.servers[ev.Server]
+	if s != nil && ev.Message*2 > b.shortest {
+		s.late = b.now
+	}
 	if noted == nil || s == nil || ev.Message*2 <= b.set.Classes[noted.Class].MessageAim {
 		return
 	}
