--- a/balance/balance.go
+++ b/balance/balance.go
@@ -515,7 +515,7 @@
 // or crowded server, and against one group's shared work paid on many.
 func (b *Balancer) slow(ev Slow) {
 	noted, s := b.requests[ev.ID], b.servers[ev.Server]
-	if s != nil && ev.Message*2 > b.shortest {
+	if s != nil && ev.Message > b.shortest {
 		s.late = b.now
 	}
 	if noted == nil || s == nil || ev.Message*2 <= b.set.Classes[noted.Class].MessageAim {
