--- a/balance/balance.go
+++ b/balance/balance.go
@@ -388,7 +388,7 @@
 	if s.late > 0 && now < s.late+lateFor {
 		return true
 	}
-	return over || float64(s.byClass[v.class]) >= v.fair*s.Weight+1
+	return over
 }
 
 // ranked gives the ready servers by a hash of name and server id, weighted by size: highest first, ties by
@@ -515,7 +515,7 @@
 // or crowded server, and against one group's shared work paid on many.
 func (b *Balancer) slow(ev Slow) {
 	noted, s := b.requests[ev.ID], b.servers[ev.Server]
-	if s != nil && ev.Message > b.shortest {
+	if s != nil && ev.Message*3 > b.shortest {
 		s.late = b.now
 	}
 	if noted == nil || s == nil || ev.Message*2 <= b.set.Classes[noted.Class].MessageAim {
