--- a/balance/balance.go
+++ b/balance/balance.go
@@ -25,7 +25,6 @@
 	probeEvery   = time.Second      // each server, by all nodes together
 	reportFor    = 5 * time.Second  // a report counts
 	askAfter     = time.Second      // a server whose report is older is asked anew before it gets a connection
-	lateFor      = 1500 * time.Millisecond
 	asksMost     = 3                // servers asked for one request
 	movesMost    = 3                // connections that a late message moves before it stops
 	rateMemory   = 20 * time.Second // over which the usual rate of new clients is learned
@@ -62,9 +61,8 @@
 
 type server struct {
 	Server
-	open, since  int            // connections, attempts included; those added since its last report
-	score        float64        // in the ranking of the request at hand
-	byClass      map[string]int // connections by class
+	open, since  int     // connections, attempts included; those added since its last report
+	score        float64 // in the ranking of the request at hand
 	held         map[RequestID]*request
 	budget       float64 // connections that may be sent to it while it is cold
 	counted      time.Duration
@@ -77,10 +75,9 @@
 	late         time.Duration // when a message last took long there
 }
 
-func (s *server) add(r *request, n int) {
+func (s *server) add(n int) {
 	s.open += n
 	s.since += n
-	s.byClass[r.Class] += n
 }
 
 // full tells whether s holds what proved too much for it; that counts less as time goes by.
@@ -269,8 +266,7 @@
 
 func (b *Balancer) server(id ServerID) *server {
 	if b.servers[id] == nil {
-		b.servers[id] = &server{Server: Server{ID: id, Weight: 1}, byClass: map[string]int{},
-			held: map[RequestID]*request{}}
+		b.servers[id] = &server{Server: Server{ID: id, Weight: 1}, held: map[RequestID]*request{}}
 	}
 	return b.servers[id]
 }
@@ -285,7 +281,7 @@
 
 // start counts an attempt, and makes the table name its server.
 func (b *Balancer) start(r *request, s *server) {
-	s.add(r, 1)
+	s.add(1)
 	s.held[r.ID] = r
 	r.tries = append(r.tries, try{server: s, sent: b.now, out: true, ran: true})
 	b.table.release(r.entry, b.now)
@@ -333,7 +329,7 @@
 
 // roomy gives the first server of the ranking that has room, and the first that is not full.
 func (b *Balancer) roomy(r *request) (with, top *server) {
-	v := b.survey(r.Class)
+	v := b.survey()
 	for s := range b.ranked(r) {
 		if !b.allowed(r, s) || !r.MidFlow && s.full(b.now) {
 			continue
@@ -352,27 +348,22 @@
 
 // view is what a node knows of the load of all ready servers.
 type view struct {
-	class      string
 	n, total   int     // ready servers, and the connections that they hold
-	fair       float64 // connections of the class for each unit of weight
 	known      float64 // servers that reported their load
 	load, each float64 // the sum of the reported loads, and the part of one connection
 }
 
-func (b *Balancer) survey(class string) view {
-	count, total, weight, known, load, open := 0, 0, 0.0, 0.0, 0.0, 0.0
+func (b *Balancer) survey() view {
+	total, known, load, open := 0, 0.0, 0.0, 0.0
 	for _, s := range b.ready {
 		total += s.open
-		count += s.byClass[class]
-		weight += s.Weight
 		if s.reported(b.now) {
 			known++
 			load += s.reportedLoad
 			open += float64(max(s.open-s.since, 1))
 		}
 	}
-	n, fair := len(b.ready), float64(count)/weight
-	return view{class, n, total, fair, known, load, load / max(open, 1)}
+	return view{len(b.ready), total, known, load, load / max(open, 1)}
 }
 
 func (s *server) reported(now time.Duration) bool { return s.loaded > 0 && now < s.loaded+reportFor }
@@ -385,7 +376,7 @@
 		others := (v.load - s.reportedLoad) / max(v.known-1, 1)
 		return over || s.reportedLoad+float64(s.since)*v.each > max(easyLoad, others+loadSlack)
 	}
-	if s.late > 0 && now < s.late+lateFor {
+	if s.late > 0 && now < s.late+asideFor {
 		return true
 	}
 	return over
@@ -490,7 +481,7 @@
 	}
 	t := &r.tries[ev.Attempt]
 	t.out, t.ran = false, !ev.Outcome.NeverRan()
-	t.server.add(r, -1)
+	t.server.add(-1)
 	delete(t.server.held, r.ID)
 	switch {
 	case r.standing && ev.Outcome == Reset:
@@ -522,7 +513,7 @@
 		return
 	}
 	// Guards against many nodes that all act on one slow server: each acts by its part of what stands there.
-	v := b.survey(noted.Class)
+	v := b.survey()
 	if b.rng.Float64()*float64(v.total*b.set.Nodes) > float64(s.open*v.n) {
 		return
 	}
