--- a/balance/balance.go
+++ b/balance/balance.go
@@ -133,7 +133,7 @@
 	case Accepted:
 		if r := b.requests[ev.ID]; r != nil {
 			r.standing, r.answered = true, true
-			b.pace.grow()
+			b.pace.grow(math.Sqrt(float64(b.set.Nodes)))
 		}
 	case Closed:
 		b.closed(ev)
@@ -596,9 +596,9 @@
 	}
 }
 
-func (p *pace) grow() {
-	if p.times > 0 && p.times+paceStep <= paceMost {
-		p.times += paceStep
+func (p *pace) grow(n float64) {
+	if p.times > 0 && p.times+paceStep*n <= paceMost {
+		p.times += paceStep * n
 	} else {
 		p.times = 0
 	}
