--- a/balance/balance.go
+++ b/balance/balance.go
@@ -36,7 +36,7 @@
 	// A server is crowded over this load, if also by so much over the mean.
 	easyLoad, loadSlack = 0.6, 0.1
 	// The pace of set-ups: its bounds as multiples of the usual rate, and what a good set-up adds.
-	paceMost, paceLeast, paceStep = 8.0, 0.25, 0.4
+	paceMost, paceLeast, paceStep = 4.0, 0.25, 0.4
 )
 
 const timerSubscribe, timerProbe, timerAsked = 1, 2, 3 // timerAsked and up: a request that waits for a report
@@ -133,7 +133,7 @@
 	case Accepted:
 		if r := b.requests[ev.ID]; r != nil {
 			r.standing, r.answered = true, true
-			b.pace.grow(math.Sqrt(float64(b.set.Nodes)))
+			b.pace.grow(float64(b.set.Nodes))
 		}
 	case Closed:
 		b.closed(ev)
