--- a/balance/balance.go
+++ b/balance/balance.go
@@ -25,7 +25,7 @@
 	probeEvery   = time.Second      // each server, by all nodes together
 	reportFor    = 5 * time.Second  // a report counts
 	askAfter     = time.Second      // a server whose report is older is asked anew before it gets a connection
-	asksMost     = 3                // servers asked for one request
+	asksMost     = 1                // servers asked for one request
 	movesMost    = 3                // connections that a late message moves before it stops
 	rateMemory   = 20 * time.Second // over which the usual rate of new clients is learned
 	coldMargin   = 0.5              // part of the cold budget used: connections differ, and nodes too
@@ -36,7 +36,7 @@
 	// A server is crowded over this load, if also by so much over the mean.
 	easyLoad, loadSlack = 0.6, 0.1
 	// The pace of set-ups: its bounds as multiples of the usual rate, and what a good set-up adds.
-	paceMost, paceLeast, paceStep = 4.0, 0.25, 0.4
+	paceMost, paceLeast, paceStep = 8.0, 0.25, 0.2
 )
 
 const timerSubscribe, timerProbe, timerAsked = 1, 2, 3 // timerAsked and up: a request that waits for a report
