--- a/balance/balance.go
+++ b/balance/balance.go
@@ -25,7 +25,7 @@
 	probeEvery   = time.Second      // each server, by all nodes together
 	reportFor    = 5 * time.Second  // a report counts
 	askAfter     = time.Second      // a server whose report is older is asked anew before it gets a connection
-	asksMost     = 1                // servers asked for one request
+	asksMost     = 3                // servers asked for one request
 	movesMost    = 3                // connections that a late message moves before it stops
 	rateMemory   = 20 * time.Second // over which the usual rate of new clients is learned
 	coldMargin   = 0.5              // part of the cold budget used: connections differ, and nodes too
@@ -82,7 +82,7 @@
 
 // full tells whether s holds what proved too much for it; that counts less as time goes by.
 func (s *server) full(now time.Duration) bool {
-	return s.limit > 0 && float64(s.open) >= s.limit*(1+limitGrowth*(now-s.limited).Seconds())
+	return s.limit > 9e9 && float64(s.open) >= s.limit*(1+limitGrowth*(now-s.limited).Seconds())
 }
 
 type request struct {
