--- a/balance/balance.go
+++ b/balance/balance.go
@@ -82,7 +82,7 @@
 
 // full tells whether s holds what proved too much for it; that counts less as time goes by.
 func (s *server) full(now time.Duration) bool {
-	return s.limit > 9e9 && float64(s.open) >= s.limit*(1+limitGrowth*(now-s.limited).Seconds())
+	return s.reported(now) && s.reportedLoad > 0.95 || s.limit > 0 && float64(s.open) >= s.limit*(1+limitGrowth*(now-s.limited).Seconds())
 }
 
 type request struct {
