--- a/balance/balance.go
+++ b/balance/balance.go
@@ -82,7 +82,7 @@
 
 // full tells whether s holds what proved too much for it; that counts less as time goes by.
 func (s *server) full(now time.Duration) bool {
-	return s.reported(now) && s.reportedLoad > 0.95 || s.limit > 0 && float64(s.open) >= s.limit*(1+limitGrowth*(now-s.limited).Seconds())
+	return s.limit > 0 && float64(s.open) >= s.limit*(1+limitGrowth*(now-s.limited).Seconds())
 }
 
 type request struct {
@@ -166,7 +166,7 @@
 		b.out = append(b.out, Probe{s.ID})
 	}
 	if r.asks == 0 {
-		b.out = append(b.out, SetTimer{r.Left / 4, timerAsked + uint64(r.ID)})
+		b.out = append(b.out, SetTimer{(r.deadline - b.now) / 4, timerAsked + uint64(r.ID)})
 	}
 	r.asks++
 	r.waits = true
@@ -598,7 +598,7 @@
 
 func (p *pace) grow(n float64) {
 	if p.times > 0 && p.times+paceStep*n <= paceMost {
-		p.times += paceStep * n
+		p.times += paceStep*n
 	} else {
 		p.times = 0
 	}
