--- a/balance/balance.go
+++ b/balance/balance.go
@@ -8,7 +8,6 @@
 import (
 	"cmp"
 	"encoding/binary"
-	"iter"
 	"maps"
 	"math"
 	"math/rand/v2"
@@ -25,6 +24,7 @@
 	probeEvery   = time.Second      // each server, by all nodes together
 	reportFor    = 5 * time.Second  // a report counts
 	askAfter     = time.Second      // a server whose report is older is asked anew before it gets a connection
+	ordersMost   = 1024             // rankings kept
 	asksMost     = 3                // servers asked for one request
 	movesMost    = 3                // connections that a late message moves before it stops
 	rateMemory   = 20 * time.Second // over which the usual rate of new clients is learned
@@ -50,6 +50,7 @@
 	servers  map[ServerID]*server
 	ready    []*server // by id, so that no decision depends on the order of a map
 	requests map[RequestID]*request
+	orders   map[string][]*server // rankings, until the list changes
 	table    table
 	asks     int           // calls for the list that failed in a row
 	rate     float64       // new connections a second
@@ -114,7 +115,7 @@
 		shortest = min(shortest, c.MessageAim)
 	}
 	return &Balancer{set: set, shortest: shortest, rng: rand.New(rand.NewPCG(seed, 0)),
-		servers: map[ServerID]*server{}, requests: map[RequestID]*request{},
+		servers: map[ServerID]*server{}, requests: map[RequestID]*request{}, orders: map[string][]*server{},
 		table: table{bound: set.MaxOpen, entries: map[string]*entry{}},
 	}
 }
@@ -215,6 +216,7 @@
 			s.Weight = 1
 		}
 	}
+	clear(b.orders)
 	b.ready = b.ready[:0]
 	for id, s := range b.servers {
 		if s.State == Ready {
@@ -330,7 +332,7 @@
 // roomy gives the first server of the ranking that has room, and the first that is not full.
 func (b *Balancer) roomy(r *request) (with, top *server) {
 	v := b.survey()
-	for s := range b.ranked(r) {
+	for _, s := range b.rank(r) {
 		if !b.allowed(r, s) || !r.MidFlow && s.full(b.now) {
 			continue
 		} else if r.MidFlow {
@@ -382,33 +384,33 @@
 	return over
 }
 
-// ranked gives the ready servers by a hash of name and server id, weighted by size: highest first, ties by
-// id. A group is ranked as one, as its shared work is paid on each server that holds any of it. Most
-// requests take the top, so only the others pay for the order of the rest.
-func (b *Balancer) ranked(r *request) iter.Seq[*server] {
-	buf := append(make([]byte, 0, 64), r.name()...)
-	if len(buf) == 0 {
+// rank orders the ready servers by a hash of name and server id, weighted by size: highest first, ties by
+// id. A group is ranked as one, as its shared work is paid on each server that holds any of it. Orders are
+// kept until the list changes, as the clients of one group come again and again.
+func (b *Balancer) rank(r *request) []*server {
+	name := r.name()
+	if order := b.orders[name]; order != nil {
+		return order
+	}
+	buf := append(make([]byte, 0, 64), name...)
+	if name == "" {
 		buf = binary.LittleEndian.AppendUint64(buf, b.rng.Uint64())
 	}
-	higher := func(x, y *server) int { return cmp.Or(cmp.Compare(y.score, x.score), cmp.Compare(x.ID, y.ID)) }
-	for _, s := range b.ready {
+	order := slices.Clone(b.ready)
+	for _, s := range order {
 		h := xxhash.Sum64(binary.LittleEndian.AppendUint64(buf, uint64(s.ID)))
 		s.score = -s.Weight / math.Log((float64(h>>11)+0.5)/(1<<53))
 	}
-	return func(yield func(*server) bool) {
-		if len(b.ready) == 0 {
-			return
-		}
-		top := slices.MinFunc(b.ready, higher)
-		if !yield(top) {
-			return
-		}
-		for _, s := range slices.SortedFunc(slices.Values(b.ready), higher) {
-			if s != top && !yield(s) {
-				return
-			}
-		}
+	slices.SortFunc(order, func(x, y *server) int {
+		return cmp.Or(cmp.Compare(y.score, x.score), cmp.Compare(x.ID, y.ID))
+	})
+	if len(b.orders) >= ordersMost {
+		clear(b.orders)
+	}
+	if name != "" {
+		b.orders[name] = order
 	}
+	return order
 }
 
 // allowed tells whether the rules let this request go to s now, a ready server.
@@ -487,6 +489,8 @@
 	case r.standing && ev.Outcome == Reset:
 		// Guards against filling a server again that has just dropped what it could not carry.
 		t.server.limit, t.server.limited = limitPart*float64(max(t.server.open, 1)), b.now
+	case !r.standing && ev.Outcome == Full:
+		t.server.limit, t.server.limited = max(float64(t.server.open), limitPart), b.now
 	case !r.standing && (ev.Outcome == Error || ev.Outcome == TimedOut || ev.Outcome == ConnectFailed):
 		if b.pace.slow(b.now, t.server, t.sent); b.pace.times == 0 {
 			t.server.aside = b.now + asideFor // guards against a silent server: it is tried again later
@@ -555,7 +559,7 @@
 
 // home finds a less busy server above s in the ranking, where all nodes gather the group.
 func (b *Balancer) home(r *request, s *server) *server {
-	for o := range b.ranked(r) {
+	for _, o := range b.rank(r) {
 		if o == s {
 			break
 		}
@@ -598,7 +602,7 @@
 
 func (p *pace) grow(n float64) {
 	if p.times > 0 && p.times+paceStep*n <= paceMost {
-		p.times += paceStep*n
+		p.times += paceStep * n
 	} else {
 		p.times = 0
 	}
