--- a/balance/balance.go
+++ b/balance/balance.go
@@ -73,8 +73,7 @@
 	reportedLoad float64       // its last report: work asked of it over what it can do
 	loaded       time.Duration // when that came; 0 means never
 	waiting      []*request    // for its report
-	message      time.Duration // how long a message took there last, by note or probe
-	told         time.Duration // when that was told; 0 means never
+	late         time.Duration // when a message last took long there
 }
 
 func (s *server) add(n int) {
@@ -82,16 +81,9 @@
 	s.since += n
 }
 
-// full tells whether s should get nothing new for r: it holds what proved too much for it, which counts less
-// as time goes by, or messages take longer there than r's class can use.
-func (b *Balancer) full(s *server, r *request) bool {
-	grown := s.limit * (1 + limitGrowth*(b.now-s.limited).Seconds())
-	return s.limit > 0 && float64(s.open) >= grown || s.slower(b.now, b.set.Classes[r.Class].MessageAim)
-}
-
-// slower tells whether a message took longer than aim there, as far as is known lately.
-func (s *server) slower(now, aim time.Duration) bool {
-	return s.told > 0 && now < s.told+asideFor && s.message > aim
+// full tells whether s holds what proved too much for it; that counts less as time goes by.
+func (s *server) full(now time.Duration) bool {
+	return s.limit > 0 && float64(s.open) >= s.limit*(1+limitGrowth*(now-s.limited).Seconds())
 }
 
 type request struct {
@@ -197,7 +189,6 @@
 	}
 	if ev.Report != nil && ev.Report.Load >= 0 {
 		s.reportedLoad, s.loaded, s.since = ev.Report.Load, b.now, 0
-		s.message, s.told = ev.Took, b.now
 	} else if ev.Outcome == TimedOut || ev.Outcome == ConnectFailed {
 		s.aside = b.now + asideFor
 	}
@@ -329,7 +320,7 @@
 		return nil
 	}
 	if s := b.table.server(r.Key); s != nil && b.allowed(r, s) && b.now >= s.aside {
-		if !r.MidFlow && b.full(s, r) {
+		if !r.MidFlow && s.full(b.now) {
 			return nil // guards against clients that come straight back to be dropped again
 		}
 		return s
@@ -342,7 +333,7 @@
 func (b *Balancer) roomy(r *request) (with, top *server) {
 	v := b.survey()
 	for _, s := range b.rank(r) {
-		if !b.allowed(r, s) || !r.MidFlow && b.full(s, r) {
+		if !b.allowed(r, s) || !r.MidFlow && s.full(b.now) {
 			continue
 		} else if r.MidFlow {
 			return s, s // no skip: it may stand there
@@ -359,7 +350,6 @@
 
 // view is what a node knows of the load of all ready servers.
 type view struct {
-	shortest   time.Duration
 	n, total   int     // ready servers, and the connections that they hold
 	known      float64 // servers that reported their load
 	load, each float64 // the sum of the reported loads, and the part of one connection
@@ -375,7 +365,7 @@
 			open += float64(max(s.open-s.since, 1))
 		}
 	}
-	return view{b.shortest, len(b.ready), total, known, load, load / max(open, 1)}
+	return view{len(b.ready), total, known, load, load / max(open, 1)}
 }
 
 func (s *server) reported(now time.Duration) bool { return s.loaded > 0 && now < s.loaded+reportFor }
@@ -388,7 +378,10 @@
 		others := (v.load - s.reportedLoad) / max(v.known-1, 1)
 		return over || s.reportedLoad+float64(s.since)*v.each > max(easyLoad, others+loadSlack)
 	}
-	return over || s.slower(now, v.shortest/3)
+	if s.late > 0 && now < s.late+asideFor {
+		return true
+	}
+	return over
 }
 
 // rank orders the ready servers by a hash of name and server id, weighted by size: highest first, ties by
@@ -515,8 +508,8 @@
 // or crowded server, and against one group's shared work paid on many.
 func (b *Balancer) slow(ev Slow) {
 	noted, s := b.requests[ev.ID], b.servers[ev.Server]
-	if s != nil {
-		s.message, s.told = ev.Message, b.now
+	if s != nil && ev.Message*3 > b.shortest {
+		s.late = b.now
 	}
 	if noted == nil || s == nil || ev.Message*2 <= b.set.Classes[noted.Class].MessageAim {
 		return
