--- a/balance/balance.go
+++ b/balance/balance.go
@@ -525,8 +525,12 @@
 			held[name] = append(held[name], r)
 		}
 	}
+	place := map[string]int{}
+	for name, group := range held {
+		place[name] = slices.Index(b.rank(group[0]), s)
+	}
 	names := slices.SortedFunc(maps.Keys(held), func(x, y string) int {
-		return cmp.Or(cmp.Compare(len(held[x]), len(held[y])), cmp.Compare(x, y))
+		return cmp.Or(cmp.Compare(place[y], place[x]), cmp.Compare(len(held[x]), len(held[y])), cmp.Compare(x, y))
 	})
 	for _, name := range names {
 		group := held[name]
@@ -561,7 +565,7 @@
 		if o == s {
 			break
 		}
-		busier := float64(o.open)/o.Weight > float64(s.open)/s.Weight
+		busier := b.set.MayProbe && false
 		if o.reported(b.now) {
 			busier = o.reportedLoad > s.reportedLoad
 		}
