--- a/balance/balance.go
+++ b/balance/balance.go
@@ -83,7 +83,7 @@
 
 // full tells whether s holds what proved too much for it; that counts less as time goes by.
 func (s *server) full(now time.Duration) bool {
-	return s.limit > 0 && float64(s.open) >= s.limit*(1+limitGrowth*(now-s.limited).Seconds())
+	return s.reported(now) && s.reportedLoad > 1 || s.limit > 0 && float64(s.open) >= s.limit*(1+limitGrowth*(now-s.limited).Seconds())
 }
 
 type request struct {
@@ -331,9 +331,12 @@
 
 // roomy gives the first server of the ranking that has room, and the first that is not full.
 func (b *Balancer) roomy(r *request) (with, top *server) {
-	v := b.survey()
+	v, known := b.survey(), false
 	for _, s := range b.rank(r) {
-		if !b.allowed(r, s) || !r.MidFlow && s.full(b.now) {
+		known = known || s.reported(b.now)
+		if known && r.asks >= asksMost && !s.reported(b.now) {
+			continue // guards against scattering groups over servers of unknown load
+		} else if !b.allowed(r, s) || !r.MidFlow && s.full(b.now) {
 			continue
 		} else if r.MidFlow {
 			return s, s // no skip: it may stand there
