--- a/balance/balance.go
+++ b/balance/balance.go
@@ -62,10 +62,10 @@
 
 type server struct {
 	Server
-	open, since  int     // connections, attempts included; those added since its last report
-	score        float64 // in the ranking of the request at hand
-	held         map[RequestID]*request
-	budget       float64 // connections that may be sent to it while it is cold
+	held         map[RequestID]*request // connections, attempts included
+	since        int                    // how many came since its last report
+	score        float64                // in the ranking of the request at hand
+	budget       float64                // connections that may be sent to it while it is cold
 	counted      time.Duration
 	aside        time.Duration // no new connections before it, while others can take them
 	limit        float64       // connections that proved too many for it, 0 where none did
@@ -76,14 +76,9 @@
 	late         time.Duration // when a message last took long there
 }
 
-func (s *server) add(n int) {
-	s.open += n
-	s.since += n
-}
-
 // full tells whether s holds what proved too much for it; that counts less as time goes by.
 func (s *server) full(now time.Duration) bool {
-	return s.reported(now) && s.reportedLoad > 1 || s.limit > 0 && float64(s.open) >= s.limit*(1+limitGrowth*(now-s.limited).Seconds())
+	return s.limit > 0 && float64(len(s.held)) >= s.limit*(1+limitGrowth*(now-s.limited).Seconds())
 }
 
 type request struct {
@@ -143,9 +138,7 @@
 	case Slow:
 		b.slow(ev)
 	case Timer:
-		if ev.Token == timerProbe {
-			b.probe()
-		} else if ev.Token == timerSubscribe {
+		if ev.Token == timerSubscribe {
 			b.out = append(b.out, Subscribe{})
 		} else if r := b.requests[RequestID(ev.Token-timerAsked)]; r != nil {
 			r.asks = asksMost
@@ -221,7 +214,7 @@
 	for id, s := range b.servers {
 		if s.State == Ready {
 			b.ready = append(b.ready, s)
-		} else if s.State == Gone && s.open == 0 {
+		} else if s.State == Gone && len(s.held) == 0 {
 			delete(b.servers, id)
 		}
 	}
@@ -229,10 +222,6 @@
 	if ev.Kind == ListCached && !b.set.Pushed {
 		b.out = append(b.out, Subscribe{})
 	}
-	if ev.Kind == ListCached && b.set.MayProbe {
-		b.probed = b.rng.IntN(len(b.ready) + 1) // guards against nodes that all probe one server at a time
-		b.probe()
-	}
 	if ev.Kind != ListFailed {
 		b.asks = 0
 		return
@@ -245,15 +234,6 @@
 	}
 }
 
-// probe asks the next server for its load, as often as all nodes together may.
-func (b *Balancer) probe() {
-	n := max(len(b.ready), 1)
-	b.out = append(b.out, SetTimer{probeEvery * time.Duration(b.set.Nodes) / time.Duration(n), timerProbe})
-	if b.probed++; len(b.ready) > 0 {
-		b.out = append(b.out, Probe{b.ready[b.probed%n].ID})
-	}
-}
-
 func (b *Balancer) admit(ev Request) *request {
 	if b.requests[ev.ID] != nil {
 		return nil
@@ -283,8 +263,8 @@
 
 // start counts an attempt, and makes the table name its server.
 func (b *Balancer) start(r *request, s *server) {
-	s.add(1)
 	s.held[r.ID] = r
+	s.since++
 	r.tries = append(r.tries, try{server: s, sent: b.now, out: true, ran: true})
 	b.table.release(r.entry, b.now)
 	r.entry = b.table.hold(r.Key, s)
@@ -331,12 +311,9 @@
 
 // roomy gives the first server of the ranking that has room, and the first that is not full.
 func (b *Balancer) roomy(r *request) (with, top *server) {
-	v, known := b.survey(), false
+	v := b.survey()
 	for _, s := range b.rank(r) {
-		known = known || s.reported(b.now)
-		if known && r.asks >= asksMost && !s.reported(b.now) {
-			continue // guards against scattering groups over servers of unknown load
-		} else if !b.allowed(r, s) || !r.MidFlow && s.full(b.now) {
+		if !b.allowed(r, s) || !r.MidFlow && s.full(b.now) {
 			continue
 		} else if r.MidFlow {
 			return s, s // no skip: it may stand there
@@ -361,11 +338,11 @@
 func (b *Balancer) survey() view {
 	total, known, load, open := 0, 0.0, 0.0, 0.0
 	for _, s := range b.ready {
-		total += s.open
+		total += len(s.held)
 		if s.reported(b.now) {
 			known++
 			load += s.reportedLoad
-			open += float64(max(s.open-s.since, 1))
+			open += float64(max(len(s.held)-s.since, 1))
 		}
 	}
 	return view{len(b.ready), total, known, load, load / max(open, 1)}
@@ -376,7 +353,7 @@
 // crowded tells whether s holds clearly more than its part: by the skip of the design, exactly, or by its
 // load as reported and what this node added since, or without a report by its connections of the class.
 func (v view) crowded(now time.Duration, s *server) bool {
-	over := v.n*s.open > 2*v.total && v.n*s.open >= v.total+3*v.n
+	over := v.n*len(s.held) > 2*v.total && v.n*len(s.held) >= v.total+3*v.n
 	if s.reported(now) {
 		others := (v.load - s.reportedLoad) / max(v.known-1, 1)
 		return over || s.reportedLoad+float64(s.since)*v.each > max(easyLoad, others+loadSlack)
@@ -486,12 +463,12 @@
 	}
 	t := &r.tries[ev.Attempt]
 	t.out, t.ran = false, !ev.Outcome.NeverRan()
-	t.server.add(-1)
 	delete(t.server.held, r.ID)
+	t.server.since--
 	switch {
 	case r.standing && ev.Outcome == Reset:
 		// Guards against filling a server again that has just dropped what it could not carry.
-		t.server.limit, t.server.limited = limitPart*float64(max(t.server.open, 1)), b.now
+		t.server.limit, t.server.limited = limitPart*float64(max(len(t.server.held), 1)), b.now
 	case !r.standing && (ev.Outcome == Error || ev.Outcome == TimedOut || ev.Outcome == ConnectFailed):
 		if b.pace.slow(b.now, t.server, t.sent); b.pace.times == 0 {
 			t.server.aside = b.now + asideFor // guards against a silent server: it is tried again later
@@ -519,7 +496,7 @@
 	}
 	// Guards against many nodes that all act on one slow server: each acts by its part of what stands there.
 	v := b.survey()
-	if b.rng.Float64()*float64(v.total*b.set.Nodes) > float64(s.open*v.n) {
+	if b.rng.Float64()*float64(v.total*b.set.Nodes) > float64(len(s.held)*v.n) {
 		return
 	}
 	held := map[string][]*request{}
@@ -543,9 +520,6 @@
 			to, _ := b.roomy(&request{Request: group[0].Request})
 			if to == nil || to == s || to.reported(b.now) && to.reportedLoad >= easyLoad {
 				continue
-			} else if b.set.MayProbe && !to.reported(b.now) {
-				b.out = append(b.out, Probe{to.ID}) // the next late message finds its report
-				return
 			}
 		}
 		for _, r := range group {
