--- a/balance/balance.go
+++ b/balance/balance.go
@@ -21,7 +21,6 @@
 	afterEnd     = 30 * time.Second // a client's server is remembered, the default of the design
 	defaultBound = 1 << 20          // requests held, where the settings name no limit
 	asideFor     = 2 * time.Second  // no new connections after a failed set-up
-	probeEvery   = time.Second      // each server, by all nodes together
 	reportFor    = 5 * time.Second  // a report counts
 	askAfter     = time.Second      // a server whose report is older is asked anew before it gets a connection
 	ordersMost   = 1024             // rankings kept
@@ -39,7 +38,7 @@
 	paceMost, paceLeast, paceStep = 8.0, 0.25, 0.2
 )
 
-const timerSubscribe, timerProbe, timerAsked = 1, 2, 3 // timerAsked and up: a request that waits for a report
+const timerSubscribe, timerAsked = 1, 2 // timerAsked and up: a request that waits for a report
 
 // Balancer is one node's decisions. It is not safe for concurrent use.
 type Balancer struct {
@@ -57,7 +56,6 @@
 	rated    time.Duration // when rate was last brought up to date
 	pace     pace
 	shortest time.Duration
-	probed   int // how many probes were sent
 }
 
 type server struct {
@@ -356,7 +354,7 @@
 	over := v.n*len(s.held) > 2*v.total && v.n*len(s.held) >= v.total+3*v.n
 	if s.reported(now) {
 		others := (v.load - s.reportedLoad) / max(v.known-1, 1)
-		return over || s.reportedLoad+float64(s.since)*v.each > max(easyLoad, others+loadSlack)
+		return over || s.reportedLoad > 0.7+0*others
 	}
 	if s.late > 0 && now < s.late+asideFor {
 		return true
