--- a/balance/balance.go
+++ b/balance/balance.go
@@ -32,8 +32,8 @@
 	// After drops a server's limit is this part of what it kept, growing by so much a second.
 	limitPart, limitGrowth = 0.7, 0.05
 	askPause, askPauseMost = 200 * time.Millisecond, 3 * time.Second // before the list is asked for anew
-	// A server is crowded over this load, if also by so much over the mean.
-	easyLoad, loadSlack = 0.6, 0.1
+	// A server is crowded over this load.
+	easyLoad = 0.6
 	// The pace of set-ups: its bounds as multiples of the usual rate, and what a good set-up adds.
 	paceMost, paceLeast, paceStep = 8.0, 0.25, 0.2
 )
@@ -309,7 +309,6 @@
 
 // roomy gives the first server of the ranking that has room, and the first that is not full.
 func (b *Balancer) roomy(r *request) (with, top *server) {
-	v := b.survey()
 	for _, s := range b.rank(r) {
 		if !b.allowed(r, s) || !r.MidFlow && s.full(b.now) {
 			continue
@@ -319,47 +318,33 @@
 		if top == nil || b.now < top.aside && b.now >= s.aside {
 			top = s // health comes before crowding
 		}
-		if b.now >= s.aside && !v.crowded(b.now, s) {
+		if b.now >= s.aside && !b.crowded(s) {
 			return s, top
 		}
 	}
 	return nil, top
 }
 
-// view is what a node knows of the load of all ready servers.
-type view struct {
-	n, total   int     // ready servers, and the connections that they hold
-	known      float64 // servers that reported their load
-	load, each float64 // the sum of the reported loads, and the part of one connection
-}
-
-func (b *Balancer) survey() view {
-	total, known, load, open := 0, 0.0, 0.0, 0.0
-	for _, s := range b.ready {
-		total += len(s.held)
-		if s.reported(b.now) {
-			known++
-			load += s.reportedLoad
-			open += float64(max(len(s.held)-s.since, 1))
-		}
+// crowded tells whether s holds clearly more than its part: by the skip of the design, exactly; by its load as
+// reported and what this node added since; or, without a report, by messages that take long there.
+func (b *Balancer) crowded(s *server) bool {
+	n, open, total := len(b.ready), len(s.held), b.total()
+	if n*open > 2*total && n*open >= total+3*n {
+		return true
+	} else if s.reported(b.now) {
+		return s.reportedLoad*(1+float64(s.since)/float64(max(open-s.since, 1))) > easyLoad
 	}
-	return view{len(b.ready), total, known, load, load / max(open, 1)}
+	return s.late > 0 && b.now < s.late+asideFor
 }
 
 func (s *server) reported(now time.Duration) bool { return s.loaded > 0 && now < s.loaded+reportFor }
 
-// crowded tells whether s holds clearly more than its part: by the skip of the design, exactly, or by its
-// load as reported and what this node added since, or without a report by its connections of the class.
-func (v view) crowded(now time.Duration, s *server) bool {
-	over := v.n*len(s.held) > 2*v.total && v.n*len(s.held) >= v.total+3*v.n
-	if s.reported(now) {
-		others := (v.load - s.reportedLoad) / max(v.known-1, 1)
-		return over || s.reportedLoad > 0.7+0*others
-	}
-	if s.late > 0 && now < s.late+asideFor {
-		return true
+// total counts the connections on ready servers, attempts included.
+func (b *Balancer) total() (n int) {
+	for _, s := range b.ready {
+		n += len(s.held)
 	}
-	return over
+	return n
 }
 
 // rank orders the ready servers by a hash of name and server id, weighted by size: highest first, ties by
@@ -493,8 +478,7 @@
 		return
 	}
 	// Guards against many nodes that all act on one slow server: each acts by its part of what stands there.
-	v := b.survey()
-	if b.rng.Float64()*float64(v.total*b.set.Nodes) > float64(len(s.held)*v.n) {
+	if b.rng.Float64()*float64(b.total()*b.set.Nodes) > float64(len(s.held)*len(b.ready)) {
 		return
 	}
 	held := map[string][]*request{}
