--- a/balance/balance.go
+++ b/balance/balance.go
@@ -55,7 +55,6 @@
 	rate     float64       // new connections a second
 	rated    time.Duration // when rate was last brought up to date
 	pace     pace
-	shortest time.Duration
 }
 
 type server struct {
@@ -103,11 +102,7 @@
 func New(set Settings, seed uint64) *Balancer {
 	set.Nodes, set.MaxAttempts = max(set.Nodes, 1), max(set.MaxAttempts, 1)
 	set.MaxOpen = cmp.Or(max(set.MaxOpen, 0), defaultBound)
-	shortest := time.Duration(math.MaxInt64)
-	for _, c := range set.Classes {
-		shortest = min(shortest, c.MessageAim)
-	}
-	return &Balancer{set: set, shortest: shortest, rng: rand.New(rand.NewPCG(seed, 0)),
+	return &Balancer{set: set, rng: rand.New(rand.NewPCG(seed, 0)),
 		servers: map[ServerID]*server{}, requests: map[RequestID]*request{}, orders: map[string][]*server{},
 		table: table{bound: set.MaxOpen, entries: map[string]*entry{}},
 	}
@@ -309,6 +304,7 @@
 
 // roomy gives the first server of the ranking that has room, and the first that is not full.
 func (b *Balancer) roomy(r *request) (with, top *server) {
+	total := b.total()
 	for _, s := range b.rank(r) {
 		if !b.allowed(r, s) || !r.MidFlow && s.full(b.now) {
 			continue
@@ -318,7 +314,7 @@
 		if top == nil || b.now < top.aside && b.now >= s.aside {
 			top = s // health comes before crowding
 		}
-		if b.now >= s.aside && !b.crowded(s) {
+		if b.now >= s.aside && !b.crowded(s, total) {
 			return s, top
 		}
 	}
@@ -327,8 +323,8 @@
 
 // crowded tells whether s holds clearly more than its part: by the skip of the design, exactly; by its load as
 // reported and what this node added since; or, without a report, by messages that take long there.
-func (b *Balancer) crowded(s *server) bool {
-	n, open, total := len(b.ready), len(s.held), b.total()
+func (b *Balancer) crowded(s *server, total int) bool {
+	n, open := len(b.ready), len(s.held)
 	if n*open > 2*total && n*open >= total+3*n {
 		return true
 	} else if s.reported(b.now) {
@@ -471,10 +467,10 @@
 // or crowded server, and against one group's shared work paid on many.
 func (b *Balancer) slow(ev Slow) {
 	noted, s := b.requests[ev.ID], b.servers[ev.Server]
-	if s != nil && ev.Message*3 > b.shortest {
-		s.late = b.now
+	if noted == nil || s == nil {
+		return
 	}
-	if noted == nil || s == nil || ev.Message*2 <= b.set.Classes[noted.Class].MessageAim {
+	if s.late = b.now; ev.Message*2 <= b.set.Classes[noted.Class].MessageAim {
 		return
 	}
 	// Guards against many nodes that all act on one slow server: each acts by its part of what stands there.
@@ -487,12 +483,9 @@
 			held[name] = append(held[name], r)
 		}
 	}
-	place := map[string]int{}
-	for name, group := range held {
-		place[name] = slices.Index(b.rank(group[0]), s)
-	}
+	place := func(name string) int { return slices.Index(b.rank(held[name][0]), s) }
 	names := slices.SortedFunc(maps.Keys(held), func(x, y string) int {
-		return cmp.Or(cmp.Compare(place[y], place[x]), cmp.Compare(len(held[x]), len(held[y])), cmp.Compare(x, y))
+		return cmp.Or(place(y)-place(x), len(held[x])-len(held[y]), cmp.Compare(x, y))
 	})
 	for _, name := range names {
 		group := held[name]
