--- a/balance/balance.go
+++ b/balance/balance.go
@@ -12,6 +12,7 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -84,13 +85,14 @@
 	tries    []try
 	standing bool // the connection is up
 	answered bool
+	drawn    string // ranked where there is neither group nor key
 	entry    *entry
 	asks     int  // servers asked for it
 	waits    bool // for a report
 }
 
 // name is what is ranked and moved together: the group where connections share work, else the client.
-func (r *request) name() string { return cmp.Or(r.Group, r.Key) }
+func (r *request) name() string { return cmp.Or(r.Group, r.Key, r.drawn) }
 
 type try struct {
 	server   *server
@@ -152,12 +154,10 @@
 	if len(s.waiting) == 0 {
 		b.out = append(b.out, Probe{s.ID})
 	}
-	if r.asks == 0 {
+	if r.asks++; r.asks == 1 { // the answer is owed even if no report comes
 		b.out = append(b.out, SetTimer{(r.deadline - b.now) / 4, timerAsked + uint64(r.ID)})
 	}
-	r.asks++
-	r.waits = true
-	s.waiting = append(s.waiting, r)
+	r.waits, s.waiting = true, append(s.waiting, r)
 	return true
 }
 
@@ -232,6 +232,9 @@
 		return nil
 	}
 	r := &request{Request: ev, deadline: b.now + ev.Left}
+	if r.name() == "" {
+		r.drawn = strconv.FormatUint(b.rng.Uint64(), 36)
+	}
 	b.requests[ev.ID] = r
 	if !ev.Again {
 		b.learnRate(1) // guards against a wave of returning clients that looks like usual traffic
@@ -321,8 +324,8 @@
 	return nil, top
 }
 
-// crowded tells whether s holds clearly more than its part: by the skip of the design, exactly; by its load as
-// reported and what this node added since; or, without a report, by messages that take long there.
+// crowded tells whether s holds clearly more than its part: by the skip of the design, exactly; by its load
+// as reported and what this node added since; or, without a report, by messages that take long there.
 func (b *Balancer) crowded(s *server, total int) bool {
 	n, open := len(b.ready), len(s.held)
 	if n*open > 2*total && n*open >= total+3*n {
@@ -351,11 +354,7 @@
 	if order := b.orders[name]; order != nil {
 		return order
 	}
-	buf := append(make([]byte, 0, 64), name...)
-	if name == "" {
-		buf = binary.LittleEndian.AppendUint64(buf, b.rng.Uint64())
-	}
-	order := slices.Clone(b.ready)
+	buf, order := append(make([]byte, 0, 64), name...), slices.Clone(b.ready)
 	for _, s := range order {
 		h := xxhash.Sum64(binary.LittleEndian.AppendUint64(buf, uint64(s.ID)))
 		s.score = -s.Weight / math.Log((float64(h>>11)+0.5)/(1<<53))
@@ -366,16 +365,14 @@
 	if len(b.orders) >= ordersMost {
 		clear(b.orders)
 	}
-	if name != "" {
-		b.orders[name] = order
-	}
+	b.orders[name] = order
 	return order
 }
 
 // allowed tells whether the rules let this request go to s now, a ready server.
 func (b *Balancer) allowed(r *request, s *server) bool {
-	if b.cold(s) && !b.spend(s) {
-		return false
+	if s.UpSince > 0 && b.now < s.UpSince+b.set.ColdFor && !b.spend(s) {
+		return false // it started so lately that it may do only part of its work
 	}
 	class := b.set.Classes[r.Class]
 	var first *try
@@ -401,9 +398,6 @@
 	return true
 }
 
-// cold tells whether a server started so lately that it may do only part of its work.
-func (b *Balancer) cold(s *server) bool { return s.UpSince > 0 && b.now < s.UpSince+b.set.ColdFor }
-
 // spend tells whether a cold server has budget for one more connection from this node. Guards against
 // pushing it over: the budget grows with what a server usually gets from this node, times the multiple
 // that fells it, times the part of its capacity that it surely has. All nodes keep their own part of it.
@@ -470,17 +464,16 @@
 	if noted == nil || s == nil {
 		return
 	}
-	if s.late = b.now; ev.Message*2 <= b.set.Classes[noted.Class].MessageAim {
-		return
-	}
+	s.late = b.now
 	// Guards against many nodes that all act on one slow server: each acts by its part of what stands there.
-	if b.rng.Float64()*float64(b.total()*b.set.Nodes) > float64(len(s.held)*len(b.ready)) {
+	part := float64(len(s.held)*len(b.ready)) / float64(b.total()*b.set.Nodes)
+	if ev.Message*2 <= b.set.Classes[noted.Class].MessageAim || b.rng.Float64() > part {
 		return
 	}
 	held := map[string][]*request{}
 	for _, r := range s.held {
-		if name := r.name(); r.standing && name != "" {
-			held[name] = append(held[name], r)
+		if r.standing {
+			held[r.name()] = append(held[r.name()], r)
 		}
 	}
 	place := func(name string) int { return slices.Index(b.rank(held[name][0]), s) }
@@ -505,23 +498,19 @@
 			}
 			b.out = append(b.out, Move{ID: r.ID})
 		}
-		if !s.reported(b.now) || len(b.out) >= movesMost {
+		if len(b.out) > 0 {
 			return // where no load is told, one group: moves to the wrong place cost set-ups
 		}
 	}
 }
 
-// home finds a less busy server above s in the ranking, where all nodes gather the group.
+// home finds a server above s in the ranking, not known to be busier, where all nodes gather the group.
 func (b *Balancer) home(r *request, s *server) *server {
 	for _, o := range b.rank(r) {
 		if o == s {
 			break
 		}
-		busier := b.set.MayProbe && false
-		if o.reported(b.now) {
-			busier = o.reportedLoad > s.reportedLoad
-		}
-		if b.now >= o.aside && !busier {
+		if b.now >= o.aside && !(o.reported(b.now) && o.reportedLoad > s.reportedLoad) {
 			return o
 		}
 	}
