--- a/balance/balance.go
+++ b/balance/balance.go
@@ -296,10 +296,9 @@
 		return nil
 	}
 	if s := b.table.server(r.Key); s != nil && b.allowed(r, s) && b.now >= s.aside {
-		if !r.MidFlow && s.full(b.now) {
-			return nil // guards against clients that come straight back to be dropped again
+		if r.MidFlow || !s.full(b.now) {
+			return s
 		}
-		return s
 	}
 	with, top := b.roomy(r)
 	return cmp.Or(with, top) // health fails open
@@ -498,7 +497,7 @@
 			}
 			b.out = append(b.out, Move{ID: r.ID})
 		}
-		if len(b.out) > 0 {
+		if !s.reported(b.now) || len(b.out) >= movesMost {
 			return // where no load is told, one group: moves to the wrong place cost set-ups
 		}
 	}
