--- a/balance/balance.go
+++ b/balance/balance.go
@@ -120,11 +120,18 @@
 	case Request:
 		b.place(b.admit(ev))
 	case Opened:
-		b.opened(ev)
+		if r := b.admit(ev.Request); r != nil { // load like any other
+			r.standing, r.answered = true, true
+			b.start(r, b.server(ev.Server))
+		}
 	case Accepted:
 		if r := b.requests[ev.ID]; r != nil {
 			r.standing, r.answered = true, true
-			b.pace.grow(float64(b.set.Nodes))
+			// A node sees only its part of the good set-ups, so each counts for all nodes.
+			step := paceStep * float64(b.set.Nodes)
+			if b.pace.times += step; b.pace.times == step || b.pace.times > paceMost {
+				b.pace.times = 0
+			}
 		}
 	case Closed:
 		b.closed(ev)
@@ -176,7 +183,7 @@
 	if ev.Report != nil && ev.Report.Load >= 0 {
 		s.reportedLoad, s.loaded, s.since = ev.Report.Load, b.now, 0
 	} else if ev.Outcome == TimedOut || ev.Outcome == ConnectFailed {
-		s.aside = b.now + asideFor
+		s.aside = b.now + asideFor // guards against clients that wait on a silent server
 	}
 	waiting := s.waiting
 	s.waiting = nil
@@ -249,14 +256,6 @@
 	return b.servers[id]
 }
 
-// opened takes over a connection that stood before this instance did: it is load like any other.
-func (b *Balancer) opened(ev Opened) {
-	if r, s := b.admit(ev.Request), b.server(ev.Server); r != nil {
-		r.standing, r.answered = true, true
-		b.start(r, s)
-	}
-}
-
 // start counts an attempt, and makes the table name its server.
 func (b *Balancer) start(r *request, s *server) {
 	s.held[r.ID] = r
@@ -276,7 +275,7 @@
 	if s != nil && b.ask(r, s) {
 		return
 	}
-	if s == nil || !r.MidFlow && !b.pace.take(b.now, b.rate) {
+	if s == nil || !r.MidFlow && b.paced() {
 		b.giveUp(r)
 		return
 	}
@@ -296,9 +295,10 @@
 		return nil
 	}
 	if s := b.table.server(r.Key); s != nil && b.allowed(r, s) && b.now >= s.aside {
-		if r.MidFlow || !s.full(b.now) {
-			return s
+		if !r.MidFlow && s.full(b.now) {
+			return nil // guards against clients that come straight back to be dropped again
 		}
+		return s
 	}
 	with, top := b.roomy(r)
 	return cmp.Or(with, top) // health fails open
@@ -358,9 +358,8 @@
 		h := xxhash.Sum64(binary.LittleEndian.AppendUint64(buf, uint64(s.ID)))
 		s.score = -s.Weight / math.Log((float64(h>>11)+0.5)/(1<<53))
 	}
-	slices.SortFunc(order, func(x, y *server) int {
-		return cmp.Or(cmp.Compare(y.score, x.score), cmp.Compare(x.ID, y.ID))
-	})
+	higher := func(x, y *server) int { return cmp.Or(cmp.Compare(y.score, x.score), cmp.Compare(x.ID, y.ID)) }
+	slices.SortFunc(order, higher)
 	if len(b.orders) >= ordersMost {
 		clear(b.orders)
 	}
@@ -375,13 +374,11 @@
 	}
 	class := b.set.Classes[r.Class]
 	var first *try
-	for i := range r.tries {
-		t := &r.tries[i]
+	for _, t := range r.tries {
 		if t.server == s {
 			return false
-		}
-		if t.ran && first == nil {
-			first = t
+		} else if t.ran && first == nil {
+			first = &t
 		}
 	}
 	switch {
@@ -442,11 +439,7 @@
 		// Guards against filling a server again that has just dropped what it could not carry.
 		t.server.limit, t.server.limited = limitPart*float64(max(len(t.server.held), 1)), b.now
 	case !r.standing && (ev.Outcome == Error || ev.Outcome == TimedOut || ev.Outcome == ConnectFailed):
-		if b.pace.slow(b.now, t.server, t.sent); b.pace.times == 0 {
-			t.server.aside = b.now + asideFor // guards against a silent server: it is tried again later
-		} else if b.pace.times == paceMost/2 {
-			b.out = append(b.out, Log{"set-ups fail on different servers: new connections are paced"})
-		}
+		b.failed(t.server)
 	}
 	if r.answered || ev.Final {
 		b.answered(r)
@@ -524,29 +517,29 @@
 	started time.Duration // when the last one was
 	last    *server       // the server of the last bad set-up
 	lastAt  time.Duration
-	cut     time.Duration // when the limit was last lowered
 }
 
-func (p *pace) take(now time.Duration, usual float64) bool {
-	if p.times > 0 && (now-p.started).Seconds()*p.times*max(usual, 0.1) < 1 {
-		return false
+// paced tells whether the pace allows no start now; else one starts.
+func (b *Balancer) paced() bool {
+	since := (b.now - b.pace.started).Seconds()
+	if b.pace.times > 0 && since*b.pace.times*max(b.rate, 0.1) < 1 {
+		return true
 	}
-	p.started = now
-	return true
+	b.pace.started = b.now
+	return false
 }
 
-func (p *pace) slow(now time.Duration, s *server, sent time.Duration) {
-	other := p.last != nil && p.last != s && now-p.lastAt < asideFor
-	if p.last, p.lastAt = s, now; other && sent >= p.cut {
-		p.times, p.cut = max(cmp.Or(p.times, paceMost)/2, paceLeast), now
+// failed notes a bad set-up: something shared is slow, or this server is silent.
+func (b *Balancer) failed(s *server) {
+	p := &b.pace
+	if p.last != nil && p.last != s && b.now-p.lastAt < asideFor {
+		if p.times == 0 {
+			b.out = append(b.out, Log{"set-ups fail on different servers: new connections are paced"})
+		}
+		p.times = max(cmp.Or(p.times, paceMost)/2, paceLeast)
 	}
-}
-
-func (p *pace) grow(n float64) {
-	if p.times > 0 && p.times+paceStep*n <= paceMost {
-		p.times += paceStep * n
-	} else {
-		p.times = 0
+	if p.last, p.lastAt = s, b.now; p.times == 0 {
+		s.aside = b.now + asideFor // it is tried again later
 	}
 }
 
