--- a/balance/balance.go
+++ b/balance/balance.go
@@ -22,8 +22,7 @@
 	afterEnd     = 30 * time.Second // a client's server is remembered, the default of the design
 	defaultBound = 1 << 20          // requests held, where the settings name no limit
 	asideFor     = 2 * time.Second  // no new connections after a failed set-up
-	reportFor    = 5 * time.Second  // a report counts
-	askAfter     = time.Second      // a server whose report is older is asked anew before it gets a connection
+	reportFor    = 2 * time.Second  // a report counts
 	ordersMost   = 1024             // rankings kept
 	asksMost     = 3                // servers asked for one request
 	movesMost    = 3                // connections that a late message moves before it stops
@@ -33,8 +32,7 @@
 	// After drops a server's limit is this part of what it kept, growing by so much a second.
 	limitPart, limitGrowth = 0.7, 0.05
 	askPause, askPauseMost = 200 * time.Millisecond, 3 * time.Second // before the list is asked for anew
-	// A server is crowded over this load.
-	easyLoad = 0.6
+	easyLoad               = 0.6                                     // a server is crowded over this load
 	// The pace of set-ups: its bounds as multiples of the usual rate, and what a good set-up adds.
 	paceMost, paceLeast, paceStep = 8.0, 0.25, 0.2
 )
@@ -85,14 +83,13 @@
 	tries    []try
 	standing bool // the connection is up
 	answered bool
-	drawn    string // ranked where there is neither group nor key
 	entry    *entry
 	asks     int  // servers asked for it
 	waits    bool // for a report
 }
 
 // name is what is ranked and moved together: the group where connections share work, else the client.
-func (r *request) name() string { return cmp.Or(r.Group, r.Key, r.drawn) }
+func (r *request) name() string { return cmp.Or(r.Group, r.Key) }
 
 type try struct {
 	server   *server
@@ -155,7 +152,7 @@
 // ask puts a request off until its server tells its load, where the node has no fresh report. Guards
 // against nodes that see too little of a server's load to know that it is full.
 func (b *Balancer) ask(r *request, s *server) bool {
-	if !b.set.MayProbe || r.MidFlow || r.asks >= asksMost || s.loaded > 0 && b.now < s.loaded+askAfter {
+	if !b.set.MayProbe || r.MidFlow || r.asks >= asksMost || s.reported(b.now) {
 		return false
 	}
 	if len(s.waiting) == 0 {
@@ -240,7 +237,7 @@
 	}
 	r := &request{Request: ev, deadline: b.now + ev.Left}
 	if r.name() == "" {
-		r.drawn = strconv.FormatUint(b.rng.Uint64(), 36)
+		r.Group = strconv.FormatUint(b.rng.Uint64(), 36) // drawn once, so that all its attempts agree
 	}
 	b.requests[ev.ID] = r
 	if !ev.Again {
@@ -478,7 +475,7 @@
 		home := b.home(group[0], s)
 		if home == nil {
 			to, _ := b.roomy(&request{Request: group[0].Request})
-			if to == nil || to == s || to.reported(b.now) && to.reportedLoad >= easyLoad {
+			if to == nil || to == s {
 				continue
 			}
 		}
