--- a/balance/balance.go
+++ b/balance/balance.go
@@ -21,8 +21,7 @@
 const (
 	afterEnd     = 30 * time.Second // a client's server is remembered, the default of the design
 	defaultBound = 1 << 20          // requests held, where the settings name no limit
-	asideFor     = 2 * time.Second  // no new connections after a failed set-up
-	reportFor    = 2 * time.Second  // a report counts
+	lately       = 2 * time.Second  // a report, a late message or a failed set-up counts
 	ordersMost   = 1024             // rankings kept
 	asksMost     = 3                // servers asked for one request
 	movesMost    = 3                // connections that a late message moves before it stops
@@ -180,7 +179,7 @@
 	if ev.Report != nil && ev.Report.Load >= 0 {
 		s.reportedLoad, s.loaded, s.since = ev.Report.Load, b.now, 0
 	} else if ev.Outcome == TimedOut || ev.Outcome == ConnectFailed {
-		s.aside = b.now + asideFor // guards against clients that wait on a silent server
+		s.aside = b.now + lately // guards against clients that wait on a silent server
 	}
 	waiting := s.waiting
 	s.waiting = nil
@@ -297,27 +296,18 @@
 		}
 		return s
 	}
-	with, top := b.roomy(r)
-	return cmp.Or(with, top) // health fails open
-}
-
-// roomy gives the first server of the ranking that has room, and the first that is not full.
-func (b *Balancer) roomy(r *request) (with, top *server) {
+	var top *server
 	total := b.total()
 	for _, s := range b.rank(r) {
 		if !b.allowed(r, s) || !r.MidFlow && s.full(b.now) {
 			continue
-		} else if r.MidFlow {
-			return s, s // no skip: it may stand there
-		}
-		if top == nil || b.now < top.aside && b.now >= s.aside {
-			top = s // health comes before crowding
-		}
-		if b.now >= s.aside && !b.crowded(s, total) {
-			return s, top
+		} else if r.MidFlow || b.now >= s.aside && !b.crowded(s, total) {
+			return s // mid-flow without skip: it may stand there
+		} else if top == nil || b.now < top.aside && b.now >= s.aside {
+			top = s // health comes before crowding, and fails open
 		}
 	}
-	return nil, top
+	return top
 }
 
 // crowded tells whether s holds clearly more than its part: by the skip of the design, exactly; by its load
@@ -329,10 +319,10 @@
 	} else if s.reported(b.now) {
 		return s.reportedLoad*(1+float64(s.since)/float64(max(open-s.since, 1))) > easyLoad
 	}
-	return s.late > 0 && b.now < s.late+asideFor
+	return s.late > 0 && b.now < s.late+lately
 }
 
-func (s *server) reported(now time.Duration) bool { return s.loaded > 0 && now < s.loaded+reportFor }
+func (s *server) reported(now time.Duration) bool { return s.loaded > 0 && now < s.loaded+lately }
 
 // total counts the connections on ready servers, attempts included.
 func (b *Balancer) total() (n int) {
@@ -472,16 +462,13 @@
 	for _, name := range names {
 		group := held[name]
 		slices.SortFunc(group, func(x, y *request) int { return cmp.Compare(x.ID, y.ID) })
-		home := b.home(group[0], s)
-		if home == nil {
-			to, _ := b.roomy(&request{Request: group[0].Request})
-			if to == nil || to == s {
-				continue
-			}
+		to, above := b.target(group[0], s)
+		if to == nil {
+			continue
 		}
 		for _, r := range group {
-			if home != nil && r.entry != nil {
-				r.entry.server, r.entry.upSince = home, home.UpSince
+			if above && r.entry != nil {
+				r.entry.server, r.entry.upSince = to, to.UpSince
 			} else {
 				b.table.drop(r.entry)
 			}
@@ -493,17 +480,20 @@
 	}
 }
 
-// home finds a server above s in the ranking, not known to be busier, where all nodes gather the group.
-func (b *Balancer) home(r *request, s *server) *server {
+// target names where a group may go from s, and whether that is above s in its ranking, where all nodes
+// gather it: a server there that is not known to be busier, else one below that has room.
+func (b *Balancer) target(r *request, s *server) (to *server, above bool) {
+	total := b.total()
+	above = true
 	for _, o := range b.rank(r) {
+		busier := o.reported(b.now) && o.reportedLoad > s.reportedLoad
 		if o == s {
-			break
-		}
-		if b.now >= o.aside && !(o.reported(b.now) && o.reportedLoad > s.reportedLoad) {
-			return o
+			above = false
+		} else if b.now >= o.aside && !busier && (above || !o.full(b.now) && !b.crowded(o, total)) {
+			return o, above
 		}
 	}
-	return nil
+	return nil, false
 }
 
 // pace limits the start of new connections while set-ups fail on different servers: then something that
@@ -529,14 +519,14 @@
 // failed notes a bad set-up: something shared is slow, or this server is silent.
 func (b *Balancer) failed(s *server) {
 	p := &b.pace
-	if p.last != nil && p.last != s && b.now-p.lastAt < asideFor {
+	if p.last != nil && p.last != s && b.now-p.lastAt < lately {
 		if p.times == 0 {
 			b.out = append(b.out, Log{"set-ups fail on different servers: new connections are paced"})
 		}
 		p.times = max(cmp.Or(p.times, paceMost)/2, paceLeast)
 	}
 	if p.last, p.lastAt = s, b.now; p.times == 0 {
-		s.aside = b.now + asideFor // it is tried again later
+		s.aside = b.now + lately // it is tried again later
 	}
 }
 
