--- a/balance/balance.go
+++ b/balance/balance.go
@@ -50,6 +50,7 @@
 	orders   map[string][]*server // rankings, until the list changes
 	table    table
 	asks     int           // calls for the list that failed in a row
+	open     int           // connections held, attempts included
 	rate     float64       // new connections a second
 	rated    time.Duration // when rate was last brought up to date
 	pace     pace
@@ -143,7 +144,7 @@
 			b.resume(r)
 		}
 	case Probed:
-		b.reported(ev)
+		b.probed(ev)
 	}
 	return b.out
 }
@@ -171,12 +172,11 @@
 	}
 }
 
-func (b *Balancer) reported(ev Probed) {
+func (b *Balancer) probed(ev Probed) {
 	s := b.servers[ev.Server]
 	if s == nil {
 		return
-	}
-	if ev.Report != nil && ev.Report.Load >= 0 {
+	} else if ev.Report != nil && ev.Report.Load >= 0 {
 		s.reportedLoad, s.loaded, s.since = ev.Report.Load, b.now, 0
 	} else if ev.Outcome == TimedOut || ev.Outcome == ConnectFailed {
 		s.aside = b.now + lately // guards against clients that wait on a silent server
@@ -256,6 +256,7 @@
 func (b *Balancer) start(r *request, s *server) {
 	s.held[r.ID] = r
 	s.since++
+	b.open++
 	r.tries = append(r.tries, try{server: s, sent: b.now, out: true, ran: true})
 	b.table.release(r.entry, b.now)
 	r.entry = b.table.hold(r.Key, s)
@@ -280,6 +281,7 @@
 		timeout = (r.deadline - b.now) / 2 // a silent server must leave time for another attempt
 	}
 	s.budget-- // counts only while it is cold
+	b.pace.started = b.now
 	b.start(r, s)
 	b.out = append(b.out, Attempt{ID: r.ID, Server: s.ID, Timeout: timeout})
 }
@@ -297,11 +299,10 @@
 		return s
 	}
 	var top *server
-	total := b.total()
 	for _, s := range b.rank(r) {
 		if !b.allowed(r, s) || !r.MidFlow && s.full(b.now) {
 			continue
-		} else if r.MidFlow || b.now >= s.aside && !b.crowded(s, total) {
+		} else if r.MidFlow || b.now >= s.aside && !b.crowded(s) {
 			return s // mid-flow without skip: it may stand there
 		} else if top == nil || b.now < top.aside && b.now >= s.aside {
 			top = s // health comes before crowding, and fails open
@@ -312,9 +313,9 @@
 
 // crowded tells whether s holds clearly more than its part: by the skip of the design, exactly; by its load
 // as reported and what this node added since; or, without a report, by messages that take long there.
-func (b *Balancer) crowded(s *server, total int) bool {
+func (b *Balancer) crowded(s *server) bool {
 	n, open := len(b.ready), len(s.held)
-	if n*open > 2*total && n*open >= total+3*n {
+	if n*open > 2*b.open && n*open >= b.open+3*n {
 		return true
 	} else if s.reported(b.now) {
 		return s.reportedLoad*(1+float64(s.since)/float64(max(open-s.since, 1))) > easyLoad
@@ -324,14 +325,6 @@
 
 func (s *server) reported(now time.Duration) bool { return s.loaded > 0 && now < s.loaded+lately }
 
-// total counts the connections on ready servers, attempts included.
-func (b *Balancer) total() (n int) {
-	for _, s := range b.ready {
-		n += len(s.held)
-	}
-	return n
-}
-
 // rank orders the ready servers by a hash of name and server id, weighted by size: highest first, ties by
 // id. A group is ranked as one, as its shared work is paid on each server that holds any of it. Orders are
 // kept until the list changes, as the clients of one group come again and again.
@@ -405,8 +398,7 @@
 	ran := slices.ContainsFunc(r.tries, func(t try) bool { return t.ran })
 	if ran && class.Effect != Safe && (class.Effect != Keyed || class.Scope != ScopeAll) {
 		b.out = append(b.out, Fail{ID: r.ID})
-	} else {
-		// The advice is spread, so that the refused do not come back as one wave.
+	} else { // with spread advice, so that the refused do not come back as one wave
 		b.out = append(b.out, Refuse{ID: r.ID, RetryIn: b.spread(b.set.MaxRetryAfter * 2 / 3)})
 	}
 	b.answered(r)
@@ -421,6 +413,7 @@
 	t.out, t.ran = false, !ev.Outcome.NeverRan()
 	delete(t.server.held, r.ID)
 	t.server.since--
+	b.open--
 	switch {
 	case r.standing && ev.Outcome == Reset:
 		// Guards against filling a server again that has just dropped what it could not carry.
@@ -445,7 +438,7 @@
 	}
 	s.late = b.now
 	// Guards against many nodes that all act on one slow server: each acts by its part of what stands there.
-	part := float64(len(s.held)*len(b.ready)) / float64(b.total()*b.set.Nodes)
+	part := float64(len(s.held)*len(b.ready)) / float64(b.open*b.set.Nodes)
 	if ev.Message*2 <= b.set.Classes[noted.Class].MessageAim || b.rng.Float64() > part {
 		return
 	}
@@ -483,13 +476,12 @@
 // target names where a group may go from s, and whether that is above s in its ranking, where all nodes
 // gather it: a server there that is not known to be busier, else one below that has room.
 func (b *Balancer) target(r *request, s *server) (to *server, above bool) {
-	total := b.total()
 	above = true
 	for _, o := range b.rank(r) {
 		busier := o.reported(b.now) && o.reportedLoad > s.reportedLoad
 		if o == s {
 			above = false
-		} else if b.now >= o.aside && !busier && (above || !o.full(b.now) && !b.crowded(o, total)) {
+		} else if b.now >= o.aside && !busier && (above || !o.full(b.now) && !b.crowded(o)) {
 			return o, above
 		}
 	}
@@ -506,14 +498,9 @@
 	lastAt  time.Duration
 }
 
-// paced tells whether the pace allows no start now; else one starts.
+// paced tells whether the pace allows no start now.
 func (b *Balancer) paced() bool {
-	since := (b.now - b.pace.started).Seconds()
-	if b.pace.times > 0 && since*b.pace.times*max(b.rate, 0.1) < 1 {
-		return true
-	}
-	b.pace.started = b.now
-	return false
+	return b.pace.times > 0 && (b.now-b.pace.started).Seconds()*b.pace.times*max(b.rate, 0.1) < 1
 }
 
 // failed notes a bad set-up: something shared is slow, or this server is silent.
