--- a/balance/balance.go
+++ b/balance/balance.go
@@ -19,19 +19,17 @@
 )
 
 const (
-	afterEnd     = 30 * time.Second // a client's server is remembered, the default of the design
-	defaultBound = 1 << 20          // requests held, where the settings name no limit
-	lately       = 2 * time.Second  // a report, a late message or a failed set-up counts
-	ordersMost   = 1024             // rankings kept
-	asksMost     = 3                // servers asked for one request
-	movesMost    = 3                // connections that a late message moves before it stops
-	rateMemory   = 20 * time.Second // over which the usual rate of new clients is learned
-	coldMargin   = 0.5              // part of the cold budget used: connections differ, and nodes too
-
-	// After drops a server's limit is this part of what it kept, growing by so much a second.
-	limitPart, limitGrowth = 0.7, 0.05
+	afterEnd   = 30 * time.Second // a client's server is remembered, the default of the design
+	lately     = 2 * time.Second  // a report, a late message or a failed set-up counts
+	asksMost   = 3                // servers asked for one request
+	easyLoad   = 0.6              // a server is crowded over this load
+	movesMost  = 3                // connections that a late message moves before it stops
+	ordersMost = 1024             // rankings kept
+	rateMemory = 20 * time.Second // over which the usual rate of new clients is learned
+	coldMargin = 0.5              // part of the cold budget used: connections differ, and nodes too
+
+	limitPart, limitGrowth = 0.7, 0.05                               // after drops: part kept, growth each s
 	askPause, askPauseMost = 200 * time.Millisecond, 3 * time.Second // before the list is asked for anew
-	easyLoad               = 0.6                                     // a server is crowded over this load
 	// The pace of set-ups: its bounds as multiples of the usual rate, and what a good set-up adds.
 	paceMost, paceLeast, paceStep = 8.0, 0.25, 0.2
 )
@@ -100,7 +98,7 @@
 // New makes an instance that knows only its settings. The seed spreads what has no key.
 func New(set Settings, seed uint64) *Balancer {
 	set.Nodes, set.MaxAttempts = max(set.Nodes, 1), max(set.MaxAttempts, 1)
-	set.MaxOpen = cmp.Or(max(set.MaxOpen, 0), defaultBound)
+	set.MaxOpen = cmp.Or(max(set.MaxOpen, 0), 1<<20) // a bound of its own
 	return &Balancer{set: set, rng: rand.New(rand.NewPCG(seed, 0)),
 		servers: map[ServerID]*server{}, requests: map[RequestID]*request{}, orders: map[string][]*server{},
 		table: table{bound: set.MaxOpen, entries: map[string]*entry{}},
@@ -115,7 +113,9 @@
 	case Members:
 		b.members(ev)
 	case Request:
-		b.place(b.admit(ev))
+		if r := b.admit(ev); r != nil {
+			b.place(r)
+		}
 	case Opened:
 		if r := b.admit(ev.Request); r != nil { // load like any other
 			r.standing, r.answered = true, true
@@ -265,9 +265,6 @@
 // place starts the next attempt of a request, or gives it up. It is called only when none is out, so a
 // second attempt never runs beside another, even where it may.
 func (b *Balancer) place(r *request) {
-	if r == nil {
-		return
-	}
 	s := b.choose(r)
 	if s != nil && b.ask(r, s) {
 		return
@@ -311,8 +308,8 @@
 	return top
 }
 
-// crowded tells whether s holds clearly more than its part: by the skip of the design, exactly; by its load
-// as reported and what this node added since; or, without a report, by messages that take long there.
+// crowded tells whether s should be passed over: by the skip of the design, exactly; by its load as reported
+// and what this node added since; or, without a report, by messages that take long there.
 func (b *Balancer) crowded(s *server) bool {
 	n, open := len(b.ready), len(s.held)
 	if n*open > 2*b.open && n*open >= b.open+3*n {
@@ -374,9 +371,8 @@
 	return true
 }
 
-// spend tells whether a cold server has budget for one more connection from this node. Guards against
-// pushing it over: the budget grows with what a server usually gets from this node, times the multiple
-// that fells it, times the part of its capacity that it surely has. All nodes keep their own part of it.
+// spend tells whether a cold server has budget for one more connection from this node: what a server usually
+// gets from here, times the multiple that fells it, times the part of its capacity that it surely has.
 func (b *Balancer) spend(s *server) bool {
 	b.learnRate(0)
 	age := float64(b.now-s.UpSince) / float64(b.set.ColdFor)
@@ -428,9 +424,9 @@
 	}
 }
 
-// slow acts where a message takes over half its class's aim: the smallest group of connections there that
-// another server can take is moved, best up its own ranking. Guards against clients pinned to a failing
-// or crowded server, and against one group's shared work paid on many.
+// slow acts where a message takes over half its class's aim: the group that ranks the server lowest, of these
+// the smallest, is moved if another server can take it. Guards against clients pinned to a failing or crowded
+// server, and against one group's shared work paid on many.
 func (b *Balancer) slow(ev Slow) {
 	noted, s := b.requests[ev.ID], b.servers[ev.Server]
 	if noted == nil || s == nil {
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"cmp"
 	"flag"
 	"fmt"
 	"os"
@@ -93,7 +94,15 @@
 	return 0
 }
 
-func ranking(b *Balancer, r *request) []*server { return slices.Collect(b.ranked(r)) }
+func ranking(b *Balancer, r *request) []*server { return b.rank(r) }
+
+// hold lets connections without a client stand on s.
+func hold(n *node, s *server, count int) {
+	for range count {
+		n.do(Opened{Request: Request{ID: n.next, Class: "safe"}, Server: s.ID})
+		n.next++
+	}
+}
 
 func answer(acts []Action) string {
 	for _, a := range acts {
@@ -169,7 +178,7 @@
 		id, first := n.stand("safe", "client")
 		n.end(id, first)
 		n.now += c.after
-		n.do(Timer{Token: 99})
+		n.do(Timer{Token: 99999})
 		if got := n.table.server("client") != nil; got != c.kept {
 			t.Errorf("%v after the end the entry is there: %v", c.after, got)
 		}
@@ -234,11 +243,13 @@
 		{6, 2, false}, // mean 3: 6 is not over 6
 	} {
 		n := newNode(site(), ready(1, 2, 3, 4)...)
-		for _, s := range n.ready {
-			s.open, s.loaded, s.reportedLoad = c.rest, n.now, 0.1
+		for i, s := range n.ready {
+			hold(n, s, c.rest)
+			if i == 0 {
+				hold(n, s, c.open-c.rest)
+			}
 		}
-		n.ready[0].open = c.open
-		if crowded := n.survey("safe").crowded(n.now, n.ready[0]); crowded != c.skip {
+		if crowded := n.crowded(n.ready[0]); crowded != c.skip {
 			t.Errorf("%d against %d each: passed over is %v", c.open, c.rest, crowded)
 		}
 	}
@@ -246,9 +257,9 @@
 
 func TestMidFlowTakesTheTopWithoutSkip(t *testing.T) {
 	n := newNode(site(), ready(1, 2, 3)...)
-	r := Request{ID: 1, Class: "safe", Key: "flow", Left: time.Second, MidFlow: true}
+	r := Request{ID: 1000, Class: "safe", Key: "flow", Left: time.Second, MidFlow: true}
 	top := ranking(n.Balancer, &request{Request: r})[0]
-	top.open, top.byClass["safe"] = 50, 50
+	hold(n, top, 50)
 	if s := sentTo(n.do(r)); s != top.ID {
 		t.Errorf("went to %d, not to the top %d", s, top.ID)
 	}
@@ -516,8 +527,11 @@
 	if aside > 1 { // the first failure points at its server only
 		t.Errorf("%d servers are condemned for it", aside)
 	}
-	for range 60 {
-		n.pace.grow()
+	for i := range 60 {
+		n.now += 10 * time.Second
+		if id, s := n.place("safe", fmt.Sprint("good-", i)); s != 0 {
+			n.do(Accepted{ID: id, Server: s})
+		}
 	}
 	if n.pace.times != 0 {
 		t.Error("the pace stays limited after good set-ups")
@@ -591,7 +605,7 @@
 	for _, ev := range []Event{
 		Closed{ID: id, Server: s, Outcome: OK, Final: true}, Closed{ID: 77, Attempt: -1}, Accepted{ID: 77},
 		Accepted{ID: id, Attempt: 9}, Left{ID: 77}, Slow{ID: 77, Server: 5}, Probed{Server: 9},
-		Timer{Token: 123},
+		Timer{Token: 99999},
 	} {
 		for _, a := range n.do(ev) {
 			if _, ok := a.(Subscribe); !ok {
@@ -599,8 +613,8 @@
 			}
 		}
 	}
-	if n.ready[0].open != 0 {
-		t.Errorf("%d connections counted, none stands", n.ready[0].open)
+	if len(n.ready[0].held) != 0 {
+		t.Errorf("%d connections counted, none stands", len(n.ready[0].held))
 	}
 }
 
@@ -635,7 +649,6 @@
 				if rapid.Bool().Draw(t, "restart") {
 					s.UpSince = now
 				}
-				servers[id] = s
 				play.see(a, b, now, Members{Kind: ListChanges, Servers: []Server{s}})
 			case 4:
 				play.see(a, b, now, Probed{Server: ServerID(rapid.IntRange(1, 7).Draw(t, "probed")),
@@ -644,7 +657,9 @@
 				play.outcome(a, b, now)
 			}
 		}
-		for play.outcome(a, b, now+time.Minute) {
+		for play.outcome(a, b, now+time.Minute) || len(play.timers) > 0 {
+			now += time.Minute
+			play.see(a, b, now, Members{Kind: ListChanges})
 		}
 		play.allAnswered()
 	})
@@ -657,10 +672,17 @@
 	servers  map[ServerID]Server
 	requests map[RequestID]*witness
 	order    []RequestID
+	timers   []pending
+}
+
+type pending struct {
+	at    time.Duration
+	token uint64
 }
 
 type witness struct {
 	class    Class
+	deadline time.Duration
 	attempts []sent
 	standing bool
 	answers  int
@@ -679,12 +701,40 @@
 
 func (p *books) nextID() RequestID { return RequestID(len(p.order) + 1) }
 
-// see plays one event to two equal instances and checks what they do.
+// see plays the timers that are due and then one event to two equal instances, and checks what they do.
 func (p *books) see(a, b *Balancer, now time.Duration, ev Event) {
+	for {
+		slices.SortStableFunc(p.timers, func(x, y pending) int { return cmp.Compare(x.at, y.at) })
+		if len(p.timers) == 0 || p.timers[0].at > now {
+			break
+		}
+		due := p.timers[0]
+		p.timers = p.timers[1:]
+		p.play(a, b, due.at, Timer{Token: due.token})
+	}
+	for id, w := range p.requests {
+		out := len(w.attempts) > 0 && w.attempts[len(w.attempts)-1].out
+		if w.answers == 0 && !out && now > w.deadline {
+			p.t.Fatalf("request %d is held past its time with no attempt out", id)
+		}
+	}
+	p.play(a, b, now, ev)
+}
+
+func (p *books) play(a, b *Balancer, now time.Duration, ev Event) {
 	if r, ok := ev.(Request); ok {
-		p.requests[r.ID] = &witness{class: p.set.Classes[r.Class]}
+		p.requests[r.ID] = &witness{class: p.set.Classes[r.Class], deadline: now + r.Left}
 		p.order = append(p.order, r.ID)
 	}
+	if m, ok := ev.(Members); ok {
+		for _, s := range m.Servers {
+			p.servers[s.ID] = s
+		}
+	}
+	if c, ok := ev.(Closed); ok {
+		s := &p.requests[c.ID].attempts[c.Attempt]
+		s.out, s.outcome = false, c.Outcome
+	}
 	acts := slices.Clone(a.Handle(now, ev))
 	if other := b.Handle(now, ev); !slices.Equal(acts, other) {
 		p.t.Fatalf("the same events gave %v and %v", acts, other)
@@ -704,6 +754,8 @@
 			}
 		case Fail:
 			p.requests[act.ID].answers++
+		case SetTimer:
+			p.timers = append(p.timers, pending{now + act.After, act.Token})
 		}
 	}
 }
@@ -755,9 +807,8 @@
 		p.see(a, b, now, Accepted{ID: id, Attempt: n, Server: s.to.ID})
 		return true
 	}
-	s.out = false
-	s.outcome = rapid.SampledFrom([]Outcome{Error, Full, TimedOut, ConnectFailed, Reset, Cancelled}).Draw(p.t, "outcome")
-	p.see(a, b, now, Closed{ID: id, Attempt: n, Server: s.to.ID, Outcome: s.outcome, Final: w.standing})
+	outcome := rapid.SampledFrom([]Outcome{Error, Full, TimedOut, ConnectFailed, Reset, Cancelled}).Draw(p.t, "outcome")
+	p.see(a, b, now, Closed{ID: id, Attempt: n, Server: s.to.ID, Outcome: outcome, Final: w.standing})
 	return true
 }
 
@@ -768,3 +819,147 @@
 		}
 	}
 }
+
+// probing gives a node that may probe, and the server that a client's group ranks first.
+func probing(ids ...ServerID) (*node, *server, *server) {
+	set := site()
+	set.MayProbe = true
+	n := newNode(set, ready(ids...)...)
+	order := n.rank(&request{Request: Request{Group: "group"}})
+	return n, order[0], order[1]
+}
+
+func (n *node) join(id RequestID) []Action {
+	return n.do(Request{ID: id, Class: "safe", Key: fmt.Sprint("client-", id), Group: "group", Left: time.Second})
+}
+
+func told(s *server, load float64) Probed {
+	return Probed{Server: s.ID, Outcome: OK, Report: &Report{Load: load}}
+}
+
+// A node of many sees too little of a server to know its load: it asks before it places, once for all that wait.
+func TestServerIsAskedBeforeItGetsAConnection(t *testing.T) {
+	n, first, second := probing(1, 2, 3)
+	if acts := n.join(1); !slices.Contains(acts, Action(Probe{first.ID})) || sentTo(acts) != 0 {
+		t.Fatalf("not asked first: %v", acts)
+	}
+	if acts := n.join(2); slices.Contains(acts, Action(Probe{first.ID})) || sentTo(acts) != 0 {
+		t.Fatalf("the second waiting request: %v", acts)
+	}
+	if acts := n.do(told(first, easyLoad+0.1)); !slices.Contains(acts, Action(Probe{second.ID})) || sentTo(acts) != 0 {
+		t.Fatalf("the top is crowded, the next was not asked: %v", acts)
+	}
+	if acts := n.do(told(second, 0.1)); sentTo(acts) != second.ID {
+		t.Errorf("the next has room, but: %v", acts)
+	}
+	if acts := n.join(3); slices.Contains(acts, Action(Probe{second.ID})) || sentTo(acts) != second.ID {
+		t.Errorf("with fresh reports: %v", acts)
+	}
+}
+
+// No report comes: the request goes out when a quarter of its time is gone, and only once.
+func TestAskedServerThatDoesNotAnswerHoldsNothingUp(t *testing.T) {
+	n, first, _ := probing(1, 2)
+	timer := n.join(1)[1].(SetTimer)
+	if timer.After > time.Second/4 {
+		t.Fatalf("waits %v of 1 s", timer.After)
+	}
+	n.now += timer.After
+	if s := sentTo(n.do(Timer{Token: timer.Token})); s != first.ID {
+		t.Fatalf("sent to %d, not to the top %d", s, first.ID)
+	}
+	if acts := append(n.do(told(first, 0.1)), n.do(Timer{Token: timer.Token})...); len(acts) != 0 {
+		t.Errorf("a late report led to %v", acts)
+	}
+}
+
+func TestSilentProbeSetsTheServerAside(t *testing.T) {
+	n, first, second := probing(1, 2)
+	n.join(1)
+	n.do(Probed{Server: first.ID, Outcome: TimedOut})
+	if s := sentTo(n.do(told(second, 0.1))); s != second.ID {
+		t.Errorf("sent to %d, not to %d, which answers", s, second.ID)
+	}
+}
+
+func TestClientThatLeavesWhileItWaitsIsForgotten(t *testing.T) {
+	n, first, _ := probing(1, 2)
+	n.join(1)
+	n.do(Left{ID: 1})
+	if acts := n.do(told(first, 0.1)); len(acts) != 0 || len(n.requests) != 0 {
+		t.Errorf("for a client that left: %v, %d held", acts, len(n.requests))
+	}
+}
+
+// Without reports a late message is all that a node knows of a server's load.
+func TestLateMessagePassesByWithoutReports(t *testing.T) {
+	n := newNode(site(), ready(1, 2, 3)...)
+	first := n.rank(&request{Request: Request{Group: "group"}})[0]
+	n.join(1)
+	n.do(Accepted{ID: 1, Server: first.ID})
+	n.do(Slow{ID: 1, Server: first.ID, Message: 35 * ms})
+	if s := sentTo(n.join(2)); s == first.ID {
+		t.Error("the late server got another connection at once")
+	}
+	n.now += lately
+	if s := sentTo(n.join(3)); s != first.ID {
+		t.Error("the late server is still passed by")
+	}
+}
+
+// Hundreds of nodes hear of the same slow server: together they move about as many as one node would.
+func TestNodesMoveByTheirPartOfASlowServer(t *testing.T) {
+	const nodes, perNode = 50, 2
+	moved := 0
+	for seed := range nodes {
+		set := site()
+		set.Nodes = nodes
+		b := New(set, uint64(seed))
+		b.Handle(0, Members{Kind: ListCached, Servers: ready(1, 2, 3, 4)})
+		for id := RequestID(1); id <= 4*perNode; id++ {
+			r := Request{ID: id, Class: "safe", Key: fmt.Sprint("client-", seed, "-", id)}
+			b.Handle(0, Opened{Request: r, Server: ServerID(id%4 + 1)})
+		}
+		for _, a := range b.Handle(time.Second, Slow{ID: 3, Server: 4, Message: 90 * ms}) {
+			if _, ok := a.(Move); ok {
+				moved++
+			}
+		}
+	}
+	if moved == 0 || moved > 6 {
+		t.Errorf("%d nodes moved %d of %d connections at one note each", nodes, moved, nodes*perNode)
+	}
+}
+
+// The group that ranks a slow server lowest leaves it first, on every node.
+func TestAllNodesGiveUpTheSameGroup(t *testing.T) {
+	gone := map[string]int{}
+	for seed := range 20 {
+		b := New(site(), uint64(seed))
+		b.Handle(0, Members{Kind: ListCached, Servers: ready(1, 2, 3, 4, 5, 6, 7, 8)})
+		for id := RequestID(1); id <= 5; id++ {
+			r := Request{ID: id, Class: "safe", Key: fmt.Sprint(seed, "-", id), Group: fmt.Sprint("group-", id)}
+			b.Handle(0, Opened{Request: r, Server: 1})
+		}
+		for _, a := range b.Handle(time.Second, Slow{ID: 1, Server: 1, Message: 90 * ms}) {
+			if m, ok := a.(Move); ok {
+				gone[b.requests[m.ID].Group]++
+			}
+		}
+	}
+	if len(gone) != 1 {
+		t.Errorf("the nodes gave up different groups: %v", gone)
+	}
+}
+
+// Rule 1: a server asked late, after another attempt, leaves time for the answer.
+func TestAskingLateLeavesTimeForTheAnswer(t *testing.T) {
+	n, first, second := probing(1, 2)
+	n.do(told(first, 0.1))
+	n.join(1)
+	n.now += 900 * ms
+	acts := n.do(Closed{ID: 1, Server: first.ID, Outcome: Full})
+	if len(acts) != 2 || acts[0] != Action(Probe{second.ID}) || acts[1].(SetTimer).After > 50*ms {
+		t.Errorf("with 100 ms left: %v", acts)
+	}
+}
