--- a/balance/balance.go
+++ b/balance/balance.go
@@ -72,7 +72,7 @@
 
 // full tells whether s holds what proved too much for it; that counts less as time goes by.
 func (s *server) full(now time.Duration) bool {
-	return s.reported(now) && s.reportedLoad > 0.95 || s.limit > 0 && float64(len(s.held)) >= s.limit*(1+limitGrowth*(now-s.limited).Seconds())
+	return s.limit > 0 && float64(len(s.held)) >= s.limit*(1+limitGrowth*(now-s.limited).Seconds())
 }
 
 type request struct {
@@ -297,7 +297,12 @@
 	}
 	var top *server
 	for _, s := range b.rank(r) {
-		if !b.allowed(r, s) || !r.MidFlow && s.full(b.now) {
+		if !b.allowed(r, s) {
+			continue
+		} else if !r.MidFlow && s.full(b.now) {
+			if r.Again {
+				return top
+			}
 			continue
 		} else if r.MidFlow || b.now >= s.aside && !b.crowded(s) {
 			return s // mid-flow without skip: it may stand there
