--- a/balance/balance.go
+++ b/balance/balance.go
@@ -283,8 +283,8 @@
 	b.out = append(b.out, Attempt{ID: r.ID, Server: s.ID, Timeout: timeout})
 }
 
-// choose names the server for the next attempt: the table's, else the ranking's, else nil. Servers that
-// are full are passed by; those that are crowded or set aside only while another has room.
+// choose names the server for the next attempt: the table's, else the ranking's down to a full one, else nil.
+// Those that are crowded or set aside are passed by while another has room.
 func (b *Balancer) choose(r *request) *server {
 	if len(r.tries) >= b.set.MaxAttempts || r.deadline-b.now <= b.set.Tick && len(r.tries) > 0 {
 		return nil
@@ -300,10 +300,7 @@
 		if !b.allowed(r, s) {
 			continue
 		} else if !r.MidFlow && s.full(b.now) {
-			if r.Again {
-				return top
-			}
-			continue
+			return top // guards against a group that scatters over all servers once its own one drops it
 		} else if r.MidFlow || b.now >= s.aside && !b.crowded(s) {
 			return s // mid-flow without skip: it may stand there
 		} else if top == nil || b.now < top.aside && b.now >= s.aside {
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -963,3 +963,22 @@
 		t.Errorf("with 100 ms left: %v", acts)
 	}
 }
+
+// A group whose server dropped connections waits for it; it does not scatter down the ranking.
+func TestFullServerEndsTheWalkDownTheRanking(t *testing.T) {
+	n := newNode(site(), ready(1, 2, 3)...)
+	first := n.rank(&request{Request: Request{Group: "group"}})[0]
+	n.join(1)
+	n.do(Accepted{ID: 1, Server: first.ID})
+	n.join(2)
+	n.do(Accepted{ID: 2, Server: first.ID})
+	n.do(Closed{ID: 2, Server: first.ID, Outcome: Reset, Final: true})
+	if acts := n.join(3); answer(acts) != "refuse" || sentTo(acts) != 0 {
+		t.Errorf("with the group's server full: %v", acts)
+	}
+	first.State = Draining
+	n.do(Members{Kind: ListChanges, Servers: []Server{first.Server}})
+	if s := sentTo(n.join(4)); s == 0 {
+		t.Error("the group waits for a server that is not ready")
+	}
+}
