--- a/balance/balance.go
+++ b/balance/balance.go
@@ -133,7 +133,9 @@
 	case Closed:
 		b.closed(ev)
 	case Left:
-		b.answered(b.requests[ev.ID])
+		if r := b.requests[ev.ID]; r != nil {
+			b.answered(r)
+		}
 	case Slow:
 		b.slow(ev)
 	case Timer:
@@ -474,13 +476,12 @@
 // target names where a group may go from s, and whether that is above s in its ranking, where all nodes
 // gather it: a server there that is not known to be busier, else one below that has room.
 func (b *Balancer) target(r *request, s *server) (to *server, above bool) {
-	above = true
-	for _, o := range b.rank(r) {
+	order := b.rank(r)
+	at := slices.Index(order, s)
+	for i, o := range order {
 		busier := o.reported(b.now) && o.reportedLoad > s.reportedLoad
-		if o == s {
-			above = false
-		} else if b.now >= o.aside && !busier && (above || !o.full(b.now) && !b.crowded(o)) {
-			return o, above
+		if o != s && b.now >= o.aside && !busier && (i < at || !o.full(b.now) && !b.crowded(o)) {
+			return o, i < at
 		}
 	}
 	return nil, false
@@ -521,9 +522,6 @@
 
 // answered notes that nothing more is owed for a request, and forgets it when nothing of it is out.
 func (b *Balancer) answered(r *request) {
-	if r == nil {
-		return
-	}
 	r.answered = true
 	if !slices.ContainsFunc(r.tries, func(t try) bool { return t.out }) {
 		b.table.release(r.entry, b.now)
