--- a/balance/balance.go
+++ b/balance/balance.go
@@ -72,7 +72,7 @@
 
 // full tells whether s holds what proved too much for it; that counts less as time goes by.
 func (s *server) full(now time.Duration) bool {
-	return s.limit > 0 && float64(len(s.held)) >= s.limit*(1+limitGrowth*(now-s.limited).Seconds())
+	return s.limit > 0 && float64(len(s.held)+1) > s.limit+limitGrowth*max(s.limit/limitPart, 1)*(now-s.limited).Seconds()
 }
 
 type request struct {
@@ -154,7 +154,7 @@
 // ask puts a request off until its server tells its load, where the node has no fresh report. Guards
 // against nodes that see too little of a server's load to know that it is full.
 func (b *Balancer) ask(r *request, s *server) bool {
-	if !b.set.MayProbe || r.MidFlow || r.asks >= asksMost || s.reported(b.now) {
+	if !b.unknown(r, s) {
 		return false
 	}
 	if len(s.waiting) == 0 {
@@ -167,6 +167,11 @@
 	return true
 }
 
+// unknown tells whether s is to be asked for its load before r goes there.
+func (b *Balancer) unknown(r *request, s *server) bool {
+	return b.set.MayProbe && !r.MidFlow && r.asks < asksMost && !s.reported(b.now)
+}
+
 func (b *Balancer) resume(r *request) {
 	if r.waits && !r.answered {
 		r.waits = false
@@ -180,6 +185,9 @@
 		return
 	} else if ev.Report != nil && ev.Report.Load >= 0 {
 		s.reportedLoad, s.loaded, s.since = ev.Report.Load, b.now, 0
+		if s.reportedLoad <= easyLoad {
+			s.limit = 0
+		}
 	} else if ev.Outcome == TimedOut || ev.Outcome == ConnectFailed {
 		s.aside = b.now + lately // guards against clients that wait on a silent server
 	}
@@ -292,7 +300,7 @@
 		return nil
 	}
 	if s := b.table.server(r.Key); s != nil && b.allowed(r, s) && b.now >= s.aside {
-		if !r.MidFlow && s.full(b.now) {
+		if !r.MidFlow && s.full(b.now) && !b.unknown(r, s) {
 			return nil // guards against clients that come straight back to be dropped again
 		}
 		return s
@@ -302,6 +310,9 @@
 		if !b.allowed(r, s) {
 			continue
 		} else if !r.MidFlow && s.full(b.now) {
+			if b.unknown(r, s) {
+				return s
+			}
 			return top // guards against a group that scatters over all servers once its own one drops it
 		} else if r.MidFlow || b.now >= s.aside && !b.crowded(s) {
 			return s // mid-flow without skip: it may stand there
@@ -417,7 +428,7 @@
 	switch {
 	case r.standing && ev.Outcome == Reset:
 		// Guards against filling a server again that has just dropped what it could not carry.
-		t.server.limit, t.server.limited = limitPart*float64(max(len(t.server.held), 1)), b.now
+		t.server.limit, t.server.limited = max(limitPart*float64(len(t.server.held)), 0.01), b.now
 	case !r.standing && (ev.Outcome == Error || ev.Outcome == TimedOut || ev.Outcome == ConnectFailed):
 		b.failed(t.server)
 	}
