--- a/balance/balance.go
+++ b/balance/balance.go
@@ -72,7 +72,7 @@
 
 // full tells whether s holds what proved too much for it; that counts less as time goes by.
 func (s *server) full(now time.Duration) bool {
-	return s.limit > 0 && float64(len(s.held)+1) > s.limit+limitGrowth*max(s.limit/limitPart, 1)*(now-s.limited).Seconds()
+	return s.limit > 0 && float64(len(s.held)) >= s.limit*(1+limitGrowth*(now-s.limited).Seconds())
 }
 
 type request struct {
@@ -428,7 +428,7 @@
 	switch {
 	case r.standing && ev.Outcome == Reset:
 		// Guards against filling a server again that has just dropped what it could not carry.
-		t.server.limit, t.server.limited = max(limitPart*float64(len(t.server.held)), 0.01), b.now
+		t.server.limit, t.server.limited = limitPart*float64(max(len(t.server.held), 1)), b.now
 	case !r.standing && (ev.Outcome == Error || ev.Outcome == TimedOut || ev.Outcome == ConnectFailed):
 		b.failed(t.server)
 	}
