--- a/balance/balance.go
+++ b/balance/balance.go
@@ -185,8 +185,8 @@
 		return
 	} else if ev.Report != nil && ev.Report.Load >= 0 {
 		s.reportedLoad, s.loaded, s.since = ev.Report.Load, b.now, 0
-		if s.reportedLoad <= easyLoad {
-			s.limit = 0
+		if room := float64(max(len(s.held), 1)) * easyLoad / max(s.reportedLoad, 0.01); s.limit > 0 && room > s.limit {
+			s.limit, s.limited = room, b.now
 		}
 	} else if ev.Outcome == TimedOut || ev.Outcome == ConnectFailed {
 		s.aside = b.now + lately // guards against clients that wait on a silent server
