--- a/balance/balance.go
+++ b/balance/balance.go
@@ -146,7 +146,9 @@
 			b.resume(r)
 		}
 	case Probed:
-		b.probed(ev)
+		if s := b.servers[ev.Server]; s != nil {
+			b.probed(s, ev)
+		}
 	}
 	return b.out
 }
@@ -179,13 +181,11 @@
 	}
 }
 
-func (b *Balancer) probed(ev Probed) {
-	s := b.servers[ev.Server]
-	if s == nil {
-		return
-	} else if ev.Report != nil && ev.Report.Load >= 0 {
+func (b *Balancer) probed(s *server, ev Probed) {
+	if ev.Report != nil && ev.Report.Load >= 0 {
 		s.reportedLoad, s.loaded, s.since = ev.Report.Load, b.now, 0
-		if room := float64(max(len(s.held), 1)) * easyLoad / max(s.reportedLoad, 0.01); s.limit > 0 && room > s.limit {
+		room := float64(max(len(s.held), 1)) * easyLoad / max(s.reportedLoad, 0.01)
+		if s.limit > 0 && room > s.limit { // guards against a limit that outlasts its cause
 			s.limit, s.limited = room, b.now
 		}
 	} else if ev.Outcome == TimedOut || ev.Outcome == ConnectFailed {
@@ -211,9 +211,7 @@
 		if e.UpSince != s.UpSince {
 			s.budget, s.counted, s.aside, s.limit = 0, b.now, 0, 0
 		}
-		if s.Server = e; !(s.Weight > 0) {
-			s.Weight = 1
-		}
+		s.Server, s.Weight = e, cmp.Or(max(e.Weight, 0), 1)
 	}
 	clear(b.orders)
 	b.ready = b.ready[:0]
@@ -309,10 +307,7 @@
 	for _, s := range b.rank(r) {
 		if !b.allowed(r, s) {
 			continue
-		} else if !r.MidFlow && s.full(b.now) {
-			if b.unknown(r, s) {
-				return s
-			}
+		} else if !r.MidFlow && s.full(b.now) && !b.unknown(r, s) {
 			return top // guards against a group that scatters over all servers once its own one drops it
 		} else if r.MidFlow || b.now >= s.aside && !b.crowded(s) {
 			return s // mid-flow without skip: it may stand there
@@ -373,17 +368,12 @@
 			first = &t
 		}
 	}
-	switch {
-	case first == nil || class.Effect == Safe:
+	if first == nil || class.Effect == Safe {
 		return true
-	case class.Effect == Unsafe || b.now >= first.sent+class.Window:
-		return false
-	case class.Scope == ScopeZone:
-		return s.Zone == first.server.Zone
-	case class.Scope == ScopeCell:
-		return s.Cell == first.server.Cell
 	}
-	return true
+	near := class.Scope == ScopeAll || class.Scope == ScopeZone && s.Zone == first.server.Zone ||
+		class.Scope == ScopeCell && s.Cell == first.server.Cell
+	return class.Effect == Keyed && near && b.now < first.sent+class.Window
 }
 
 // spend tells whether a cold server has budget for one more connection from this node: what a server usually
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -982,3 +982,36 @@
 		t.Error("the group waits for a server that is not ready")
 	}
 }
+
+// After a storm of drops the server is nearly idle: its report raises the limit, in steps of what it has room for.
+func TestReportRaisesTheLimitAfterDrops(t *testing.T) {
+	n, first, _ := probing(1, 2, 3)
+	n.next = 100
+	for _, s := range n.ready {
+		hold(n, s, 8) // so that the skip of the design does not act
+	}
+	n.do(told(first, 0.01))
+	for id := RequestID(1); id <= 10; id++ {
+		n.join(id)
+		n.do(Accepted{ID: id, Server: first.ID})
+	}
+	for id := RequestID(1); id <= 8; id++ {
+		n.do(Closed{ID: id, Server: first.ID, Outcome: Reset, Final: true})
+	}
+	if acts := n.join(11); answer(acts) != "refuse" {
+		t.Fatalf("right after the drops: %v", acts)
+	}
+	n.now += lately
+	if acts := n.join(12); !slices.Contains(acts, Action(Probe{first.ID})) {
+		t.Fatalf("the full server was not asked again: %v", acts)
+	}
+	if s := sentTo(n.do(told(first, easyLoad/2))); s != first.ID {
+		t.Errorf("with half of its room free the group went to %d", s)
+	}
+	for id := RequestID(13); id <= 40; id++ {
+		n.join(id)
+	}
+	if len(first.held) > 20 {
+		t.Errorf("%d connections at once, where twice the 10 held fill it", len(first.held))
+	}
+}
