--- a/balance/balance.go
+++ b/balance/balance.go
@@ -384,6 +384,9 @@
 	share := b.set.ColdFrom + (1-b.set.ColdFrom)*min(max(age, 0), 1)
 	usual := b.rate / float64(max(len(b.ready), 1)) * (b.now - s.counted).Seconds()
 	s.budget, s.counted = min(s.budget+usual*b.set.FallMultiple*share*coldMargin, 1), b.now
+	if s.budget < 1 { // a draw for what is saved, as at many nodes no budget would ever reach a connection
+		s.budget = math.Floor(s.budget + b.rng.Float64())
+	}
 	return s.budget >= 1
 }
 
