--- a/balance/balance.go
+++ b/balance/balance.go
@@ -72,7 +72,8 @@
 
 // full tells whether s holds what proved too much for it; that counts less as time goes by.
 func (s *server) full(now time.Duration) bool {
-	return s.limit > 0 && float64(len(s.held)) >= s.limit*(1+limitGrowth*(now-s.limited).Seconds())
+	grown := s.limit * (1 + limitGrowth*(now-s.limited).Seconds())
+	return s.limit > 0 && (now < s.limited+lately || float64(len(s.held)) >= grown)
 }
 
 type request struct {
@@ -186,7 +187,7 @@
 		s.reportedLoad, s.loaded, s.since = ev.Report.Load, b.now, 0
 		room := float64(max(len(s.held), 1)) * easyLoad / max(s.reportedLoad, 0.01)
 		if s.limit > 0 && room > s.limit { // guards against a limit that outlasts its cause
-			s.limit, s.limited = room, b.now
+			s.limit = room
 		}
 	} else if ev.Outcome == TimedOut || ev.Outcome == ConnectFailed {
 		s.aside = b.now + lately // guards against clients that wait on a silent server
@@ -384,9 +385,6 @@
 	share := b.set.ColdFrom + (1-b.set.ColdFrom)*min(max(age, 0), 1)
 	usual := b.rate / float64(max(len(b.ready), 1)) * (b.now - s.counted).Seconds()
 	s.budget, s.counted = min(s.budget+usual*b.set.FallMultiple*share*coldMargin, 1), b.now
-	if s.budget < 1 { // a draw for what is saved, as at many nodes no budget would ever reach a connection
-		s.budget = math.Floor(s.budget + b.rng.Float64())
-	}
 	return s.budget >= 1
 }
 
