--- a/balance/balance.go
+++ b/balance/balance.go
@@ -72,8 +72,7 @@
 
 // full tells whether s holds what proved too much for it; that counts less as time goes by.
 func (s *server) full(now time.Duration) bool {
-	grown := s.limit * (1 + limitGrowth*(now-s.limited).Seconds())
-	return s.limit > 0 && (now < s.limited+lately || float64(len(s.held)) >= grown)
+	return s.limit > 0 && float64(len(s.held)) >= s.limit*(1+limitGrowth*(now-s.limited).Seconds())
 }
 
 type request struct {
@@ -187,7 +186,7 @@
 		s.reportedLoad, s.loaded, s.since = ev.Report.Load, b.now, 0
 		room := float64(max(len(s.held), 1)) * easyLoad / max(s.reportedLoad, 0.01)
 		if s.limit > 0 && room > s.limit { // guards against a limit that outlasts its cause
-			s.limit = room
+			s.limit, s.limited = room, b.now
 		}
 	} else if ev.Outcome == TimedOut || ev.Outcome == ConnectFailed {
 		s.aside = b.now + lately // guards against clients that wait on a silent server
