--- a/balance/balance.go
+++ b/balance/balance.go
@@ -309,7 +309,7 @@
 			continue
 		} else if !r.MidFlow && s.full(b.now) && !b.unknown(r, s) {
 			return top // guards against a group that scatters over all servers once its own one drops it
-		} else if r.MidFlow || b.now >= s.aside && !b.crowded(s) {
+		} else if r.MidFlow || b.now >= s.aside && (!b.crowded(s) || top == nil && s.reported(b.now) && s.reportedLoad < 0.75) {
 			return s // mid-flow without skip: it may stand there
 		} else if top == nil || b.now < top.aside && b.now >= s.aside {
 			top = s // health comes before crowding, and fails open
