--- a/balance/balance.go
+++ b/balance/balance.go
@@ -23,7 +23,6 @@
 	lately     = 2 * time.Second  // a report, a late message or a failed set-up counts
 	asksMost   = 3                // servers asked for one request
 	easyLoad   = 0.6              // a server is crowded over this load
-	movesMost  = 3                // connections that a late message moves before it stops
 	ordersMost = 1024             // rankings kept
 	rateMemory = 20 * time.Second // over which the usual rate of new clients is learned
 	coldMargin = 0.5              // part of the cold budget used: connections differ, and nodes too
@@ -307,10 +306,9 @@
 	for _, s := range b.rank(r) {
 		if !b.allowed(r, s) {
 			continue
-		} else if top != nil && r.asks >= asksMost && !s.reported(b.now) {
-			return top // guards against a group that scatters over servers of unknown load
-		} else if !r.MidFlow && s.full(b.now) && !b.unknown(r, s) {
-			return top // guards against a group that scatters over all servers once its own one drops it
+		} else if top != nil && r.asks >= asksMost && !s.reported(b.now) ||
+			!r.MidFlow && s.full(b.now) && !b.unknown(r, s) {
+			return top // guards against a group that scatters over servers of unknown load, or once dropped
 		} else if r.MidFlow || b.now >= s.aside && !b.crowded(s) {
 			return s // mid-flow without skip: it may stand there
 		} else if top == nil || b.now < top.aside && b.now >= s.aside {
@@ -470,9 +468,7 @@
 			}
 			b.out = append(b.out, Move{ID: r.ID})
 		}
-		if !s.reported(b.now) || len(b.out) >= movesMost {
-			return // where no load is told, one group: moves to the wrong place cost set-ups
-		}
+		return
 	}
 }
 
