--- a/balance/balance.go
+++ b/balance/balance.go
@@ -22,7 +22,7 @@
 	afterEnd   = 30 * time.Second // a client's server is remembered, the default of the design
 	lately     = 2 * time.Second  // a report, a late message or a failed set-up counts
 	asksMost   = 3                // servers asked for one request
-	easyLoad   = 0.5              // a server is crowded over this load
+	easyLoad   = 0.6              // a server is crowded over this load
 	ordersMost = 1024             // rankings kept
 	rateMemory = 20 * time.Second // over which the usual rate of new clients is learned
 	coldMargin = 0.5              // part of the cold budget used: connections differ, and nodes too
