--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -391,42 +391,69 @@
 	}
 }
 
-// Rule 4: a wave of returning clients meets a server that just started.
+// Rule 4: a wave of returning clients meets a server that just started, at few nodes and at many.
 func TestColdServerIsKeptWithinItsBudget(t *testing.T) {
-	const nodes, perSecond = 3, 10.0
-	set := site()
-	set.Nodes = nodes
-	sent := map[time.Duration]int{}
+	for _, nodes := range []int{3, 200} {
+		const perSecond = 30.0 // of all nodes together
+		set := site()
+		set.Nodes = nodes
+		sent := map[time.Duration]int{}
+		for seed := range nodes {
+			n := newNode(set, ready(1, 2, 3, 4)...)
+			for i := range 60 * int(perSecond) / nodes { // a minute of usual traffic
+				n.now += time.Duration(float64(nodes) * float64(time.Second) / perSecond)
+				id, s := n.stand("safe", fmt.Sprint(seed, "-", i))
+				n.end(id, s)
+			}
+			up := n.now
+			n.do(Members{Kind: ListChanges, Servers: []Server{{ID: 4, State: Ready, Weight: 1, UpSince: up}}})
+			for i := range 12000 / nodes { // the wave, as long as the server is cold
+				n.now += set.ColdFor * time.Duration(nodes) / 12000
+				id := n.next
+				n.next++
+				r := Request{ID: id, Class: "safe", Key: fmt.Sprint("w", seed, i), Left: time.Second, Again: true}
+				if sentTo(n.do(r)) == 4 && n.now < up+set.ColdFor {
+					sent[(n.now-up)/set.FallWindow]++
+				}
+			}
+		}
+		// A server can do at least what it usually gets from all nodes; cold, it can do ColdFrom of that.
+		for window, count := range sent {
+			age := float64(window) * set.FallWindow.Seconds() / set.ColdFor.Seconds()
+			share := set.ColdFrom + (1-set.ColdFrom)*min(age, 1)
+			bound := set.FallMultiple * share * perSecond / 4 * set.FallWindow.Seconds()
+			if float64(count) > bound {
+				t.Errorf("%d nodes, window %d: %d connections to the cold server, over %.1f", nodes, window, count, bound)
+			}
+		}
+		if nodes == 3 && len(sent) == 0 { // at many nodes no budget reaches a connection while it is cold
+			t.Error("the cold server got nothing in its whole warm-up")
+		}
+	}
+}
+
+// After a roll all nodes call for the list at once; the failed ones come back spread.
+func TestFailedListCallsDoNotComeBackInStep(t *testing.T) {
+	const nodes = 200
+	calls := map[time.Duration]int{}
 	for seed := range nodes {
-		n := newNode(set, ready(1, 2, 3, 4)...)
-		for i := range 600 { // a minute of usual traffic
-			n.now += time.Duration(float64(time.Second) / perSecond)
-			id, s := n.stand("safe", fmt.Sprint(seed, "-", i))
-			n.end(id, s)
-		}
-		up := n.now
-		n.do(Members{Kind: ListChanges, Servers: []Server{{ID: 4, State: Ready, Weight: 1, UpSince: up}}})
-		for i := range 4000 { // the wave
-			n.now += 2 * ms
-			id := n.next
-			n.next++
-			r := Request{ID: id, Class: "safe", Key: fmt.Sprint("w", seed, i), Left: time.Second, Again: true}
-			if sentTo(n.do(r)) == 4 {
-				sent[(n.now-up)/set.FallWindow]++
+		set := site()
+		set.Pushed = false
+		b := New(set, uint64(seed))
+		b.Handle(0, Members{Kind: ListCached})
+		for _, a := range b.Handle(0, Members{Kind: ListFailed}) {
+			if timer, ok := a.(SetTimer); ok {
+				calls[timer.After/(10*ms)]++
 			}
 		}
 	}
-	// A server can do at least what it usually gets from all nodes; cold, it can do ColdFrom of that.
-	usual := nodes * perSecond / 4
-	for window, count := range sent {
-		age := float64(window) * set.FallWindow.Seconds() / set.ColdFor.Seconds()
-		share := set.ColdFrom + (1-set.ColdFrom)*min(age, 1)
-		if bound := set.FallMultiple * share * usual * set.FallWindow.Seconds(); float64(count) > bound {
-			t.Errorf("window %d: %d connections sent to the cold server, over %.1f", window, count, bound)
+	for at, count := range calls {
+		if count > nodes/8 {
+			t.Errorf("%d of %d nodes call again within 10 ms, %v later", count, nodes, at*10*ms)
 		}
 	}
-	if len(sent) == 0 {
-		t.Error("the cold server got nothing in its whole warm-up")
+	if len(calls) == 0 {
+		t.Error("nobody calls again")
 	}
 }
 
