--- a/balance/balance.go
+++ b/balance/balance.go
@@ -71,7 +71,8 @@
 
 // full tells whether s holds what proved too much for it; that counts less as time goes by.
 func (s *server) full(now time.Duration) bool {
-	return s.limit > 0 && float64(len(s.held)) >= s.limit*(1+limitGrowth*(now-s.limited).Seconds())
+	return s.reported(now) && s.reportedLoad > 1 ||
+		s.limit > 0 && float64(len(s.held)) >= s.limit*(1+limitGrowth*(now-s.limited).Seconds())
 }
 
 type request struct {
