--- a/balance/balance.go
+++ b/balance/balance.go
@@ -20,7 +20,7 @@
 
 const (
 	afterEnd   = 30 * time.Second // a client's server is remembered, the default of the design
-	lately     = 2 * time.Second  // a report, a late message or a failed set-up counts
+	lately     = 1 * time.Second  // a report, a late message or a failed set-up counts
 	asksMost   = 3                // servers asked for one request
 	easyLoad   = 0.6              // a server is crowded over this load
 	ordersMost = 1024             // rankings kept
