--- a/balance/balance.go
+++ b/balance/balance.go
@@ -19,13 +19,13 @@
 )
 
 const (
-	afterEnd   = 30 * time.Second // a client's server is remembered, the default of the design
-	lately     = 1 * time.Second  // a report, a late message or a failed set-up counts
-	asksMost   = 3                // servers asked for one request
-	easyLoad   = 0.6              // a server is crowded over this load
-	ordersMost = 1024             // rankings kept
-	rateMemory = 20 * time.Second // over which the usual rate of new clients is learned
-	coldMargin = 0.5              // part of the cold budget used: connections differ, and nodes too
+	afterEnd   = 30 * time.Second        // a client's server is remembered, the default of the design
+	lately     = 1500 * time.Millisecond // a report, a late message or a failed set-up counts
+	asksMost   = 3                       // servers asked for one request
+	easyLoad   = 0.6                     // a server is crowded over this load
+	ordersMost = 1024                    // rankings kept
+	rateMemory = 20 * time.Second        // over which the usual rate of new clients is learned
+	coldMargin = 0.5                     // part of the cold budget used: connections differ, and nodes too
 
 	limitPart, limitGrowth = 0.7, 0.05                               // after drops: part kept, growth each s
 	askPause, askPauseMost = 200 * time.Millisecond, 3 * time.Second // before the list is asked for anew
@@ -69,7 +69,7 @@
 	late         time.Duration // when a message last took long there
 }
 
-// full tells whether s holds what proved too much for it; that counts less as time goes by.
+// full tells whether s reports more than it can do, or holds what proved too much; that counts less with time.
 func (s *server) full(now time.Duration) bool {
 	return s.reported(now) && s.reportedLoad > 1 ||
 		s.limit > 0 && float64(len(s.held)) >= s.limit*(1+limitGrowth*(now-s.limited).Seconds())
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -1034,3 +1034,18 @@
 		t.Errorf("sent to %d, not to the top %d", s, first.ID)
 	}
 }
+
+// A server over its capacity would drop what it gets, and every set-up costs it work: its clients are refused.
+func TestServerThatReportsOverItsCapacityGetsNothing(t *testing.T) {
+	n, first, second := probing(1, 2, 3)
+	n.join(1)
+	if acts := n.do(told(first, 1.1)); answer(acts) != "refuse" {
+		t.Errorf("at 1.1 of its capacity: %v", acts)
+	}
+	n.now += lately
+	n.join(2)
+	n.do(told(first, 0.9))
+	if s := sentTo(n.do(told(second, 0.1))); s != second.ID {
+		t.Error("a top under its capacity did not leave the next to choose")
+	}
+}
