--- a/balance/balance.go
+++ b/balance/balance.go
@@ -69,7 +69,7 @@
 	late         time.Duration // when a message last took long there
 }
 
-// full tells whether s reports more than it can do, or holds what proved too much; that counts less with time.
+// full tells whether s reports more than it can do, or holds what proved too much; that counts less in time.
 func (s *server) full(now time.Duration) bool {
 	return s.reported(now) && s.reportedLoad > 1 ||
 		s.limit > 0 && float64(len(s.held)) >= s.limit*(1+limitGrowth*(now-s.limited).Seconds())
