--- a/balance/balance.go
+++ b/balance/balance.go
@@ -255,7 +255,7 @@
 
 func (b *Balancer) server(id ServerID) *server {
 	if b.servers[id] == nil {
-		b.servers[id] = &server{Server: Server{ID: id, Weight: 1}, held: map[RequestID]*request{}}
+		b.servers[id] = &server{Server: Server{ID: id}, held: map[RequestID]*request{}}
 	}
 	return b.servers[id]
 }
@@ -297,8 +297,9 @@
 	if len(r.tries) >= b.set.MaxAttempts || r.deadline-b.now <= b.set.Tick && len(r.tries) > 0 {
 		return nil
 	}
+	full := func(s *server) bool { return !r.MidFlow && s.full(b.now) && !b.unknown(r, s) }
 	if s := b.table.server(r.Key); s != nil && b.allowed(r, s) && b.now >= s.aside {
-		if !r.MidFlow && s.full(b.now) && !b.unknown(r, s) {
+		if full(s) {
 			return nil // guards against clients that come straight back to be dropped again
 		}
 		return s
@@ -307,8 +308,7 @@
 	for _, s := range b.rank(r) {
 		if !b.allowed(r, s) {
 			continue
-		} else if top != nil && r.asks >= asksMost && !s.reported(b.now) ||
-			!r.MidFlow && s.full(b.now) && !b.unknown(r, s) {
+		} else if full(s) || top != nil && r.asks >= asksMost && !s.reported(b.now) {
 			return top // guards against a group that scatters over servers of unknown load, or once dropped
 		} else if r.MidFlow || b.now >= s.aside && !b.crowded(s) {
 			return s // mid-flow without skip: it may stand there
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -94,8 +94,6 @@
 	return 0
 }
 
-func ranking(b *Balancer, r *request) []*server { return b.rank(r) }
-
 // hold lets connections without a client stand on s.
 func hold(n *node, s *server, count int) {
 	for range count {
@@ -121,7 +119,7 @@
 	moved := 0
 	for i := range 200 {
 		r := &request{Request: Request{Key: fmt.Sprint("client-", i)}}
-		was, is := ranking(before.Balancer, r)[0].ID, ranking(after.Balancer, r)[0].ID
+		was, is := before.rank(r)[0].ID, after.rank(r)[0].ID
 		if was != 3 && was != is {
 			t.Errorf("%s went from %d to %d though 3 left", r.Key, was, is)
 		}
@@ -142,10 +140,10 @@
 	heavy := 0
 	for i := range 400 {
 		r := &request{Request: Request{Key: fmt.Sprint("client-", i)}}
-		if ranking(a.Balancer, r)[0].ID != ranking(b, r)[0].ID {
+		if a.rank(r)[0].ID != b.rank(r)[0].ID {
 			t.Fatalf("%s: two nodes differ", r.Key)
 		}
-		if ranking(a.Balancer, r)[0].ID == 2 {
+		if a.rank(r)[0].ID == 2 {
 			heavy++
 		}
 	}
@@ -156,8 +154,8 @@
 
 func TestGroupDecidesWhereItIsGiven(t *testing.T) {
 	n := newNode(site(), ready(1, 2, 3, 4, 5)...)
-	top := ranking(n.Balancer, &request{Request: Request{Key: "a", Group: "g"}})[0]
-	if other := ranking(n.Balancer, &request{Request: Request{Key: "b", Group: "g"}})[0]; other != top {
+	top := n.rank(&request{Request: Request{Key: "a", Group: "g"}})[0]
+	if other := n.rank(&request{Request: Request{Key: "b", Group: "g"}})[0]; other != top {
 		t.Errorf("one group has two tops: %d and %d", top.ID, other.ID)
 	}
 }
@@ -243,12 +241,10 @@
 		{6, 2, false}, // mean 3: 6 is not over 6
 	} {
 		n := newNode(site(), ready(1, 2, 3, 4)...)
-		for i, s := range n.ready {
+		for _, s := range n.ready {
 			hold(n, s, c.rest)
-			if i == 0 {
-				hold(n, s, c.open-c.rest)
-			}
 		}
+		hold(n, n.ready[0], c.open-c.rest)
 		if crowded := n.crowded(n.ready[0]); crowded != c.skip {
 			t.Errorf("%d against %d each: passed over is %v", c.open, c.rest, crowded)
 		}
@@ -258,7 +254,7 @@
 func TestMidFlowTakesTheTopWithoutSkip(t *testing.T) {
 	n := newNode(site(), ready(1, 2, 3)...)
 	r := Request{ID: 1000, Class: "safe", Key: "flow", Left: time.Second, MidFlow: true}
-	top := ranking(n.Balancer, &request{Request: r})[0]
+	top := n.rank(&request{Request: r})[0]
 	hold(n, top, 50)
 	if s := sentTo(n.do(r)); s != top.ID {
 		t.Errorf("went to %d, not to the top %d", s, top.ID)
@@ -267,7 +263,7 @@
 
 func TestReportedLoadPassesBy(t *testing.T) {
 	n := newNode(site(), ready(1, 2)...)
-	top := ranking(n.Balancer, &request{Request: Request{Key: "client"}})[0].ID
+	top := n.rank(&request{Request: Request{Key: "client"}})[0].ID
 	n.do(Probed{Server: top, Outcome: OK, Report: &Report{Load: 0.9}})
 	n.do(Probed{Server: 3 - top, Outcome: OK, Report: &Report{Load: 0.2}})
 	if _, s := n.place("safe", "client"); s != 3-top {
@@ -591,7 +587,7 @@
 	for i := range 20 {
 		n := newNode(site(), ready(1, 2, 3)...)
 		group := fmt.Sprint("group-", i)
-		order := ranking(n.Balancer, &request{Request: Request{Group: group}})
+		order := n.rank(&request{Request: Request{Group: group}})
 		r := Request{ID: 1, Class: "safe", Key: "client", Group: group}
 		n.do(Opened{Request: r, Server: order[2].ID})
 		if acts := n.do(Slow{ID: 1, Server: order[2].ID, Message: 60 * ms}); !slices.Equal(acts, []Action{Move{ID: 1}}) {
