--- a/balance/api.go
+++ b/balance/api.go
@@ -156,7 +156,8 @@
 	Report  *Report
 }
 
-// Slow tells how long a message takes now on one of the standing connections.
+// Slow tells how long a message takes now on one of a server's standing connections: about once a second
+// while that is over a third of the shortest aim of any class.
 type Slow struct {
 	ID      RequestID
 	Server  ServerID
@@ -174,6 +175,9 @@
 // Timer is the end of a SetTimer.
 type Timer struct{ Token uint64 }
 
+// Leaving tells that this node is to stop and clients must go elsewhere. It comes again while any stand here.
+type Leaving struct{}
+
 func (Members) event()  {}
 func (Request) event()  {}
 func (Opened) event()   {}
@@ -183,6 +187,7 @@
 func (Slow) event()     {}
 func (Probed) event()   {}
 func (Timer) event()    {}
+func (Leaving) event()  {}
 
 // Action is something that the node is to do now, in the order given.
 type Action interface{ action() }
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -149,6 +149,12 @@
 		if s := b.servers[ev.Server]; s != nil {
 			b.probed(s, ev)
 		}
+	case Leaving: // guards against clients that are cut off when the node stops
+		for _, id := range slices.Sorted(maps.Keys(b.requests)) {
+			if b.requests[id].standing {
+				b.out = append(b.out, Move{ID: id})
+			}
+		}
 	}
 	return b.out
 }
@@ -233,9 +239,7 @@
 	// Guards against a herd of nodes that all ask again at once: the pause grows and is spread.
 	pause := min(askPause<<min(b.asks, 10), askPauseMost)
 	b.out = append(b.out, SetTimer{b.spread(pause), timerSubscribe})
-	if b.asks++; b.asks == 1 {
-		b.out = append(b.out, Log{"the server list did not answer"})
-	}
+	b.asks++
 }
 
 func (b *Balancer) admit(ev Request) *request {
@@ -416,11 +420,10 @@
 	delete(t.server.held, r.ID)
 	t.server.since--
 	b.open--
-	switch {
-	case r.standing && ev.Outcome == Reset:
+	if r.standing && ev.Outcome == Reset {
 		// Guards against filling a server again that has just dropped what it could not carry.
 		t.server.limit, t.server.limited = limitPart*float64(max(len(t.server.held), 1)), b.now
-	case !r.standing && (ev.Outcome == Error || ev.Outcome == TimedOut || ev.Outcome == ConnectFailed):
+	} else if !r.standing && (ev.Outcome == Error || ev.Outcome == TimedOut || ev.Outcome == ConnectFailed) {
 		b.failed(t.server)
 	}
 	if r.answered || ev.Final {
@@ -558,11 +561,8 @@
 	if key == "" {
 		return nil
 	}
-	e := t.entries[key]
-	if e == nil {
-		e = &entry{key: key}
-		t.entries[key] = e
-	}
+	e := cmp.Or(t.entries[key], &entry{key: key})
+	t.entries[key] = e
 	e.server, e.upSince = s, s.UpSince
 	e.held++
 	return e
--- /dev/null
+++ b/internal/backend/backend.go
@@ -0,0 +1,148 @@
+// Package backend is the servers' side: it carries out attempts and probes.
+package backend
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"net"
+	"os"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"brassmux/balance"
+	"brassmux/internal/exchange"
+	"brassmux/internal/lines"
+)
+
+// Config holds what the servers' side is told.
+type Config struct {
+	Dial      time.Duration // a connection must be up within it
+	Probe     time.Duration // a probe must be answered within it
+	Idle      time.Duration // a probe's connection is kept for it
+	LoadField string        // the value of a load report that is wanted
+}
+
+// Client reaches servers.
+type Client struct {
+	cfg    Config
+	sink   exchange.Sink
+	probed func(balance.Probed)
+	mu     sync.Mutex
+	probes map[balance.ServerID]*prober
+	Count  Counts
+}
+
+// Counts counts what the servers' side sends, by outcome.
+type Counts struct {
+	Attempts, Probes atomic.Int64
+	Outcomes         [8]atomic.Int64 // of attempts that did not stand
+}
+
+// New makes a client. probed takes the results of probes, from any goroutine.
+func New(cfg Config, sink exchange.Sink, probed func(balance.Probed)) *Client {
+	return &Client{cfg: cfg, sink: sink, probed: probed, probes: map[balance.ServerID]*prober{}}
+}
+
+// Attempt starts an attempt and returns at once. Its end is told to the sink.
+func (c *Client) Attempt(x *exchange.Exchange, a exchange.Attempt, addr string, timeout time.Duration) {
+	until := x.Deadline
+	if timeout > 0 && time.Until(until) > timeout {
+		until = time.Now().Add(timeout)
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), until)
+	begun := time.Now()
+	if !x.Attempting(a, cancel) {
+		cancel()
+		go c.sink.Closed(x, a, balance.Moot, 0, nil)
+		return
+	}
+	c.Count.Attempts.Add(1)
+	go func() {
+		defer cancel()
+		if outcome, report, stood := c.attempt(ctx, x, addr, until); !stood {
+			c.Count.Outcomes[outcome].Add(1)
+			c.sink.Closed(x, a, outcome, time.Since(begun), report)
+		}
+	}()
+}
+
+// attempt returns when it has failed, or when the connection that it became has ended.
+func (c *Client) attempt(ctx context.Context, x *exchange.Exchange, addr string, until time.Time) (
+	outcome balance.Outcome, report *balance.Report, stood bool) {
+	conn, err := c.dial(ctx, addr)
+	if err != nil {
+		return balance.ConnectFailed, nil, false
+	}
+	// Called off, the connection breaks under whatever waits on it.
+	stop := context.AfterFunc(ctx, func() { conn.SetDeadline(time.Unix(1, 0)) })
+	defer stop()
+	head := x.Head.With(time.Until(until))
+	whole := 0
+	for _, part := range head {
+		whole += len(part)
+	}
+	if n, err := head.WriteTo(conn.TCPConn); err != nil && n < int64(whole) {
+		conn.Close()
+		return balance.ConnectFailed, nil, false // its last byte was not written, so it never ran
+	}
+	line, err := conn.ReadLine()
+	if err != nil {
+		conn.Close()
+		switch {
+		case errors.Is(ctx.Err(), context.Canceled):
+			return balance.Cancelled, nil, false
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			return balance.TimedOut, nil, false
+		}
+		return balance.Reset, nil, false
+	}
+	switch string(lines.Word(line)) {
+	case "UP":
+		if stop() && x.Stand(conn, line, c.report) {
+			return balance.OK, nil, true
+		}
+		conn.Reset()
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			return balance.TimedOut, nil, false
+		}
+		return balance.Cancelled, nil, false
+	case "BUSY":
+		outcome = balance.Full
+	default:
+		outcome = balance.Error
+	}
+	report = c.report(line)
+	conn.Close()
+	return outcome, report, false
+}
+
+func (c *Client) dial(ctx context.Context, addr string) (*lines.Conn, error) {
+	d := net.Dialer{Timeout: c.cfg.Dial}
+	conn, err := d.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	return lines.New(conn.(*net.TCPConn)), nil
+}
+
+// report reads a load report at the end of a server's line; nil where there is none.
+func (c *Client) report(line []byte) *balance.Report {
+	text := bytes.TrimSpace(line)
+	i := bytes.LastIndexByte(text, ' ')
+	if i < 0 || !bytes.Contains(text[i:], []byte("=")) {
+		return nil
+	}
+	r := &balance.Report{Load: -1}
+	for pair := range bytes.SplitSeq(text[i+1:], []byte(",")) {
+		name, value, _ := bytes.Cut(pair, []byte("="))
+		if string(name) == c.cfg.LoadField {
+			if load, err := strconv.ParseFloat(string(value), 64); err == nil && load >= 0 {
+				r.Load = load
+			}
+		}
+	}
+	return r
+}
--- /dev/null
+++ b/internal/backend/probe.go
@@ -0,0 +1,107 @@
+package backend
+
+import (
+	"context"
+	"errors"
+	"io"
+	"os"
+	"time"
+
+	"brassmux/balance"
+	"brassmux/internal/lines"
+)
+
+// prober asks one server for its load, one probe at a time, over a connection that is kept for a while:
+// a new one costs the server work.
+type prober struct {
+	addr string
+	asks chan struct{}
+}
+
+// Probe asks a server for its load and returns at once.
+func (c *Client) Probe(id balance.ServerID, addr string) {
+	c.Count.Probes.Add(1)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := c.probes[id]
+	if p == nil || p.addr != addr {
+		p = &prober{addr: addr, asks: make(chan struct{}, 1)}
+		c.probes[id] = p
+		go c.probing(id, p)
+	}
+	select {
+	case p.asks <- struct{}{}:
+	default: // one waits already, and its answer serves both
+	}
+}
+
+func (c *Client) probing(id balance.ServerID, p *prober) {
+	var conn *lines.Conn
+	drop := func() {
+		if conn != nil {
+			conn.Close()
+		}
+		conn = nil
+	}
+	idle := time.NewTimer(c.cfg.Idle)
+	for {
+		idle.Reset(c.cfg.Idle)
+		select {
+		case <-idle.C:
+			c.mu.Lock()
+			if len(p.asks) > 0 {
+				c.mu.Unlock()
+				continue
+			}
+			if c.probes[id] == p {
+				delete(c.probes, id)
+			}
+			c.mu.Unlock()
+			drop()
+			return
+		case <-p.asks:
+		}
+		begun := time.Now()
+		ctx, cancel := context.WithDeadline(context.Background(), begun.Add(c.cfg.Probe))
+		result := balance.Probed{Server: id, Outcome: balance.ConnectFailed}
+		for kept := conn != nil; ; kept = false {
+			if conn == nil {
+				var err error
+				if conn, err = c.dial(ctx, p.addr); err != nil {
+					break
+				}
+			}
+			var err error
+			result.Outcome, result.Report, err = c.probe(ctx, conn)
+			if err == nil {
+				break
+			}
+			drop()
+			if !kept || errors.Is(err, os.ErrDeadlineExceeded) {
+				break // else the server has only closed what was idle: ask it on a new one
+			}
+		}
+		cancel()
+		result.Took = time.Since(begun)
+		c.probed(result)
+	}
+}
+
+// probe asks once. An error means that the connection is of no more use.
+func (c *Client) probe(ctx context.Context, conn *lines.Conn) (balance.Outcome, *balance.Report, error) {
+	until, _ := ctx.Deadline()
+	conn.SetDeadline(until)
+	if _, err := io.WriteString(conn.TCPConn, "STATS\r\n"); err != nil {
+		return balance.ConnectFailed, nil, err
+	}
+	line, err := conn.ReadLine()
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return balance.TimedOut, nil, err
+	case err != nil:
+		return balance.Reset, nil, err
+	case string(lines.Word(line)) != "PONG":
+		return balance.Error, c.report(line), nil
+	}
+	return balance.OK, c.report(line), nil
+}
--- /dev/null
+++ b/internal/discovery/discovery.go
@@ -0,0 +1,145 @@
+// Package discovery follows the list of servers: one whole list, then a watch on its changes.
+package discovery
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"brassmux/balance"
+	"brassmux/internal/settings"
+)
+
+// List is the list of servers, or the changes to it, as the site writes it.
+type List struct {
+	Version int64    `json:"version"`
+	Full    bool     `json:"full"`
+	Servers []Server `json:"servers"`
+}
+
+// Server is one entry.
+type Server struct {
+	ID      settings.ServerID `json:"id"`
+	Addr    string            `json:"addr"`
+	Zone    string            `json:"zone"`
+	Cell    int               `json:"cell"`
+	State   string            `json:"state"`
+	Weight  float64           `json:"weight"`
+	Started int64             `json:"started_ms"` // Unix time; 0 for long ago
+}
+
+var states = map[string]balance.State{"up": balance.Ready, "draining": balance.Draining, "removed": balance.Gone}
+
+// Check tells what is wrong with a list.
+func (l *List) Check() error {
+	for i, s := range l.Servers {
+		state, known := states[s.State]
+		switch {
+		case s.ID == 0:
+			return fmt.Errorf("servers[%d].id is missing", i)
+		case !known:
+			return fmt.Errorf("servers[%d].state %q is not known", i, s.State)
+		case s.Weight < 0:
+			return fmt.Errorf("servers[%d].weight is negative", i)
+		case s.Started < 0 || s.Started > 1<<42:
+			return fmt.Errorf("servers[%d].started_ms is out of range", i)
+		case state == balance.Gone:
+			continue // its address is of no more use
+		}
+		if _, port, err := net.SplitHostPort(s.Addr); err != nil || port == "" {
+			return fmt.Errorf("servers[%d].addr %q is no address with a port", i, s.Addr)
+		}
+	}
+	return nil
+}
+
+// Members gives the list to the decisions. Times are counted from Unix time 0.
+func (l *List) Members(kind balance.ListKind) balance.Members {
+	ev := balance.Members{Kind: kind, Servers: make([]balance.Server, len(l.Servers))}
+	for i, s := range l.Servers {
+		ev.Servers[i] = balance.Server{ID: balance.ServerID(s.ID), State: states[s.State], Zone: s.Zone,
+			Cell: s.Cell, Weight: s.Weight, UpSince: time.Duration(s.Started) * time.Millisecond}
+	}
+	return ev
+}
+
+// Client asks discovery.
+type Client struct {
+	base    string
+	http    *http.Client
+	silence time.Duration
+	Count   Counts
+}
+
+// Counts counts the calls, those that failed, and the changes that came.
+type Counts struct{ Calls, Failed, Changes atomic.Int64 }
+
+// lineMost bounds a line of the list.
+const lineMost = 16 << 20
+
+// New makes a client of the discovery at addr. A watch that says nothing for the silence is broken.
+func New(addr string, dial, silence time.Duration) *Client {
+	return &Client{base: "http://" + addr + "/v1/endpoints", silence: silence, http: &http.Client{
+		Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: dial}).DialContext, DisableCompression: true}}}
+}
+
+// Watch passes on what changes after a version until the watch breaks or ctx ends. It returns why.
+func (c *Client) Watch(ctx context.Context, since int64, change func(*List)) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	silent := time.AfterFunc(c.silence, func() { cancel(errors.New("discovery is silent")) })
+	defer silent.Stop()
+	err := c.watch(ctx, since, func() { silent.Reset(c.silence) }, change)
+	if cause := context.Cause(ctx); cause != nil {
+		err = cause
+	}
+	c.Count.Failed.Add(1)
+	return err
+}
+
+func (c *Client) watch(ctx context.Context, since int64, alive func(), change func(*List)) error {
+	c.Count.Calls.Add(1)
+	query := url.Values{"follow": {"1"}, "since": {strconv.FormatInt(since, 10)}}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+"?"+query.Encode(), nil)
+	if err != nil {
+		return err
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("discovery answers %s", resp.Status)
+	}
+	in := bufio.NewScanner(resp.Body)
+	in.Buffer(make([]byte, 0, 1<<16), lineMost)
+	for in.Scan() {
+		alive()
+		line := bytes.TrimSpace(in.Bytes())
+		if len(line) == 0 {
+			continue
+		}
+		var l List
+		if err := json.Unmarshal(line, &l); err != nil {
+			return fmt.Errorf("discovery sends no list: %w", err)
+		} else if err := l.Check(); err != nil {
+			return fmt.Errorf("discovery sends a bad list: %w", err)
+		}
+		c.Count.Changes.Add(1)
+		change(&l)
+	}
+	if err := in.Err(); err != nil {
+		return err
+	}
+	return errors.New("the watch ended")
+}
--- /dev/null
+++ b/internal/exchange/exchange.go
@@ -0,0 +1,408 @@
+// Package exchange holds one request and the connection that it becomes. The client side and the server
+// side meet here and nowhere else: here it is settled who ends the request, why, and that this
+// happens exactly once.
+package exchange
+
+import (
+	"errors"
+	"io"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"brassmux/balance"
+	"brassmux/internal/lines"
+)
+
+// Sink takes what happens to exchanges. It is called from many goroutines.
+type Sink interface {
+	// Left: the client went before it was answered.
+	Left(x *Exchange)
+	// Accepted: the connection stands.
+	Accepted(x *Exchange, a Attempt, took time.Duration)
+	// Closed: an attempt ended, or the connection that it became.
+	Closed(x *Exchange, a Attempt, outcome balance.Outcome, took time.Duration, report *balance.Report)
+	// Message: one took so long at a server, or is out for so long.
+	Message(x *Exchange, server balance.ServerID, took time.Duration)
+	// Ended: nothing more happens.
+	Ended(x *Exchange)
+}
+
+// Attempt is one try to have a server take the request.
+type Attempt struct {
+	Number int
+	Server balance.ServerID
+}
+
+// Reason tells why a connection ended; it is the code in its log line.
+type Reason string
+
+// Reasons that the exchange itself gives.
+const (
+	Refused      Reason = "refused"       // answered BUSY
+	Failed       Reason = "failed"        // answered ERR
+	ClientLeft   Reason = "client_left"   // gone before the answer
+	ClientEnded  Reason = "client_ended"  // ended by the client
+	ClientReset  Reason = "client_reset"  // broken by the client
+	ServerEnded  Reason = "server_ended"  // ended by the server with its last word
+	ServerMoved  Reason = "server_moved"  // sent away by its server
+	ServerBroke  Reason = "server_broke"  // ended or broken by the server without a word
+	ServerSilent Reason = "server_silent" // nothing came back for too long: moved
+	Moved        Reason = "moved"         // moved by a decision
+	LineTooLong  Reason = "line_too_long" // a line on the open connection was over the bound
+)
+
+// Limits are the times of an exchange.
+type Limits struct {
+	Silence time.Duration // a message may be out for this long
+	Notice  time.Duration // while one is out, it is told this often
+	Linger  time.Duration // what an ended connection may take to close
+}
+
+type phase int
+
+const (
+	waiting phase = iota // for its answer
+	standing
+	over // answered otherwise, or ended
+)
+
+// messagesMost bounds the messages whose time is taken on one connection.
+const messagesMost = 64
+
+// Exchange is one request. Its methods may be called from any goroutine.
+type Exchange struct {
+	ID       balance.RequestID
+	Head     *Head
+	Deadline time.Time
+	Tries    int // attempts started; the node counts them
+
+	client *lines.Conn
+	sink   Sink
+	limits Limits
+	log    *zap.Logger
+	begun  time.Time
+	up     chan struct{} // closed when the phase is no longer waiting
+
+	mu       sync.Mutex
+	phase    phase
+	cancel   func() // calls off the attempt that is out
+	server   *lines.Conn
+	attempt  Attempt   // the last one
+	sent     time.Time // when it was
+	stood    time.Time
+	moving   bool
+	reason   Reason
+	out      []time.Time // when the messages without an answer were passed on, oldest first
+	toServer atomic.Int64
+	toClient atomic.Int64
+	sides    atomic.Int32
+}
+
+// New makes an exchange for a first line that has just been read.
+func New(head *Head, client *lines.Conn, sink Sink, limits Limits, log *zap.Logger) *Exchange {
+	now := time.Now()
+	return &Exchange{Head: head, Deadline: now.Add(head.Wait), client: client, sink: sink, limits: limits,
+		log: log, begun: now, up: make(chan struct{})}
+}
+
+// settle moves the exchange out of waiting, once. It returns how to call off the attempt that is out.
+func (x *Exchange) settle(to phase, why Reason) (cancel func(), first bool) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.phase != waiting {
+		return nil, false
+	}
+	x.phase = to
+	if why != "" {
+		x.reason = why
+	}
+	close(x.up)
+	return x.cancel, true
+}
+
+// Answer gives the final answer that is not a server's. The caller does not wait for the client.
+func (x *Exchange) Answer(why Reason, line string) {
+	if cancel, first := x.settle(over, why); first {
+		if cancel != nil {
+			cancel()
+		}
+		go func() { // a client that does not read must not hold up the node
+			x.client.WriteLine(line, x.limits.Linger)
+			x.client.CloseWrite()
+			x.client.SetReadDeadline(time.Now().Add(x.limits.Linger))
+			x.sink.Ended(x)
+		}()
+	}
+}
+
+// Owed tells whether the final answer is still to come.
+func (x *Exchange) Owed() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.phase == waiting
+}
+
+// Attempting notes that an attempt starts; false means that nothing is owed any more.
+func (x *Exchange) Attempting(a Attempt, cancel func()) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.phase != waiting {
+		return false
+	}
+	x.attempt, x.cancel, x.sent = a, cancel, time.Now()
+	return true
+}
+
+// FromClient reads what the client sends until it ends. The client side calls it once, after New.
+func (x *Exchange) FromClient() {
+	defer x.sideDone()
+	for {
+		line, err := x.client.ReadLine()
+		if err != nil {
+			x.clientEnds(err)
+			return
+		}
+		<-x.up // a client may write ahead; the line waits here for its server
+		x.mu.Lock()
+		server := x.server
+		if x.phase != standing {
+			x.mu.Unlock()
+			continue // the answer is given: what else comes is read only to close well
+		}
+		if len(x.out) < messagesMost {
+			x.out = append(x.out, time.Now())
+		}
+		if len(x.out) == 1 && !x.moving {
+			server.SetReadDeadline(x.out[0].Add(x.limits.Notice))
+		}
+		x.mu.Unlock()
+		if _, err := server.Write(line); err != nil {
+			continue // the server side sees the break and ends the exchange
+		}
+		x.toServer.Add(1)
+	}
+}
+
+func (x *Exchange) clientEnds(err error) {
+	if cancel, first := x.settle(over, ClientLeft); first {
+		if cancel != nil {
+			cancel()
+		}
+		x.sink.Left(x)
+		x.sink.Ended(x)
+		return
+	}
+	x.mu.Lock()
+	server := x.server
+	if x.phase != standing {
+		x.mu.Unlock()
+		return
+	}
+	switch {
+	case err == io.EOF:
+		x.because(ClientEnded)
+		x.mu.Unlock()
+		if rest := x.client.Rest(); len(rest) > 0 {
+			server.Write(rest)
+		}
+		server.CloseWrite()
+		server.SetReadDeadline(time.Now().Add(x.limits.Linger))
+		return
+	case errors.Is(err, lines.ErrTooLong):
+		x.because(LineTooLong)
+	case errors.Is(err, os.ErrDeadlineExceeded): // it did not close after the server had
+	default:
+		x.because(ClientReset)
+	}
+	x.mu.Unlock()
+	server.Reset()
+}
+
+// because keeps the first reason. x.mu is held.
+func (x *Exchange) because(why Reason) {
+	if x.reason == "" {
+		x.reason = why
+	}
+}
+
+// Stand gives the server's answer that the connection is up, and passes on what the server sends until
+// it ends. The server side calls it with the connection and that answer; false means that it came too
+// late, and the connection stays the caller's. read reads a load report off a server's last word.
+func (x *Exchange) Stand(server *lines.Conn, line []byte, read func([]byte) *balance.Report) bool {
+	x.mu.Lock()
+	if x.phase != waiting {
+		x.mu.Unlock()
+		return false
+	}
+	x.phase, x.server, x.stood, x.cancel = standing, server, time.Now(), nil
+	server.SetDeadline(time.Time{})
+	x.sides.Add(1)
+	_, err := x.client.Write(line) // before anything else that this server sends
+	close(x.up)
+	x.mu.Unlock()
+	x.sink.Accepted(x, x.attempt, x.stood.Sub(x.sent))
+	if err == nil {
+		x.toClient.Add(1)
+	}
+	outcome, report := x.fromServer(read)
+	x.mu.Lock()
+	x.phase = over
+	x.mu.Unlock()
+	x.sink.Closed(x, x.attempt, outcome, time.Since(x.sent), report)
+	x.sideDone()
+	return true
+}
+
+func (x *Exchange) fromServer(read func([]byte) *balance.Report) (balance.Outcome, *balance.Report) {
+	outcome, why := balance.Reset, ServerBroke // unless it says a last word
+	var report *balance.Report
+	for {
+		line, err := x.server.ReadLine()
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			if done, outcome := x.deadline(); done {
+				return outcome, nil
+			}
+			continue
+		} else if err != nil {
+			return x.serverEnds(err, outcome, why), report
+		}
+		switch string(lines.Word(line)) {
+		case "BYE":
+			outcome, why, report = balance.OK, ServerEnded, read(line)
+		case "MOVE":
+			outcome, why = balance.Cancelled, ServerMoved
+		case "LOAD": // no answer to a message
+		default:
+			x.message(time.Now())
+		}
+		if _, err := x.client.Write(line); err != nil {
+			x.mu.Lock()
+			moving := x.moving
+			x.because(ClientReset)
+			x.mu.Unlock()
+			if moving {
+				x.client.Close()
+			}
+			x.server.Reset()
+			return balance.Cancelled, nil
+		}
+		x.toClient.Add(1)
+	}
+}
+
+// message notes that the oldest message out is answered.
+func (x *Exchange) message(now time.Time) {
+	x.mu.Lock()
+	if len(x.out) == 0 {
+		x.mu.Unlock()
+		return
+	}
+	sent := x.out[0]
+	x.out = x.out[:copy(x.out, x.out[1:])]
+	if !x.moving && x.reason == "" {
+		var next time.Time
+		if len(x.out) > 0 {
+			next = x.out[0].Add(x.limits.Notice)
+		}
+		x.server.SetReadDeadline(next)
+	}
+	x.mu.Unlock()
+	x.sink.Message(x, x.attempt.Server, now.Sub(sent))
+}
+
+// deadline acts on a read deadline of the server's side: the client is to be moved, a message is out
+// for long, or the server does not close after the client has.
+func (x *Exchange) deadline() (done bool, outcome balance.Outcome) {
+	x.mu.Lock()
+	var age time.Duration
+	if len(x.out) > 0 {
+		age = time.Since(x.out[0])
+	}
+	if x.reason == "" && age >= x.limits.Silence {
+		x.reason, x.moving, outcome = ServerSilent, true, balance.TimedOut
+	} else {
+		outcome = balance.Cancelled
+	}
+	if x.moving {
+		x.mu.Unlock()
+		x.client.WriteLine("MOVE", x.limits.Linger)
+		x.closeClient()
+		x.server.Close()
+		return true, outcome
+	}
+	if x.reason != "" { // the client has ended; its server does not
+		x.mu.Unlock()
+		x.server.Reset()
+		return true, outcome
+	}
+	x.server.SetReadDeadline(time.Now().Add(min(x.limits.Notice, x.limits.Silence-age)))
+	x.mu.Unlock()
+	if age > 0 {
+		x.sink.Message(x, x.attempt.Server, age)
+	}
+	return false, outcome
+}
+
+// serverEnds ends the client's side the way the server's ended.
+func (x *Exchange) serverEnds(err error, outcome balance.Outcome, why Reason) balance.Outcome {
+	x.mu.Lock()
+	if x.reason == ClientEnded && outcome != balance.OK || x.reason == ClientReset || x.reason == LineTooLong {
+		outcome = balance.Cancelled // not the server's doing
+	}
+	if errors.Is(err, lines.ErrTooLong) {
+		why = LineTooLong
+	}
+	x.because(why)
+	x.mu.Unlock()
+	if err == io.EOF {
+		if rest := x.server.Rest(); len(rest) > 0 {
+			x.client.Write(rest)
+		}
+		x.closeClient()
+		x.server.Close()
+	} else {
+		x.client.Reset()
+		x.server.Reset()
+	}
+	return outcome
+}
+
+// closeClient ends what is sent to the client, and gives it a while to close.
+func (x *Exchange) closeClient() {
+	x.client.CloseWrite()
+	x.client.SetReadDeadline(time.Now().Add(x.limits.Linger))
+}
+
+// Move ends a standing connection politely, between two lines; its client comes again.
+func (x *Exchange) Move() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.phase == standing && !x.moving && x.reason == "" {
+		x.moving, x.reason = true, Moved
+		now := time.Now()
+		x.server.SetReadDeadline(now)                       // wakes the server's side
+		x.client.SetWriteDeadline(now.Add(x.limits.Linger)) // which may be held up by a slow client
+	}
+}
+
+// sideDone closes and logs when the last side is done.
+func (x *Exchange) sideDone() {
+	if x.sides.Add(-1) >= 0 {
+		return
+	}
+	x.client.Close()
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.server != nil {
+		x.server.Close()
+		x.sink.Ended(x)
+	}
+	x.log.Info("connection ended", zap.String("code", string(x.reason)), zap.ByteString("id", x.Head.ID),
+		zap.ByteString("class", x.Head.Class), zap.Uint64("server", uint64(x.attempt.Server)),
+		zap.Int("attempt", x.attempt.Number), zap.Duration("age", time.Since(x.begun)),
+		zap.Int64("to_server", x.toServer.Load()), zap.Int64("to_client", x.toClient.Load()))
+}
--- /dev/null
+++ b/internal/lines/lines.go
@@ -0,0 +1,80 @@
+// Package lines puts net/textproto over a TCP connection, with the bound on a line that it lacks.
+package lines
+
+import (
+	"bytes"
+	"errors"
+	"net"
+	"net/textproto"
+	"time"
+)
+
+// Max is the longest line, with its end.
+const Max = 4096
+
+// ErrTooLong tells of a line over Max.
+var ErrTooLong = errors.New("line too long")
+
+// Conn is a connection that speaks in lines. One goroutine may read while another writes.
+type Conn struct {
+	*net.TCPConn
+	text *textproto.Conn
+}
+
+// New wraps a connection. The buffer of textproto's reader holds one line of the greatest length.
+func New(c *net.TCPConn) *Conn { return &Conn{c, textproto.NewConn(c)} }
+
+// ReadLine returns the next line with its end, in place: it is valid until the next call. textproto's own
+// ReadLine would take a line of any length and hide how it ended. After an error, such as a passed
+// deadline, nothing that has come is lost and a further call goes on.
+func (c *Conn) ReadLine() ([]byte, error) {
+	in := c.text.R
+	for seen := 0; ; {
+		got, err := in.Peek(in.Buffered())
+		if err != nil {
+			return nil, err
+		}
+		if end := bytes.IndexByte(got[seen:], '\n'); end >= 0 {
+			line := got[:seen+end+1]
+			_, err := in.Discard(len(line))
+			return line, err
+		}
+		if seen = len(got); seen >= Max {
+			return nil, ErrTooLong
+		}
+		if _, err := in.Peek(seen + 1); err != nil {
+			return nil, err
+		}
+	}
+}
+
+// Rest returns what has come since the last whole line, when the connection has ended.
+func (c *Conn) Rest() []byte {
+	rest, _ := c.text.R.Peek(c.text.R.Buffered())
+	c.text.R.Discard(len(rest))
+	return rest
+}
+
+// WriteLine writes a line of the node's own within a time.
+func (c *Conn) WriteLine(text string, within time.Duration) error {
+	c.SetWriteDeadline(time.Now().Add(within))
+	return c.text.PrintfLine("%s", text)
+}
+
+// Reset ends the connection at once, both ways, and tells the other side so.
+func (c *Conn) Reset() {
+	c.SetLinger(0)
+	c.Close()
+}
+
+// Text is a line without its end; ok is false where that is not CRLF.
+func Text(line []byte) (text []byte, ok bool) { return bytes.CutSuffix(line, []byte("\r\n")) }
+
+// Word is the first word of a line.
+func Word(line []byte) []byte {
+	text := bytes.TrimRight(line, "\r\n")
+	if i := bytes.IndexByte(text, ' '); i >= 0 {
+		return text[:i]
+	}
+	return text
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,103 @@
+// Package settings reads what a site tells a node: its settings, and the ids of its servers. The
+// simulator's adapter and the node on sockets share it, so that both decide by the same figures.
+package settings
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"brassmux/balance"
+)
+
+// Info is the settings object as the site writes it; keys that are not named here are skipped.
+type Info struct {
+	Balancers int `json:"balancers"`
+	Ceilings  struct {
+		DialTimeout   int64 `json:"dial_timeout_us"`
+		KeepAlive     int64 `json:"keepalive_us"`
+		MaxOpen       int   `json:"max_open"`
+		MaxRetryAfter int64 `json:"max_retry_after_us"`
+		MayProbe      bool  `json:"may_probe"`
+		RetryAfter    bool  `json:"retry_after"`
+		SendCap       int   `json:"send_cap"`
+	} `json:"ceilings"`
+	Classes []struct {
+		Name   string `json:"name"`
+		Effect string `json:"effect"`
+		Scope  string `json:"key_scope"`
+		Window int64  `json:"window_us"`
+	} `json:"classes"`
+	Family struct {
+		MessageAim []float64 `json:"message_aim_us"`
+	} `json:"family_info"`
+	Membership string `json:"membership_mode"`
+	Report     struct {
+		Fields []string `json:"fields"`
+	} `json:"report"`
+	Rules struct {
+		ColdFrom     float64 `json:"cold_from"`
+		Cold         int64   `json:"cold_us"`
+		FallMultiple float64 `json:"fall_multiple"`
+		Fall         int64   `json:"fall_us"`
+	} `json:"rules"`
+	Tick int64 `json:"tick_us"`
+}
+
+// LoadField is the name of the report value that the decisions use: work asked over what can be done.
+const LoadField = "x0"
+
+var (
+	effects = map[string]balance.Effect{"read_like": balance.Safe, "idempotency_key": balance.Keyed}
+	scopes  = map[string]balance.Scope{"zone": balance.ScopeZone, "all": balance.ScopeAll}
+)
+
+// Settings gives the settings of package balance.
+func (in *Info) Settings() balance.Settings {
+	s := balance.Settings{
+		Nodes: in.Balancers, Classes: map[string]balance.Class{}, Pushed: in.Membership == "pushed",
+		MaxAttempts: in.Ceilings.SendCap,
+		MayProbe:    in.Ceilings.MayProbe,
+		MaxOpen:     in.Ceilings.MaxOpen, Tick: Microseconds(in.Tick),
+		ColdFrom: in.Rules.ColdFrom, ColdFor: Microseconds(in.Rules.Cold), FallMultiple: in.Rules.FallMultiple,
+		FallWindow: Microseconds(in.Rules.Fall),
+	}
+	if in.Ceilings.RetryAfter {
+		s.MaxRetryAfter = Microseconds(in.Ceilings.MaxRetryAfter)
+	}
+	for i, c := range in.Classes {
+		class := balance.Class{Effect: effects[c.Effect], Scope: scopes[c.Scope], Window: Microseconds(c.Window)}
+		if i < len(in.Family.MessageAim) {
+			class.MessageAim = Microseconds(int64(in.Family.MessageAim[i]))
+		}
+		s.Classes[c.Name] = class
+	}
+	return s
+}
+
+// Microseconds makes a duration of a figure in the settings' unit.
+func Microseconds(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
+
+// ServerID is a server's id as a site writes it: a number, or a text that is hashed to one. Every node
+// and every restart comes to the same number, as the ranking wants.
+type ServerID balance.ServerID
+
+// UnmarshalJSON reads either form.
+func (id *ServerID) UnmarshalJSON(data []byte) error {
+	var number uint64
+	if json.Unmarshal(data, &number) == nil {
+		*id = ServerID(number)
+		return nil
+	}
+	var text string
+	if err := json.Unmarshal(data, &text); err != nil || text == "" {
+		return fmt.Errorf("a server's id is neither a number nor a text: %s", data)
+	}
+	*id = NamedServer(text)
+	return nil
+}
+
+// NamedServer gives the id of a server that is named by a text.
+func NamedServer(text string) ServerID { return ServerID(xxhash.Sum64String(text)) }
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"brassmux/balance"
+	"brassmux/internal/settings"
 )
 
 // Batch is what happened at one moment, at any number of nodes.
@@ -75,22 +76,22 @@
 
 // common has the fields of the small events.
 type common struct {
-	Node     int       `json:"node"`
-	Request  uint64    `json:"request_id"`
-	Bits     int       `json:"bitmap"`
-	Grace    int64     `json:"grace_us"`
-	Channel  string    `json:"channel"`
-	Resource string    `json:"resource"`
-	Class    string    `json:"cls"`
-	Host     uint64    `json:"host"`
-	Round    int       `json:"round_no"`
-	Ending   int       `json:"ending"`
-	Duration int64     `json:"duration_us"`
-	Final    bool      `json:"final"`
-	Feedback []float64 `json:"feedback"`
-	Mark     uint64    `json:"mark"`
-	Topic    int       `json:"topic"`
-	X        float64   `json:"x"`
+	Node     int               `json:"node"`
+	Request  uint64            `json:"request_id"`
+	Bits     int               `json:"bitmap"`
+	Grace    int64             `json:"grace_us"`
+	Channel  string            `json:"channel"`
+	Resource string            `json:"resource"`
+	Class    string            `json:"cls"`
+	Host     settings.ServerID `json:"host"`
+	Round    int               `json:"round_no"`
+	Ending   int               `json:"ending"`
+	Duration int64             `json:"duration_us"`
+	Final    bool              `json:"final"`
+	Feedback []float64         `json:"feedback"`
+	Mark     uint64            `json:"mark"`
+	Topic    int               `json:"topic"`
+	X        float64           `json:"x"`
 }
 
 type update struct {
@@ -100,47 +101,18 @@
 }
 
 type entry struct {
-	Weight  float64 `json:"weight"`
-	Cell    int     `json:"unit_group"`
-	Host    uint64  `json:"host"`
-	Health  string  `json:"health"`
-	Zone    string  `json:"region_part"`
-	UpSince int64   `json:"up_since_us"`
+	Weight  float64           `json:"weight"`
+	Cell    int               `json:"unit_group"`
+	Host    settings.ServerID `json:"host"`
+	Health  string            `json:"health"`
+	Zone    string            `json:"region_part"`
+	UpSince int64             `json:"up_since_us"`
 }
 
 type create struct {
-	Node int    `json:"node"`
-	Seed uint64 `json:"random_seed"`
-	Info struct {
-		Balancers int `json:"balancers"`
-		Ceilings  struct {
-			MaxOpen       int   `json:"max_open"`
-			MaxRetryAfter int64 `json:"max_retry_after_us"`
-			MayProbe      bool  `json:"may_probe"`
-			RetryAfter    bool  `json:"retry_after"`
-			SendCap       int   `json:"send_cap"`
-		} `json:"ceilings"`
-		Classes []struct {
-			Name   string `json:"name"`
-			Effect string `json:"effect"`
-			Scope  string `json:"key_scope"`
-			Window int64  `json:"window_us"`
-		} `json:"classes"`
-		Family struct {
-			MessageAim []float64 `json:"message_aim_us"`
-		} `json:"family_info"`
-		Membership string `json:"membership_mode"`
-		Report     struct {
-			Fields []string `json:"fields"`
-		} `json:"report"`
-		Rules struct {
-			ColdFrom     float64 `json:"cold_from"`
-			Cold         int64   `json:"cold_us"`
-			FallMultiple float64 `json:"fall_multiple"`
-			Fall         int64   `json:"fall_us"`
-		} `json:"rules"`
-		Tick int64 `json:"tick_us"`
-	} `json:"boot_info"`
+	Node int           `json:"node"`
+	Seed uint64        `json:"random_seed"`
+	Info settings.Info `json:"boot_info"`
 }
 
 const (
@@ -151,8 +123,6 @@
 )
 
 var (
-	effects  = map[string]balance.Effect{"read_like": balance.Safe, "idempotency_key": balance.Keyed}
-	scopes   = map[string]balance.Scope{"zone": balance.ScopeZone, "all": balance.ScopeAll}
 	states   = map[string]balance.State{"on": balance.Ready, "fading": balance.Draining}
 	kinds    = map[string]balance.ListKind{"D": balance.ListChanges, "F": balance.ListFull, "C": balance.ListCached}
 	outcomes = []balance.Outcome{balance.Error, balance.OK, balance.Full, balance.TimedOut,
@@ -179,7 +149,7 @@
 		}
 		switch {
 		case m.Tick != nil && m.Tick.At != nil && !begun:
-			begun, batch.Now = true, us(*m.Tick.At)
+			begun, batch.Now = true, settings.Microseconds(*m.Tick.At)
 		case m.Tick != nil:
 			return batch, fmt.Errorf("line %d: a TICK within a batch or without its time", r.line)
 		case !begun:
@@ -222,7 +192,7 @@
 	switch {
 	case m.Create != nil:
 		r.report[m.Create.Node] = m.Create.Info.Report.Fields
-		return Event{Node: m.Create.Node, Start: &Start{m.Create.Seed, settings(m.Create)}}, nil
+		return Event{Node: m.Create.Node, Start: &Start{m.Create.Seed, m.Create.Info.Settings()}}, nil
 	case m.Shutdown != nil:
 		return Event{Node: m.Shutdown.Node, Stop: true}, nil
 	case m.Update != nil:
@@ -248,18 +218,18 @@
 	case m.Accepted != nil:
 		c := m.Accepted
 		return Event{Node: c.Node, Event: balance.Accepted{ID: balance.RequestID(c.Request), Attempt: c.Round,
-			Server: balance.ServerID(c.Host), Took: us(c.Duration)}}, nil
+			Server: balance.ServerID(c.Host), Took: settings.Microseconds(c.Duration)}}, nil
 	case m.Closed != nil:
 		c := m.Closed
 		outcome, err := outcome(c.Ending)
 		return Event{Node: c.Node, Event: balance.Closed{ID: balance.RequestID(c.Request), Attempt: c.Round,
-			Server: balance.ServerID(c.Host), Outcome: outcome, Took: us(c.Duration), Final: c.Final,
+			Server: balance.ServerID(c.Host), Outcome: outcome, Took: settings.Microseconds(c.Duration), Final: c.Final,
 			Report: r.load(c)}}, err
 	case m.Pong != nil:
 		c := m.Pong
 		outcome, err := outcome(c.Ending)
 		return Event{Node: c.Node, Event: balance.Probed{Server: balance.ServerID(c.Host), Outcome: outcome,
-			Took: us(c.Duration), Report: r.load(c)}}, err
+			Took: settings.Microseconds(c.Duration), Report: r.load(c)}}, err
 	}
 	return Event{}, errors.New("no message of a known name")
 }
@@ -281,49 +251,24 @@
 		if i >= len(c.Feedback) {
 			break
 		}
-		if name == "x0" {
+		if name == settings.LoadField {
 			report.Load = c.Feedback[i]
 		}
 	}
 	return &report
 }
 
-func settings(c *create) balance.Settings {
-	in := &c.Info
-	s := balance.Settings{
-		Nodes: in.Balancers, Classes: map[string]balance.Class{}, Pushed: in.Membership == "pushed",
-		MaxAttempts: in.Ceilings.SendCap,
-		MayProbe:    in.Ceilings.MayProbe,
-		MaxOpen:     in.Ceilings.MaxOpen, Tick: us(in.Tick),
-		ColdFrom: in.Rules.ColdFrom, ColdFor: us(in.Rules.Cold), FallMultiple: in.Rules.FallMultiple,
-		FallWindow: us(in.Rules.Fall),
-	}
-	if in.Ceilings.RetryAfter {
-		s.MaxRetryAfter = us(in.Ceilings.MaxRetryAfter)
-	}
-	for i, c := range in.Classes {
-		class := balance.Class{Effect: effects[c.Effect], Scope: scopes[c.Scope], Window: us(c.Window)}
-		if i < len(in.Family.MessageAim) {
-			class.MessageAim = us(int64(in.Family.MessageAim[i]))
-		}
-		s.Classes[c.Name] = class
-	}
-	return s
-}
-
 func members(u *update) balance.Members {
 	ev := balance.Members{Kind: kinds[u.How], Servers: make([]balance.Server, len(u.Elements))}
 	for i, e := range u.Elements {
 		ev.Servers[i] = balance.Server{ID: balance.ServerID(e.Host), State: states[e.Health], Zone: e.Zone,
-			Cell: e.Cell, Weight: e.Weight, UpSince: us(e.UpSince)}
+			Cell: e.Cell, Weight: e.Weight, UpSince: settings.Microseconds(e.UpSince)}
 	}
 	return ev
 }
 
 func request(c *common) balance.Request {
 	return balance.Request{ID: balance.RequestID(c.Request), Class: c.Class, Key: c.Resource,
-		Group: c.Channel, Left: us(c.Grace), MidFlow: c.Bits&bitMidFlow != 0,
+		Group: c.Channel, Left: settings.Microseconds(c.Grace), MidFlow: c.Bits&bitMidFlow != 0,
 		Again: c.Bits&(bitRepeat|bitBack) != 0}
 }
-
-func us(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
--- /dev/null
+++ b/node/config.go
@@ -0,0 +1,155 @@
+package node
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+	"time"
+
+	"brassmux/internal/discovery"
+	"brassmux/internal/settings"
+)
+
+// Config is what a node is told. Load reads it, New checks it and fills in what is left out.
+type Config struct {
+	Name      string         `json:"name"`
+	Listen    string         `json:"listen"`    // where clients connect
+	Discovery string         `json:"discovery"` // where the list of servers is asked for
+	Seed      string         `json:"seed"`      // for random numbers, in hexadecimal digits
+	Limits    Limits         `json:"limits"`
+	Known     discovery.List `json:"known"` // the list as this node last had it
+	Settings  settings.Info  `json:"settings"`
+	Times     Times          `json:"times"`
+}
+
+// Limits are those of the machine.
+type Limits struct {
+	Cores    float64 `json:"cores"`
+	MemoryMB int64   `json:"memory_mb"`
+	Sockets  int     `json:"sockets"` // file descriptors
+}
+
+// Times are the node's own, in milliseconds. What is 0 gets a default.
+type Times struct {
+	FirstLine int64 `json:"first_line_ms"` // the first line of a connection must come within it
+	Probe     int64 `json:"probe_ms"`      // a probe must be answered within it
+	Watch     int64 `json:"watch_ms"`      // a watch that says nothing for it is broken
+	Silence   int64 `json:"silence_ms"`    // a message may be without an answer for it
+	Notice    int64 `json:"notice_ms"`     // and is told as late each time it passes
+	Linger    int64 `json:"linger_ms"`     // what an ended connection may take to close
+	Accept    int64 `json:"accept_ms"`     // after a call to stop, clients are accepted for it
+	Stop      int64 `json:"stop_ms"`       // and the node is done within it
+}
+
+// The bounds of what can be told; a node needs descriptors beside those of its connections.
+const (
+	ownSockets  = 48
+	leastPlaces = 8
+)
+
+// Load reads the configuration that the environment names: LB_CONFIG is a file, and LB_NAME, LB_LISTEN and
+// LB_DISCOVERY go before what it says.
+func Load(getenv func(string) string) (Config, error) {
+	var c Config
+	path := getenv("LB_CONFIG")
+	if path == "" {
+		return c, errors.New("LB_CONFIG names no file")
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return c, fmt.Errorf("LB_CONFIG: %w", err)
+	}
+	if err := json.Unmarshal(data, &c); err != nil {
+		return c, fmt.Errorf("LB_CONFIG: %s: %w", path, err)
+	}
+	for name, to := range map[string]*string{"LB_NAME": &c.Name, "LB_LISTEN": &c.Listen, "LB_DISCOVERY": &c.Discovery} {
+		if value := getenv(name); value != "" {
+			*to = value
+		}
+	}
+	return c, nil
+}
+
+// check fills in what is left out and names the first key that is faulty.
+func (c *Config) check() error {
+	for key, addr := range map[string]string{"listen": c.Listen, "discovery": c.Discovery} {
+		if _, port, err := net.SplitHostPort(addr); err != nil || port == "" {
+			return fmt.Errorf("config: %s: %q is no address with a port", key, addr)
+		}
+	}
+	if _, err := c.seed(); err != nil {
+		return err
+	}
+	if c.Limits.Sockets == 0 {
+		c.Limits.Sockets = 1024
+	}
+	in := &c.Settings
+	if in.Ceilings.DialTimeout == 0 {
+		in.Ceilings.DialTimeout = 200_000
+	}
+	if in.Ceilings.KeepAlive == 0 {
+		in.Ceilings.KeepAlive = 5_000_000
+	}
+	for _, d := range []struct {
+		key    string
+		value  *int64
+		preset int64
+	}{
+		{"first_line_ms", &c.Times.FirstLine, 5000}, {"probe_ms", &c.Times.Probe, 300},
+		{"watch_ms", &c.Times.Watch, 3500}, {"silence_ms", &c.Times.Silence, 5000},
+		{"notice_ms", &c.Times.Notice, 1000}, {"linger_ms", &c.Times.Linger, 500},
+		{"accept_ms", &c.Times.Accept, 500}, {"stop_ms", &c.Times.Stop, 3500},
+	} {
+		if *d.value == 0 {
+			*d.value = d.preset
+		} else if *d.value < 0 {
+			return fmt.Errorf("config: times.%s: %d is negative", d.key, *d.value)
+		}
+	}
+	for _, b := range []struct {
+		key   string
+		bad   bool
+		value any
+	}{
+		{"limits.cores", c.Limits.Cores < 0, c.Limits.Cores},
+		{"limits.memory_mb", c.Limits.MemoryMB < 0, c.Limits.MemoryMB},
+		{"limits.sockets", c.Limits.Sockets < ownSockets+2*leastPlaces, c.Limits.Sockets},
+		{"settings.balancers", in.Balancers < 0, in.Balancers},
+		{"settings.ceilings.dial_timeout_us", in.Ceilings.DialTimeout < 0, in.Ceilings.DialTimeout},
+		{"settings.ceilings.keepalive_us", in.Ceilings.KeepAlive < 0, in.Ceilings.KeepAlive},
+		{"settings.ceilings.max_open", in.Ceilings.MaxOpen < 0, in.Ceilings.MaxOpen},
+		{"settings.ceilings.send_cap", in.Ceilings.SendCap < 0, in.Ceilings.SendCap},
+		{"settings.classes", len(in.Classes) == 0, "none"},
+		{"settings.rules.cold_from", in.Rules.ColdFrom < 0 || in.Rules.ColdFrom > 1, in.Rules.ColdFrom},
+		{"settings.tick_us", in.Tick < 0, in.Tick},
+	} {
+		if b.bad {
+			return fmt.Errorf("config: %s: %v is out of range", b.key, b.value)
+		}
+	}
+	for i, class := range in.Classes {
+		if class.Name == "" {
+			return fmt.Errorf("config: settings.classes[%d].name is missing", i)
+		}
+	}
+	if err := c.Known.Check(); err != nil {
+		return fmt.Errorf("config: known.%w", err)
+	}
+	return nil
+}
+
+func (c *Config) seed() (uint64, error) {
+	if c.Seed == "" {
+		return 0, nil
+	}
+	n, err := strconv.ParseUint(c.Seed, 16, 64)
+	if err != nil {
+		return 0, fmt.Errorf("config: seed: %q is no number of at most 16 hexadecimal digits", c.Seed)
+	}
+	return n, nil
+}
+
+func ms(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
--- /dev/null
+++ b/node/loop.go
@@ -0,0 +1,356 @@
+package node
+
+import (
+	"container/heap"
+	"context"
+	"slices"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"brassmux/balance"
+	"brassmux/internal/backend"
+	"brassmux/internal/discovery"
+	"brassmux/internal/exchange"
+	"brassmux/internal/settings"
+)
+
+// queue bounds the events that wait for the loop. Who has one more waits, but never the loop.
+const queue = 1024
+
+// loop owns the decisions: one goroutine tells them what happens and does what they say.
+type loop struct {
+	log      *zap.Logger
+	decide   *balance.Balancer
+	back     *backend.Client
+	list     *discovery.Client
+	events   chan func()     // run by the loop's goroutine
+	ctx      context.Context // ends with the loop
+	done     <-chan struct{}
+	wall     time.Time // the moment that times count from is Unix time 0; this one carries the steady clock
+	pushed   bool
+	aim      time.Duration // messages over a third of it are told
+	watching bool
+	version  int64
+	known    balance.Members
+	servers  map[balance.ServerID]string // addresses
+	open     map[balance.RequestID]*exchange.Exchange
+	next     balance.RequestID
+	returns  []*exchange.Exchange // stood before, at a server that no list has named yet
+	speeds   map[balance.ServerID]*speed
+	timers   timers
+	pending  []balance.Event // came of an action
+	busy     bool
+	count    struct {
+		opened, served, refused, failed, left, moved, messages, late, dropped atomic.Int64
+	}
+}
+
+func newLoop(ctx context.Context, cfg *Config, log *zap.Logger) *loop {
+	seed, _ := cfg.seed()
+	set := cfg.Settings.Settings()
+	l := &loop{ctx: ctx, done: ctx.Done(), log: log, decide: balance.New(set, seed), events: make(chan func(), queue), wall: time.Now(),
+		pushed: set.Pushed, aim: shortestAim(set), version: cfg.Known.Version,
+		list:    discovery.New(cfg.Discovery, settings.Microseconds(cfg.Settings.Ceilings.DialTimeout)*5, ms(cfg.Times.Watch)),
+		known:   cfg.Known.Members(balance.ListCached),
+		servers: map[balance.ServerID]string{}, open: map[balance.RequestID]*exchange.Exchange{},
+		speeds: map[balance.ServerID]*speed{}}
+	l.addresses(&cfg.Known)
+	return l
+}
+
+// now counts from Unix time 0, as the list's start times do, on the steady clock.
+func (l *loop) now() time.Duration {
+	return time.Duration(l.wall.UnixNano()) + time.Since(l.wall)
+}
+
+func (l *loop) run() {
+	l.handle(l.known)
+	if l.pushed { // changes are to come unasked
+		l.subscribe()
+	}
+	clock := time.NewTimer(0)
+	for {
+		if len(l.timers) > 0 {
+			clock.Reset(l.timers[0].at - l.now())
+		}
+		select {
+		case <-l.done:
+			return
+		case do := <-l.events:
+			do()
+		case <-clock.C:
+			for now := l.now(); len(l.timers) > 0 && l.timers[0].at <= now; {
+				l.handle(balance.Timer{Token: heap.Pop(&l.timers).(timer).token})
+			}
+		}
+	}
+}
+
+// tell has the loop do something, and waits while the queue is full. The loop's own goroutine must not call
+// it. What comes after the loop's end is dropped.
+func (l *loop) tell(do func()) {
+	select {
+	case l.events <- do:
+	case <-l.done:
+	}
+}
+
+// handle tells the decisions of an event and does what they say, and so on for what comes of that.
+func (l *loop) handle(ev balance.Event) {
+	l.pending = append(l.pending, ev)
+	if l.busy {
+		return
+	}
+	l.busy = true
+	for len(l.pending) > 0 {
+		ev := l.pending[0]
+		l.pending = l.pending[1:]
+		for _, a := range l.decide.Handle(l.now(), ev) {
+			l.do(a)
+		}
+	}
+	l.pending, l.busy = nil, false
+}
+
+func (l *loop) do(a balance.Action) {
+	switch a := a.(type) {
+	case balance.Attempt:
+		if x := l.open[a.ID]; x != nil {
+			l.back.Attempt(x, exchange.Attempt{Number: x.Tries, Server: a.Server}, l.servers[a.Server], a.Timeout)
+			x.Tries++
+		}
+	case balance.Refuse:
+		if x := l.forget(a.ID); x != nil {
+			line := "BUSY"
+			if ms := a.RetryIn.Milliseconds(); ms > 0 {
+				line += " " + strconv.FormatInt(ms, 10)
+			}
+			l.count.refused.Add(1)
+			x.Answer(exchange.Refused, line)
+		}
+	case balance.Fail:
+		if x := l.forget(a.ID); x != nil {
+			l.count.failed.Add(1)
+			x.Answer(exchange.Failed, "ERR not served")
+		}
+	case balance.Move:
+		if x := l.open[a.ID]; x != nil {
+			l.count.moved.Add(1)
+			x.Move()
+		}
+	case balance.Probe:
+		l.back.Probe(a.Server, l.servers[a.Server])
+	case balance.SetTimer:
+		heap.Push(&l.timers, timer{l.now() + a.After, a.Token})
+	case balance.Subscribe:
+		l.subscribe()
+	case balance.Log:
+		l.log.Info(a.Text)
+	}
+}
+
+func (l *loop) forget(id balance.RequestID) *exchange.Exchange {
+	x := l.open[id]
+	delete(l.open, id)
+	return x
+}
+
+// take hands a new exchange to the decisions.
+func (l *loop) take(x *exchange.Exchange) {
+	l.tell(func() {
+		l.next++
+		x.ID = l.next
+		l.open[x.ID] = x
+		if len(x.Head.At) > 0 {
+			l.count.opened.Add(1)
+			l.standAgain(x)
+			return
+		}
+		l.handle(l.request(x))
+	})
+}
+
+func (l *loop) request(x *exchange.Exchange) balance.Request {
+	h := x.Head
+	return balance.Request{ID: x.ID, Class: string(h.Class), Key: string(h.Key), Group: string(h.Group),
+		Left: time.Until(x.Deadline), Again: h.Again}
+}
+
+// standAgain takes a connection that stood before back to its server. That needs no decision, but an address:
+// while no list has named the server, it waits.
+func (l *loop) standAgain(x *exchange.Exchange) {
+	id := balance.ServerID(settings.NamedServer(string(x.Head.At)))
+	addr := l.servers[id]
+	if addr == "" {
+		l.returns = append(l.returns, x)
+		time.AfterFunc(time.Until(x.Deadline), func() { l.tell(func() { l.noReturn(x) }) })
+		return
+	}
+	l.handle(balance.Opened{Request: l.request(x), Server: id})
+	l.back.Attempt(x, exchange.Attempt{Server: id}, addr, 0)
+}
+
+// noReturn fails a connection whose server no list has named in its time.
+func (l *loop) noReturn(x *exchange.Exchange) {
+	if i := slices.Index(l.returns, x); i >= 0 {
+		l.returns = slices.Delete(l.returns, i, i+1)
+		l.forget(x.ID)
+		l.count.failed.Add(1)
+		x.Answer(exchange.Failed, "ERR no such server")
+	}
+}
+
+// Left is part of exchange.Sink.
+func (l *loop) Left(x *exchange.Exchange) {
+	l.tell(func() {
+		l.count.left.Add(1)
+		if i := slices.Index(l.returns, x); i >= 0 {
+			l.returns = slices.Delete(l.returns, i, i+1)
+		}
+		l.handle(balance.Left{ID: x.ID})
+	})
+}
+
+// Accepted is part of exchange.Sink.
+func (l *loop) Accepted(x *exchange.Exchange, a exchange.Attempt, took time.Duration) {
+	l.tell(func() {
+		l.count.served.Add(1)
+		if len(x.Head.At) == 0 {
+			l.handle(balance.Accepted{ID: x.ID, Attempt: a.Number, Server: a.Server, Took: took})
+		}
+	})
+}
+
+// Closed is part of exchange.Sink.
+func (l *loop) Closed(x *exchange.Exchange, a exchange.Attempt, outcome balance.Outcome, took time.Duration,
+	report *balance.Report) {
+	l.tell(func() {
+		l.handle(balance.Closed{ID: x.ID, Attempt: a.Number, Server: a.Server, Outcome: outcome, Took: took,
+			Final: !x.Owed(), Report: report})
+		if x.Owed() && len(x.Head.At) > 0 { // the decisions hold it for standing and answer nothing
+			l.count.failed.Add(1)
+			x.Answer(exchange.Failed, "ERR not up again")
+		}
+		if !x.Owed() {
+			l.forget(x.ID)
+		}
+	})
+}
+
+// Message is part of exchange.Sink. While the loop has more to do, a measurement is dropped.
+func (l *loop) Message(x *exchange.Exchange, server balance.ServerID, took time.Duration) {
+	select {
+	case l.events <- func() { l.message(x.ID, server, took) }:
+	default:
+		l.count.dropped.Add(1)
+	}
+}
+
+// Ended is part of exchange.Sink.
+func (l *loop) Ended(*exchange.Exchange) {}
+
+func (l *loop) probed(ev balance.Probed) { l.tell(func() { l.handle(ev) }) }
+
+// speed gathers the message times of one server.
+type speed struct {
+	since time.Duration
+	times []time.Duration
+}
+
+// slowEvery is how often a slow server is told.
+const slowEvery = time.Second
+
+// message tells of slow messages as balance.Slow says: once a second for a server at the most, while the
+// middle one of its messages takes over a third of the shortest aim.
+func (l *loop) message(id balance.RequestID, server balance.ServerID, took time.Duration) {
+	l.count.messages.Add(1)
+	if took*3 > l.aim {
+		l.count.late.Add(1)
+	}
+	s, now := l.speeds[server], l.now()
+	if s == nil {
+		s = &speed{since: now}
+		l.speeds[server] = s
+	}
+	if s.times = append(s.times, took); now-s.since < slowEvery {
+		return
+	}
+	slices.Sort(s.times)
+	middle := s.times[len(s.times)/2]
+	s.times, s.since = s.times[:0], now
+	if l.aim > 0 && middle*3 > l.aim {
+		l.handle(balance.Slow{ID: id, Server: server, Message: middle})
+	}
+}
+
+// subscribe follows the list from the version held. Each watch ends in one ListFailed.
+func (l *loop) subscribe() {
+	if l.watching {
+		return
+	}
+	l.watching = true
+	since := l.version
+	go func() {
+		err := l.list.Watch(l.ctx, since, func(list *discovery.List) {
+			l.tell(func() { l.listed(list) })
+		})
+		if l.ctx.Err() != nil {
+			return
+		}
+		l.log.Warn("the watch on the server list broke", zap.Error(err))
+		l.tell(func() {
+			l.watching = false
+			l.handle(balance.Members{Kind: balance.ListFailed})
+		})
+	}()
+}
+
+func (l *loop) listed(list *discovery.List) {
+	l.version = list.Version
+	if list.Full {
+		clear(l.servers)
+	}
+	l.addresses(list)
+	kind := balance.ListChanges
+	if list.Full {
+		kind = balance.ListFull
+	}
+	l.handle(list.Members(kind))
+	waiting := l.returns
+	l.returns = nil
+	for _, x := range waiting {
+		l.standAgain(x)
+	}
+}
+
+func (l *loop) addresses(list *discovery.List) {
+	for _, s := range list.Servers {
+		if s.State == "removed" {
+			delete(l.servers, balance.ServerID(s.ID))
+			delete(l.speeds, balance.ServerID(s.ID))
+		} else {
+			l.servers[balance.ServerID(s.ID)] = s.Addr
+		}
+	}
+}
+
+// timer is one of the decisions', and timers holds them, the next one first.
+type timer struct {
+	at    time.Duration
+	token uint64
+}
+
+type timers []timer
+
+func (t timers) Len() int           { return len(t) }
+func (t timers) Less(i, j int) bool { return t[i].at < t[j].at }
+func (t timers) Swap(i, j int)      { t[i], t[j] = t[j], t[i] }
+func (t *timers) Push(v any)        { *t = append(*t, v.(timer)) }
+func (t *timers) Pop() any {
+	last := (*t)[len(*t)-1]
+	*t = (*t)[:len(*t)-1]
+	return last
+}
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,171 @@
+// Package node is brassmux on sockets, as a library: New checks a configuration, Run serves until its
+// context ends, and then sends every client away before it returns.
+package node
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"runtime"
+	"runtime/debug"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"brassmux/balance"
+	"brassmux/internal/backend"
+	"brassmux/internal/exchange"
+	"brassmux/internal/frontend"
+	"brassmux/internal/settings"
+)
+
+// Node is one node. Make it with New.
+type Node struct {
+	cfg      Config
+	log      *zap.Logger
+	listener *net.TCPListener
+	loop     *loop
+	front    *frontend.Server
+	work     context.Context // ends when all is done
+	stop     context.CancelFunc
+}
+
+// New checks the configuration and takes the address. The logger may be nil.
+func New(cfg Config, log *zap.Logger) (*Node, error) {
+	if log == nil {
+		log = zap.NewNop()
+	}
+	if err := cfg.check(); err != nil {
+		return nil, err
+	}
+	addr, err := net.ResolveTCPAddr("tcp", cfg.Listen)
+	if err != nil {
+		return nil, fmt.Errorf("config: listen: %w", err)
+	}
+	listener, err := net.ListenTCP("tcp", addr)
+	if err != nil {
+		return nil, fmt.Errorf("config: listen: %w", err)
+	}
+	n := &Node{cfg: cfg, log: log.With(zap.String("node", cfg.Name)), listener: listener}
+	limits := exchange.Limits{Silence: ms(cfg.Times.Silence), Notice: ms(cfg.Times.Notice),
+		Linger: ms(cfg.Times.Linger)}
+	most := (cfg.Limits.Sockets - ownSockets - len(cfg.Known.Servers)) / 2
+	if open := cfg.Settings.Ceilings.MaxOpen; open > 0 {
+		most = min(most, open)
+	}
+	n.work, n.stop = context.WithCancel(context.Background())
+	n.loop = newLoop(n.work, &n.cfg, n.log)
+	n.loop.back = backend.New(backend.Config{Dial: settings.Microseconds(cfg.Settings.Ceilings.DialTimeout),
+		Probe: ms(cfg.Times.Probe), Idle: settings.Microseconds(cfg.Settings.Ceilings.KeepAlive),
+		LoadField: settings.LoadField}, n.loop, n.loop.probed)
+	n.front = frontend.New(frontend.Config{FirstLine: ms(cfg.Times.FirstLine), Most: max(most, leastPlaces),
+		Exchange: limits}, n.log, n.loop, n.loop.take)
+	return n, nil
+}
+
+// Addr is where the node listens.
+func (n *Node) Addr() net.Addr { return n.listener.Addr() }
+
+// ApplyLimits fits the Go runtime of this process to the configured limits. An embedding program with
+// other work in its process leaves it out.
+func (n *Node) ApplyLimits() {
+	if cores := n.cfg.Limits.Cores; cores > 0 {
+		runtime.GOMAXPROCS(max(int(cores), 1))
+	}
+	if mb := n.cfg.Limits.MemoryMB; mb > 0 {
+		debug.SetMemoryLimit(mb << 20 * 3 / 4) // the rest is for stacks of the kernel's and for peaks
+	}
+}
+
+// leaveEvery is how often a node that stops looks for clients that stand.
+const leaveEvery = 50 * time.Millisecond
+
+// Run serves until ctx ends, goes on accepting for a while, moves all clients away and returns.
+func (n *Node) Run(ctx context.Context) error {
+	defer n.stop()
+	done := make(chan struct{})
+	go func() {
+		n.loop.run()
+		close(done)
+	}()
+	go n.front.Serve(n.work, n.listener)
+	n.log.Info("serving", zap.Stringer("listen", n.listener.Addr()))
+	<-ctx.Done()
+	n.log.Info("stopping")
+	end := time.After(ms(n.cfg.Times.Stop))
+	time.Sleep(ms(n.cfg.Times.Accept)) // the front still sends clients here
+	n.listener.Close()
+	n.front.HangUp()
+	gone := make(chan struct{})
+	go func() {
+		n.front.Wait()
+		close(gone)
+	}()
+	again := time.NewTicker(leaveEvery)
+	defer again.Stop()
+	for going := true; going; {
+		n.loop.tell(func() { n.loop.handle(balance.Leaving{}) })
+		select {
+		case <-again.C: // what was not up before may stand now
+		case <-gone:
+			going = false
+		case <-end:
+			n.log.Warn("stopped with clients that did not go")
+			going = false
+		}
+	}
+	n.stop()
+	<-done
+	n.log.Info("stopped", n.Counters()...)
+	return nil
+}
+
+// Counters gives what the node has taken in, sent and answered, as fields of a log line.
+func (n *Node) Counters() []zap.Field {
+	f, b, d, l := &n.front.Count, &n.loop.back.Count, &n.loop.list.Count, &n.loop.count
+	fields := []zap.Field{}
+	add := func(name string, value int64) { fields = append(fields, zap.Int64(name, value)) }
+	add("connections", f.Accepted.Load())
+	add("accept_errors", f.AcceptErrors.Load())
+	add("pings", f.Pings.Load())
+	add("malformed", f.Malformed.Load())
+	add("no_room", f.NoRoom.Load())
+	add("requests", f.Requests.Load())
+	add("standing_before", l.opened.Load())
+	add("attempts", b.Attempts.Load())
+	add("probes", b.Probes.Load())
+	add("list_calls", d.Calls.Load())
+	add("list_failed", d.Failed.Load())
+	add("list_changes", d.Changes.Load())
+	add("served", l.served.Load())
+	add("refused", l.refused.Load())
+	add("failed", l.failed.Load())
+	add("left", l.left.Load())
+	add("moved", l.moved.Load())
+	add("messages", l.messages.Load())
+	add("messages_late", l.late.Load())
+	add("messages_dropped", l.dropped.Load())
+	for i, name := range outcomes {
+		add("attempts_"+name, b.Outcomes[i].Load())
+	}
+	return fields
+}
+
+var outcomes = [...]string{balance.Error: "error", balance.OK: "ok", balance.Full: "full",
+	balance.TimedOut: "timed_out", balance.ConnectFailed: "connect_failed", balance.Reset: "reset",
+	balance.Cancelled: "cancelled", balance.Moot: "moot"}
+
+// shortestAim is the least time that any class wants a message answered in.
+func shortestAim(s balance.Settings) time.Duration {
+	var aims []time.Duration
+	for _, c := range s.Classes {
+		if c.MessageAim > 0 {
+			aims = append(aims, c.MessageAim)
+		}
+	}
+	if len(aims) == 0 {
+		return 0
+	}
+	return slices.Min(aims)
+}
