A client that has sent its last still hears its server's last word; tests of the node

Seen by a test: after a client's FIN the connection closed before BYE had come, since the clients' side closed it as soon as it had read all (FromClient returned early; frontend.client closed). It waits for both sides now. Module: Leaving names a server or the node. Connections that stood before are told to the module once they are up, and tried again where the server has not seen them.

--- a/balance/api.go
+++ b/balance/api.go
@@ -175,8 +175,9 @@
 // Timer is the end of a SetTimer.
 type Timer struct{ Token uint64 }
 
-// Leaving tells that this node is to stop and clients must go elsewhere. It comes again while any stand here.
-type Leaving struct{}
+// Leaving tells that a server is to stop, or with Server 0 this node, and that the clients who stand there must go
+// elsewhere. It comes again while some do.
+type Leaving struct{ Server ServerID }
 
 func (Members) event()  {}
 func (Request) event()  {}
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -149,9 +149,10 @@
 		if s := b.servers[ev.Server]; s != nil {
 			b.probed(s, ev)
 		}
-	case Leaving: // guards against clients that are cut off when the node stops
+	case Leaving: // guards against clients that are cut off when their server or this node stops
 		for _, id := range slices.Sorted(maps.Keys(b.requests)) {
-			if b.requests[id].standing {
+			r := b.requests[id]
+			if r.standing && (ev.Server == 0 || b.server(ev.Server).held[id] != nil) {
 				b.out = append(b.out, Move{ID: id})
 			}
 		}
--- /dev/null
+++ b/internal/discovery/discovery_test.go
@@ -0,0 +1,98 @@
+package discovery
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"brassmux/balance"
+)
+
+const entry = `{"id":"s-1","addr":"127.0.0.1:9","zone":"a","kind":"m","cell":3,"state":"up","weight":1,"started_ms":1700000000000}`
+
+// serve is a discovery that answers by a function.
+func serve(t *testing.T, answer http.HandlerFunc) *Client {
+	t.Helper()
+	s := httptest.NewServer(answer)
+	t.Cleanup(s.Close)
+	return New(strings.TrimPrefix(s.URL, "http://"), time.Second, 10*time.Second)
+}
+
+func TestWatchPassesOnChangesUntilItEnds(t *testing.T) {
+	var asked string
+	c := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		asked = r.URL.RequestURI()
+		fmt.Fprintf(w, "{\"version\":41,\"full\":true,\"servers\":[%s]}\n\n\n", entry)
+		fmt.Fprintf(w, "{\"version\":42,\"full\":false,\"servers\":[%s]}\n", strings.Replace(entry, `"up"`, `"removed"`, 1))
+	})
+	var got []List
+	err := c.Watch(context.Background(), 40, func(l *List) { got = append(got, *l) })
+	if err == nil {
+		t.Error("a watch that has ended is no error")
+	}
+	if asked != "/v1/endpoints?follow=1&since=40" {
+		t.Errorf("asked %q", asked)
+	}
+	if len(got) != 2 || got[0].Version != 41 || !got[0].Full || got[1].Version != 42 || got[1].Full {
+		t.Fatalf("got %+v", got)
+	}
+	up := got[0].Members(balance.ListFull).Servers[0]
+	if up.State != balance.Ready || up.Zone != "a" || up.Cell != 3 || up.UpSince != 1700000000*time.Second {
+		t.Errorf("got %+v", up)
+	}
+	if s := got[1].Members(balance.ListChanges).Servers[0]; s.State != balance.Gone || s.ID != up.ID {
+		t.Errorf("got %+v", s)
+	}
+}
+
+func TestBadAnswersChangeNothing(t *testing.T) {
+	for name, answer := range map[string]string{
+		"no JSON":          "<html>\n",
+		"cut short":        `{"version":41,"full":tr`,
+		"no id":            `{"servers":[{"addr":"127.0.0.1:9","state":"up"}]}`,
+		"an empty id":      `{"servers":[{"id":"","addr":"127.0.0.1:9","state":"up"}]}`,
+		"a wrong type":     `{"version":"x","servers":[]}`,
+		"no address":       `{"servers":[{"id":"s","addr":"nowhere","state":"up"}]}`,
+		"an unknown state": `{"servers":[{"id":"s","addr":"127.0.0.1:9","state":"maybe"}]}`,
+		"no weight at all": `{"servers":[{"id":"s","addr":"127.0.0.1:9","state":"up","weight":-1}]}`,
+		"an odd start":     `{"servers":[{"id":"s","addr":"127.0.0.1:9","state":"up","started_ms":-1}]}`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := serve(t, func(w http.ResponseWriter, r *http.Request) { fmt.Fprintln(w, answer) })
+			err := c.Watch(context.Background(), 0, func(l *List) { t.Errorf("took %+v", l) })
+			if err == nil {
+				t.Error("no error")
+			}
+		})
+	}
+	c := serve(t, func(w http.ResponseWriter, r *http.Request) { http.Error(w, entry, http.StatusServiceUnavailable) })
+	if err := c.Watch(context.Background(), 0, func(l *List) { t.Errorf("took %+v", l) }); err == nil || !strings.Contains(err.Error(), "503") {
+		t.Errorf("got %v", err)
+	}
+}
+
+// A machine that vanishes leaves the watch open and silent: keep-alive does not notice.
+func TestASilentWatchIsBroken(t *testing.T) {
+	c := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		fmt.Fprintln(w)
+		w.(http.Flusher).Flush()
+		<-r.Context().Done()
+	})
+	c.silence = 20 * time.Millisecond
+	if err := c.Watch(context.Background(), 0, func(*List) {}); err == nil || err.Error() != "discovery is silent" {
+		t.Errorf("got %v", err)
+	}
+}
+
+func TestAWatchEndsWithItsContext(t *testing.T) {
+	c := serve(t, func(w http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	if err := c.Watch(ctx, 0, func(*List) {}); err == nil {
+		t.Error("no error")
+	}
+}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -27,8 +27,6 @@
 	Closed(x *Exchange, a Attempt, outcome balance.Outcome, took time.Duration, report *balance.Report)
 	// Message: one took so long at a server, or is out for so long.
 	Message(x *Exchange, server balance.ServerID, took time.Duration)
-	// Ended: nothing more happens.
-	Ended(x *Exchange)
 }
 
 // Attempt is one try to have a server take the request.
@@ -86,6 +84,7 @@
 	log    *zap.Logger
 	begun  time.Time
 	up     chan struct{} // closed when the phase is no longer waiting
+	ended  chan struct{} // closed when both sides are done
 
 	mu       sync.Mutex
 	phase    phase
@@ -106,7 +105,8 @@
 func New(head *Head, client *lines.Conn, sink Sink, limits Limits, log *zap.Logger) *Exchange {
 	now := time.Now()
 	return &Exchange{Head: head, Deadline: now.Add(head.Wait), client: client, sink: sink, limits: limits,
-		log: log, begun: now, up: make(chan struct{})}
+		log: log, begun: now, up: make(chan struct{}),
+		ended: make(chan struct{})}
 }
 
 // settle moves the exchange out of waiting, once. It returns how to call off the attempt that is out.
@@ -134,7 +134,6 @@
 			x.client.WriteLine(line, x.limits.Linger)
 			x.client.CloseWrite()
 			x.client.SetReadDeadline(time.Now().Add(x.limits.Linger))
-			x.sink.Ended(x)
 		}()
 	}
 }
@@ -157,9 +156,15 @@
 	return true
 }
 
-// FromClient reads what the client sends until it ends. The client side calls it once, after New.
+// FromClient passes on what the client sends and returns when all has ended: a client that has sent its
+// last may still have something to hear. The client side calls it once, after New.
 func (x *Exchange) FromClient() {
-	defer x.sideDone()
+	x.fromClient()
+	x.sideDone()
+	<-x.ended
+}
+
+func (x *Exchange) fromClient() {
 	for {
 		line, err := x.client.ReadLine()
 		if err != nil {
@@ -193,7 +198,6 @@
 			cancel()
 		}
 		x.sink.Left(x)
-		x.sink.Ended(x)
 		return
 	}
 	x.mu.Lock()
@@ -377,16 +381,19 @@
 	x.client.SetReadDeadline(time.Now().Add(x.limits.Linger))
 }
 
-// Move ends a standing connection politely, between two lines; its client comes again.
-func (x *Exchange) Move() {
+// Move ends a standing connection politely, between two lines; its client comes again. It tells whether it
+// has not ended in another way.
+func (x *Exchange) Move() bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if x.phase == standing && !x.moving && x.reason == "" {
-		x.moving, x.reason = true, Moved
-		now := time.Now()
-		x.server.SetReadDeadline(now)                       // wakes the server's side
-		x.client.SetWriteDeadline(now.Add(x.limits.Linger)) // which may be held up by a slow client
+	if x.phase != standing || x.moving || x.reason != "" {
+		return false
 	}
+	x.moving, x.reason = true, Moved
+	now := time.Now()
+	x.server.SetReadDeadline(now)                       // wakes the server's side
+	x.client.SetWriteDeadline(now.Add(x.limits.Linger)) // which may be held up by a slow client
+	return true
 }
 
 // sideDone closes and logs when the last side is done.
@@ -395,11 +402,11 @@
 		return
 	}
 	x.client.Close()
+	defer close(x.ended)
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	if x.server != nil {
 		x.server.Close()
-		x.sink.Ended(x)
 	}
 	x.log.Info("connection ended", zap.String("code", string(x.reason)), zap.ByteString("id", x.Head.ID),
 		zap.ByteString("class", x.Head.Class), zap.Uint64("server", uint64(x.attempt.Server)),
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -50,27 +50,34 @@
 // New makes a server; take is called for each request and must not block for long.
 func New(cfg Config, log *zap.Logger, sink exchange.Sink, take func(*exchange.Exchange)) *Server {
 	return &Server{cfg: cfg, log: log, sink: sink, take: take, room: make(chan struct{}, cfg.Most),
-		spare: make(chan struct{}, max(cfg.Most/16, 8)), fresh: map[*lines.Conn]bool{}}
+		spare: make(chan struct{}, spareMost), fresh: map[*lines.Conn]bool{}}
 }
 
+// spareMost is how many connections over the limit are told so at once.
+const spareMost = 8
+
 // acceptPause is how long accepting rests when it fails, as when descriptors run out.
 const acceptPause = 10 * time.Millisecond
 
 // Serve accepts clients until the listener is closed.
 func (s *Server) Serve(ctx context.Context, l *net.TCPListener) {
-	for {
+	for failing := false; ; {
 		c, err := l.AcceptTCP()
 		if errors.Is(err, net.ErrClosed) {
 			return
 		} else if err != nil {
 			s.Count.AcceptErrors.Add(1)
-			s.log.Warn("accept failed", zap.Error(err))
+			if !failing { // one line for each time that it starts
+				s.log.Warn("clients cannot be accepted", zap.Error(err))
+			}
+			failing = true
 			select {
 			case <-ctx.Done():
 			case <-time.After(acceptPause):
 			}
 			continue
 		}
+		failing = false
 		s.Count.Accepted.Add(1)
 		room, served := s.room, true
 		select {
@@ -89,12 +96,12 @@
 // Wait returns when all connections have ended.
 func (s *Server) Wait() { s.wait.Wait() }
 
-// HangUp ends the connections whose first line has not begun to come.
-func (s *Server) HangUp() {
+// HangUp gives connections whose first line has not come that much time for it.
+func (s *Server) HangUp(within time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.fresh {
-		c.SetReadDeadline(time.Now())
+		c.SetReadDeadline(time.Now().Add(within))
 	}
 }
 
--- /dev/null
+++ b/node/config_test.go
@@ -0,0 +1,77 @@
+package node
+
+import (
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"brassmux/internal/discovery"
+)
+
+func TestFaultsOfAConfigurationNameTheirKey(t *testing.T) {
+	list := &lister{addr: "127.0.0.1:1"}
+	for want, fault := range map[string]func(*Config){
+		"config: listen:":                            func(c *Config) { c.Listen = "here" },
+		"config: discovery:":                         func(c *Config) { c.Discovery = "" },
+		"config: seed:":                              func(c *Config) { c.Seed = "seed" },
+		"config: limits.sockets:":                    func(c *Config) { c.Limits.Sockets = 10 },
+		"config: limits.memory_mb:":                  func(c *Config) { c.Limits.MemoryMB = -1 },
+		"config: limits.cores:":                      func(c *Config) { c.Limits.Cores = -1 },
+		"config: times.probe_ms:":                    func(c *Config) { c.Times.Probe = -1 },
+		"config: settings.classes:":                  func(c *Config) { c.Settings.Classes = nil },
+		"config: settings.classes[1].name":           func(c *Config) { c.Settings.Classes[1].Name = "" },
+		"config: settings.rules.cold_from:":          func(c *Config) { c.Settings.Rules.ColdFrom = 2 },
+		"config: settings.ceilings.dial_timeout_us:": func(c *Config) { c.Settings.Ceilings.DialTimeout = -1 },
+		"config: known.servers[0].addr":              func(c *Config) { c.Known.Servers[0].Addr = "x" },
+	} {
+		cfg := config(t, list)
+		cfg.Known.Servers = []discovery.Server{(&host{id: "s-1", addr: "127.0.0.1:1"}).entry("up")}
+		fault(&cfg)
+		if _, err := New(cfg, nil); err == nil || !strings.HasPrefix(err.Error(), want) {
+			t.Errorf("got %v, want %q", err, want)
+		}
+	}
+}
+
+func TestATakenAddressIsAnError(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	cfg := config(t, &lister{addr: "127.0.0.1:1"})
+	cfg.Listen = l.Addr().String()
+	if _, err := New(cfg, nil); err == nil || !strings.Contains(err.Error(), "config: listen") {
+		t.Errorf("got %v", err)
+	}
+}
+
+func TestLoad(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "config.json")
+	env := map[string]string{"LB_CONFIG": path, "LB_LISTEN": "127.0.0.1:9"}
+	get := func(key string) string { return env[key] }
+	if _, err := Load(get); err == nil || !strings.Contains(err.Error(), "LB_CONFIG") {
+		t.Errorf("got %v", err)
+	}
+	for text, want := range map[string]string{
+		"{":                                 "LB_CONFIG: " + path,
+		`{"limits":{"sockets":"x"}}`:        "limits.sockets",
+		`{"known":{"servers":[{"id":""}]}}`: "id",
+	} {
+		os.WriteFile(path, []byte(text), 0o600)
+		if _, err := Load(get); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s: got %v", text, err)
+		}
+	}
+	os.WriteFile(path, []byte(`{"name":"n3","listen":"127.0.0.1:8","discovery":"127.0.0.1:7","new":1,"settings":`+site+`}`), 0o600)
+	cfg, err := Load(get)
+	if err != nil || cfg.Name != "n3" || cfg.Listen != "127.0.0.1:9" || cfg.Discovery != "127.0.0.1:7" ||
+		cfg.Settings.Classes[1].Name != "pay" {
+		t.Errorf("got %+v, %v", cfg, err)
+	}
+	if _, err := Load(func(string) string { return "" }); err == nil {
+		t.Error("no error without LB_CONFIG")
+	}
+}
--- a/node/loop.go
+++ b/node/loop.go
@@ -36,6 +36,7 @@
 	version  int64
 	known    balance.Members
 	servers  map[balance.ServerID]string // addresses
+	draining map[balance.ServerID]bool
 	open     map[balance.RequestID]*exchange.Exchange
 	next     balance.RequestID
 	returns  []*exchange.Exchange // stood before, at a server that no list has named yet
@@ -55,7 +56,7 @@
 		pushed: set.Pushed, aim: shortestAim(set), version: cfg.Known.Version,
 		list:    discovery.New(cfg.Discovery, settings.Microseconds(cfg.Settings.Ceilings.DialTimeout)*5, ms(cfg.Times.Watch)),
 		known:   cfg.Known.Members(balance.ListCached),
-		servers: map[balance.ServerID]string{}, open: map[balance.RequestID]*exchange.Exchange{},
+		servers: map[balance.ServerID]string{}, draining: map[balance.ServerID]bool{}, open: map[balance.RequestID]*exchange.Exchange{},
 		speeds: map[balance.ServerID]*speed{}}
 	l.addresses(&cfg.Known)
 	return l
@@ -138,8 +139,9 @@
 		}
 	case balance.Move:
 		if x := l.open[a.ID]; x != nil {
-			l.count.moved.Add(1)
-			x.Move()
+			if x.Move() {
+				l.count.moved.Add(1)
+			}
 		}
 	case balance.Probe:
 		l.back.Probe(a.Server, l.servers[a.Server])
@@ -179,18 +181,19 @@
 		Left: time.Until(x.Deadline), Again: h.Again}
 }
 
+// returnPause is the time between two tries to take a connection back to its server.
+const returnPause = 200 * time.Millisecond
+
 // standAgain takes a connection that stood before back to its server. That needs no decision, but an address:
-// while no list has named the server, it waits.
+// while no list has named the server, it waits. The decisions hear of it once it is up.
 func (l *loop) standAgain(x *exchange.Exchange) {
 	id := balance.ServerID(settings.NamedServer(string(x.Head.At)))
-	addr := l.servers[id]
-	if addr == "" {
-		l.returns = append(l.returns, x)
-		time.AfterFunc(time.Until(x.Deadline), func() { l.tell(func() { l.noReturn(x) }) })
+	if addr := l.servers[id]; addr != "" {
+		l.back.Attempt(x, exchange.Attempt{Server: id}, addr, 0)
 		return
 	}
-	l.handle(balance.Opened{Request: l.request(x), Server: id})
-	l.back.Attempt(x, exchange.Attempt{Server: id}, addr, 0)
+	l.returns = append(l.returns, x)
+	time.AfterFunc(time.Until(x.Deadline), func() { l.tell(func() { l.noReturn(x) }) })
 }
 
 // noReturn fails a connection whose server no list has named in its time.
@@ -218,9 +221,14 @@
 func (l *loop) Accepted(x *exchange.Exchange, a exchange.Attempt, took time.Duration) {
 	l.tell(func() {
 		l.count.served.Add(1)
-		if len(x.Head.At) == 0 {
+		if len(x.Head.At) > 0 {
+			l.handle(balance.Opened{Request: l.request(x), Server: a.Server})
+		} else {
 			l.handle(balance.Accepted{ID: x.ID, Attempt: a.Number, Server: a.Server, Took: took})
 		}
+		if l.draining[a.Server] { // the news came while the attempt was out
+			l.handle(balance.Leaving{Server: a.Server})
+		}
 	})
 }
 
@@ -228,18 +236,28 @@
 func (l *loop) Closed(x *exchange.Exchange, a exchange.Attempt, outcome balance.Outcome, took time.Duration,
 	report *balance.Report) {
 	l.tell(func() {
-		l.handle(balance.Closed{ID: x.ID, Attempt: a.Number, Server: a.Server, Outcome: outcome, Took: took,
-			Final: !x.Owed(), Report: report})
-		if x.Owed() && len(x.Head.At) > 0 { // the decisions hold it for standing and answer nothing
-			l.count.failed.Add(1)
-			x.Answer(exchange.Failed, "ERR not up again")
-		}
-		if !x.Owed() {
+		if owed := x.Owed(); owed && len(x.Head.At) > 0 {
+			l.notBack(x, outcome)
+			return
+		} else if !owed {
 			l.forget(x.ID)
 		}
+		l.handle(balance.Closed{ID: x.ID, Attempt: a.Number, Server: a.Server, Outcome: outcome, Took: took,
+			Final: !x.Owed(), Report: report})
 	})
 }
 
+// notBack tries once more where the server has not seen the connection, else fails it.
+func (l *loop) notBack(x *exchange.Exchange, outcome balance.Outcome) {
+	if outcome.NeverRan() && time.Until(x.Deadline) > returnPause {
+		time.AfterFunc(returnPause, func() { l.tell(func() { l.standAgain(x) }) })
+		return
+	}
+	l.forget(x.ID)
+	l.count.failed.Add(1)
+	x.Answer(exchange.Failed, "ERR not up again")
+}
+
 // Message is part of exchange.Sink. While the loop has more to do, a measurement is dropped.
 func (l *loop) Message(x *exchange.Exchange, server balance.ServerID, took time.Duration) {
 	select {
@@ -249,9 +267,6 @@
 	}
 }
 
-// Ended is part of exchange.Sink.
-func (l *loop) Ended(*exchange.Exchange) {}
-
 func (l *loop) probed(ev balance.Probed) { l.tell(func() { l.handle(ev) }) }
 
 // speed gathers the message times of one server.
@@ -312,6 +327,7 @@
 	l.version = list.Version
 	if list.Full {
 		clear(l.servers)
+		clear(l.draining)
 	}
 	l.addresses(list)
 	kind := balance.ListChanges
@@ -319,6 +335,11 @@
 		kind = balance.ListFull
 	}
 	l.handle(list.Members(kind))
+	for _, s := range list.Servers {
+		if s.State == "draining" {
+			l.handle(balance.Leaving{Server: balance.ServerID(s.ID)})
+		}
+	}
 	waiting := l.returns
 	l.returns = nil
 	for _, x := range waiting {
@@ -334,6 +355,11 @@
 		} else {
 			l.servers[balance.ServerID(s.ID)] = s.Addr
 		}
+		if s.State == "draining" {
+			l.draining[balance.ServerID(s.ID)] = true
+		} else {
+			delete(l.draining, balance.ServerID(s.ID))
+		}
 	}
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -96,7 +96,7 @@
 	end := time.After(ms(n.cfg.Times.Stop))
 	time.Sleep(ms(n.cfg.Times.Accept)) // the front still sends clients here
 	n.listener.Close()
-	n.front.HangUp()
+	n.front.HangUp(ms(n.cfg.Times.Linger))
 	gone := make(chan struct{})
 	go func() {
 		n.front.Wait()
--- /dev/null
+++ b/node/node_test.go
@@ -0,0 +1,435 @@
+package node
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+func TestTheFirstLineGoesOnUnchangedButForItsWait(t *testing.T) {
+	h := newHost(t, "s-1")
+	n := start(t, nil, h)
+	c := n.dial()
+	c.say("OPEN 9b1f 7f3a c=chat,t=acme,d=1900,g=5c0f,x=new\r\nwritten ahead\r\nha") // in one piece
+	s, first := h.next(t)
+	before, rest, _ := strings.Cut(first, "d=")
+	wait, after, _ := strings.Cut(rest, ",")
+	if ms, err := strconv.Atoi(wait); before != "OPEN 9b1f 7f3a c=chat,t=acme," || after != "g=5c0f,x=new\r\n" ||
+		err != nil || ms < 1 || ms > 1900/2 { // the first of several attempts gets half the time
+		t.Errorf("got %q", first)
+	}
+	s.say("UP r-1\r\n")
+	c.hear("UP r-1\r\n")
+	s.hear("written ahead\r\n") // what came behind the first line is not lost
+	c.say("lf\r\n")
+	s.hear("half\r\n")
+	s.say("one\r\ntwo\r\nLOAD 3\r\n")
+	c.hear("one\r\n")
+	c.hear("two\r\n")
+	c.hear("LOAD 3\r\n")
+}
+
+func TestEndsArePassedOnAsTheyCome(t *testing.T) {
+	for name, c := range map[string]struct {
+		end  func(client, server *wire)
+		code string
+	}{
+		"the client ends": {func(client, server *wire) {
+			client.say("last\r\nhalf")
+			client.CloseWrite()
+			server.hear("last\r\n")
+			if half, err := server.in.ReadString('\n'); half != "half" || err != io.EOF {
+				t.Errorf("got %q, %v", half, err)
+			}
+			server.say("BYE\r\n")
+			server.Close()
+			client.hear("BYE\r\n")
+			client.end(io.EOF)
+		}, "client_ended"},
+		"the server ends": {func(client, server *wire) {
+			server.say("BYE\r\n")
+			server.Close()
+			client.hear("BYE\r\n")
+			client.end(io.EOF)
+		}, "server_ended"},
+		"the server ends without a word": {func(client, server *wire) {
+			server.say("half")
+			server.Close()
+			if half, err := client.in.ReadString('\n'); half != "half" || err != io.EOF {
+				t.Errorf("got %q, %v", half, err)
+			}
+		}, "server_broke"},
+		"the server sends the client away": {func(client, server *wire) {
+			server.say("MOVE\r\n")
+			server.Close()
+			client.hear("MOVE\r\n")
+			client.end(io.EOF)
+		}, "server_moved"},
+		"the client breaks": {func(client, server *wire) {
+			client.reset()
+			server.end(syscall.ECONNRESET)
+		}, "client_reset"},
+		"the server breaks": {func(client, server *wire) {
+			server.reset()
+			client.end(syscall.ECONNRESET)
+		}, "server_broke"},
+		"a line over the bound from the client": {func(client, server *wire) {
+			go io.WriteString(client.TCPConn, strings.Repeat("x", 5000))
+			server.end(syscall.ECONNRESET)
+		}, "line_too_long"},
+		"a line over the bound from the server": {func(client, server *wire) {
+			go io.WriteString(server.TCPConn, strings.Repeat("x", 5000))
+			client.end(syscall.ECONNRESET)
+		}, "line_too_long"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHost(t, "s-1")
+			n := start(t, nil, h)
+			client, server := n.stand(h)
+			client.t, server.t = t, t
+			c.end(client, server)
+			n.code(c.code)
+			if all := n.logs.FilterMessage("connection ended").Len(); all != 1 {
+				t.Errorf("%d lines for one connection", all)
+			}
+			n.until("all to be forgotten", func() bool { return n.held() == 0 })
+		})
+	}
+}
+
+// held asks the loop how many requests it holds.
+func (r *running) held() int {
+	held := make(chan int)
+	r.loop.tell(func() { held <- len(r.loop.open) })
+	return <-held
+}
+
+func TestASlowReaderHoldsUpItsServer(t *testing.T) {
+	h := newHost(t, "s-1")
+	n := start(t, nil, h)
+	client, server := n.stand(h)
+	const lines = 20000 // of 1 KiB: far over what the sockets between take
+	body := strings.Repeat("y", 1000)
+	sent := make(chan int, lines)
+	go func() {
+		defer close(sent)
+		for i := range lines {
+			if _, err := fmt.Fprintf(server, "%d %s\r\n", i, body); err != nil {
+				return
+			}
+			sent <- i
+		}
+	}()
+	last := -1
+	n.until("the server to be held up", func() bool {
+		now := len(sent)
+		if now > 0 && now == last {
+			return true
+		}
+		last = now
+		time.Sleep(50 * time.Millisecond)
+		return false
+	})
+	if len(sent) == lines {
+		t.Fatal("all was taken while the client read nothing")
+	}
+	for i := range lines {
+		client.hear(fmt.Sprintf("%d %s\r\n", i, body))
+	}
+}
+
+// Keep-alive does not notice a machine that has vanished: only missing answers do.
+func TestAClientOfASilentServerIsMoved(t *testing.T) {
+	h := newHost(t, "s-1")
+	n := start(t, func(c *Config) { c.Times.Silence, c.Times.Notice = 60, 20 }, h)
+	client, server := n.stand(h)
+	client.say("hello\r\n")
+	server.hear("hello\r\n")
+	client.hear("MOVE\r\n")
+	client.end(io.EOF)
+	server.end(io.EOF)
+	n.code("server_silent")
+}
+
+func TestAQuietConnectionStays(t *testing.T) {
+	h := newHost(t, "s-1")
+	n := start(t, func(c *Config) { c.Times.Silence, c.Times.Notice = 60, 20 }, h)
+	client, server := n.stand(h)
+	for range 3 {
+		client.say("ping\r\n")
+		server.hear("ping\r\n")
+		server.say("pong\r\n")
+		client.hear("pong\r\n")
+		client.SetReadDeadline(time.Now().Add(100 * time.Millisecond)) // longer than the silence allowed
+		if line, err := client.in.ReadString('\n'); err == nil || line != "" {
+			t.Fatalf("got %q", line)
+		}
+		client.SetReadDeadline(time.Now().Add(patience))
+	}
+}
+
+func TestStoppingServesWhoComesAndMovesAll(t *testing.T) {
+	h := newHost(t, "s-1")
+	n := start(t, func(c *Config) { c.Times.Accept = 400 }, h)
+	client, server := n.stand(h)
+	n.stop()
+	n.until("the stop to begin", func() bool { return n.logs.FilterMessage("stopping").Len() > 0 })
+	late := n.open("late", "") // the front does not know yet
+	s, _ := h.next(t)
+	server.say("whole\r\nhal")
+	s.say("UP r-2\r\n")
+	late.hear("UP r-2\r\n")
+	late.hear("MOVE\r\n")
+	late.end(io.EOF)
+	client.hear("whole\r\n")
+	client.hear("MOVE\r\n") // between two lines
+	client.end(io.EOF)
+	client.Close()
+	late.Close()
+	n.wait()
+	if _, err := net.Dial("tcp", n.Addr().String()); err == nil {
+		t.Error("a stopped node still listens")
+	}
+	if got := n.counter("moved"); got != 2 {
+		t.Errorf("%d moved", got)
+	}
+	if n.logs.FilterMessage("stopped").Len() != 1 {
+		t.Error("no counters at the end")
+	}
+}
+
+func TestARequestThatIsOutAtAStopIsAnswered(t *testing.T) {
+	h := newHost(t, "s-1")
+	n := start(t, func(c *Config) { c.Times.Accept = 1 }, h)
+	client := n.open("k", "")
+	server, _ := h.next(t)
+	n.stop()
+	n.until("the stop to begin", func() bool { return n.logs.FilterMessage("stopping").Len() > 0 })
+	server.say("BUSY\r\n") // the only server
+	if line := client.line(); !strings.HasPrefix(line, "BUSY ") {
+		t.Errorf("got %q", line)
+	}
+	n.wait()
+}
+
+func TestWithNoServerAClientIsRefusedAtOnce(t *testing.T) {
+	n := start(t, nil)
+	c := n.open("k", "")
+	ms, ok := strings.CutPrefix(strings.TrimSuffix(c.line(), "\r\n"), "BUSY ")
+	if wait, err := strconv.Atoi(ms); !ok || err != nil || wait < 1 || wait > 1000 {
+		t.Errorf("told to come back in %q", ms)
+	}
+	c.end(io.EOF)
+	c.Close()
+	n.code("refused")
+}
+
+func TestOutcomesOfAttempts(t *testing.T) {
+	for name, c := range map[string]struct {
+		class string
+		act   func(*wire)
+		want  string // the beginning of the answer, from the second host or from the node
+	}{
+		"turned away":                {"pay", func(s *wire) { s.say("BUSY\r\n") }, "UP r-2"},
+		"an error, safe":             {"chat", func(s *wire) { s.say("ERR\r\n") }, "UP r-2"},
+		"an error, unsafe":           {"pay", func(s *wire) { s.say("ERR\r\n") }, "ERR"},
+		"a break, safe":              {"chat", func(s *wire) { s.reset() }, "UP r-2"},
+		"a break, unsafe":            {"pay", func(s *wire) { s.reset() }, "ERR"},
+		"an end, unsafe":             {"pay", func(s *wire) { s.Close() }, "ERR"},
+		"an unknown answer, unsafe":  {"pay", func(s *wire) { s.say("HELLO\r\n") }, "ERR"},
+		"an overlong answer, unsafe": {"pay", func(s *wire) { s.say(strings.Repeat("U", 5000)) }, "ERR"},
+		"no answer, safe":            {"chat", func(s *wire) {}, "UP r-2"},
+		"no answer, unsafe":          {"pay", func(s *wire) {}, "ERR"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			one, two := newHost(t, "s-1"), newHost(t, "s-2")
+			n := start(t, nil, one, two)
+			client := n.dial()
+			begun := time.Now()
+			client.say("OPEN id k c=" + c.class + ",d=600\r\n")
+			var first, second *host
+			var s *wire
+			select {
+			case s = <-one.conns:
+				first, second = one, two
+			case s = <-two.conns:
+				first, second = two, one
+			case <-time.After(patience):
+				t.Fatal("no attempt")
+			}
+			go func() {
+				w, open := <-second.conns
+				if open {
+					io.WriteString(w.TCPConn, "UP r-2\r\n")
+				}
+			}()
+			c.act(s)
+			if line := client.line(); !strings.HasPrefix(line, c.want) {
+				t.Errorf("got %q, want %q", line, c.want)
+			}
+			if took := time.Since(begun); took > 650*time.Millisecond {
+				t.Errorf("answered after %v", took)
+			}
+			if len(first.conns) > 0 {
+				t.Error("the same server was tried twice")
+			}
+			if c.want == "ERR" && len(second.first) > 0 {
+				t.Error("what may have run was sent again")
+			}
+			client.Close()
+		})
+	}
+}
+
+func TestAServerThatIsNotThereNeverRan(t *testing.T) {
+	gone, h := newHost(t, "s-1"), newHost(t, "s-2")
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	gone.addr = l.Addr().String()
+	l.Close()
+	n := start(t, func(c *Config) { c.Settings.Ceilings.MayProbe = false }, gone, h)
+	for key := range 8 { // some of them rank the server first that is not there
+		c := n.dial()
+		c.say(fmt.Sprintf("OPEN id %d c=pay,d=2000\r\n", key))
+		s, _ := h.next(t)
+		s.say("UP r\r\n")
+		c.hear("UP r\r\n")
+	}
+	if n.counter("attempts_connect_failed") == 0 {
+		t.Error("none was tried at the server that is not there")
+	}
+}
+
+func TestAClientThatLeavesCallsItsAttemptOff(t *testing.T) {
+	h := newHost(t, "s-1")
+	n := start(t, nil, h)
+	client := n.open("k", "")
+	server, _ := h.next(t)
+	client.Close()
+	server.end(io.EOF)
+	n.code("client_left")
+	n.until("it to be forgotten", func() bool { return n.held() == 0 })
+	if n.counter("left") != 1 || n.counter("attempts") != 1 {
+		t.Error("the client's leaving is not counted, or it was tried again")
+	}
+}
+
+func TestAConnectionThatStoodBefore(t *testing.T) {
+	known, later := newHost(t, "s-1"), newHost(t, "s-2")
+	n := start(t, nil, known)
+	back := n.open("a", ",at=s-1")
+	s, _ := known.next(t)
+	s.say("UP r-1\r\n")
+	back.hear("UP r-1\r\n")
+	waits := n.open("b", ",at=s-2") // the list that the node knows is old
+	n.until("it to wait", func() bool { return n.counter("standing_before") == 2 })
+	n.list.change(2, false, later.entryJSON("up"))
+	s, _ = later.next(t)
+	s.say("BUSY\r\n") // it has not seen it: it is tried again there
+	s, _ = later.next(t)
+	s.say("UP r-2\r\n")
+	waits.hear("UP r-2\r\n")
+	never := n.dial()
+	never.say("OPEN id c c=chat,d=50,at=s-3\r\n")
+	if line := never.line(); !strings.HasPrefix(line, "ERR") {
+		t.Errorf("got %q", line)
+	}
+}
+
+func TestClientsHearMoveBeforeTheirServerLeaves(t *testing.T) {
+	h, other := newHost(t, "s-1"), newHost(t, "s-2")
+	n := start(t, nil, h)
+	client, _ := n.stand(h)
+	waiting := n.open("w", "") // its attempt is out when the news comes
+	s, _ := h.next(t)
+	n.list.change(2, false, h.entryJSON("draining"), other.entryJSON("up"))
+	client.hear("MOVE\r\n")
+	client.end(io.EOF)
+	s.say("UP r-2\r\n")
+	waiting.hear("UP r-2\r\n")
+	waiting.hear("MOVE\r\n")
+	n.open("k", ",again=1")
+	other.next(t) // nothing new goes to the one that drains
+}
+
+func TestAfterAFailureOfDiscoveryTheOldListServes(t *testing.T) {
+	h, next := newHost(t, "s-1"), newHost(t, "s-2")
+	list := newLister(t, 2)
+	n := run(t, config(t, list, h), list)
+	n.stand(h)
+	list.lines <- `{"version":2,"full":true,"servers":[{"id":"s-9","addr":"","state":"up"}]}` // a bad list
+	n.until("the bad list", func() bool { return n.counter("list_failed") == 3 })
+	n.stand(h)
+	list.change(3, true, next.entryJSON("up"))
+	n.until("the new list", func() bool { return n.counter("list_changes") == 1 })
+	n.stand(next)
+}
+
+func TestOverItsPlacesANodeIsBusy(t *testing.T) {
+	h := newHost(t, "s-1")
+	n := start(t, func(c *Config) { c.Limits.Sockets = ownSockets + 2*leastPlaces + 1 }, h)
+	var clients []*wire
+	for range leastPlaces {
+		client, _ := n.stand(h)
+		clients = append(clients, client)
+	}
+	over := n.open("over", "")
+	over.hear("BUSY\r\n")
+	over.end(io.EOF)
+	over.Close()
+	n.code("no_room")
+	clients[0].reset()
+	n.code("client_reset")
+	n.until("a place", func() bool {
+		c := n.open("k", "")
+		select {
+		case s := <-h.conns:
+			<-h.first
+			s.say("UP r\r\n")
+			c.hear("UP r\r\n")
+			return true
+		case <-time.After(100 * time.Millisecond):
+			c.Close()
+			return false
+		}
+	})
+}
+
+func TestFirstLines(t *testing.T) {
+	n := start(t, func(c *Config) { c.Times.FirstLine = 200 })
+	for name, c := range map[string]struct{ say, hear, code string }{
+		"too long":       {strings.Repeat("x", 5000), "ERR line too long\r\n", "first_line_long"},
+		"unknown":        {"GET / HTTP/1.1\r\n", "ERR unknown request\r\n", "first_line_wrong"},
+		"malformed":      {"OPEN me\r\n", "ERR malformed request\r\n", "first_line_wrong"},
+		"none in time":   {"OPEN id k c=chat", "ERR no request in time\r\n", "first_line_late"},
+		"after a probe":  {"PING\r\nBOO\r\n", "PONG\r\nERR unknown request\r\n", "first_line_wrong"},
+		"several probes": {"PING\r\nPING\r\n", "PONG\r\nPONG\r\n", "ping"},
+		"nothing at all": {"", "ERR no request in time\r\n", "first_line_late"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := n.dial()
+			w.t = t
+			w.say(c.say)
+			got, err := io.ReadAll(w.in)
+			if string(got) != c.hear || err != nil {
+				t.Errorf("got %q, %v, want %q", got, err, c.hear)
+			}
+			w.Close()
+			n.code(c.code)
+		})
+	}
+	half := n.dial()
+	half.say("OPEN id")
+	half.CloseWrite()
+	half.hear("ERR malformed request\r\n")
+	n.dial().Close()
+	n.code("no_first_line")
+}
