--- a/node/node.go
+++ b/node/node.go
@@ -89,7 +89,11 @@
 		n.loop.run()
 		close(done)
 	}()
-	go n.front.Serve(n.work, n.listener)
+	served := make(chan struct{})
+	go func() {
+		n.front.Serve(n.work, n.listener)
+		close(served)
+	}()
 	n.log.Info("serving", zap.Stringer("listen", n.listener.Addr()))
 	<-ctx.Done()
 	n.log.Info("stopping")
@@ -99,6 +103,7 @@
 	n.front.HangUp(ms(n.cfg.Times.Linger))
 	gone := make(chan struct{})
 	go func() {
+		<-served // no more can come
 		n.front.Wait()
 		close(gone)
 	}()
