--- a/balance/balance.go
+++ b/balance/balance.go
@@ -113,14 +113,11 @@
 	case Members:
 		b.members(ev)
 	case Request:
-		if r := b.admit(ev); r != nil {
-			b.place(r)
-		}
-	case Opened:
-		if r := b.admit(ev.Request); r != nil { // load like any other
-			r.standing, r.answered = true, true
-			b.start(r, b.server(ev.Server))
-		}
+		b.place(b.admit(ev))
+	case Opened: // load like any other
+		r := b.admit(ev.Request)
+		r.standing, r.answered = true, true
+		b.start(r, b.server(ev.Server))
 	case Accepted:
 		if r := b.requests[ev.ID]; r != nil {
 			r.standing, r.answered = true, true
@@ -191,6 +188,9 @@
 func (b *Balancer) probed(s *server, ev Probed) {
 	if ev.Report != nil && ev.Report.Load >= 0 {
 		s.reportedLoad, s.loaded, s.since = ev.Report.Load, b.now, 0
+		if s.reportedLoad > 1 { // its messages are late, even if none has told it
+			b.relieve(s)
+		}
 		room := float64(max(len(s.held), 1)) * easyLoad / max(s.reportedLoad, 0.01)
 		if s.limit > 0 && room > s.limit { // guards against a limit that outlasts its cause
 			s.limit, s.limited = room, b.now
@@ -244,9 +244,6 @@
 }
 
 func (b *Balancer) admit(ev Request) *request {
-	if b.requests[ev.ID] != nil {
-		return nil
-	}
 	r := &request{Request: ev, deadline: b.now + ev.Left}
 	if r.name() == "" {
 		r.Group = strconv.FormatUint(b.rng.Uint64(), 36) // drawn once, so that all its attempts agree
@@ -434,18 +431,21 @@
 	}
 }
 
-// slow acts where a message takes over half its class's aim: the group that ranks the server lowest, of these
-// the smallest, is moved if another server can take it. Guards against clients pinned to a failing or crowded
-// server, and against one group's shared work paid on many.
+// slow acts where a message takes over half its class's aim.
 func (b *Balancer) slow(ev Slow) {
 	noted, s := b.requests[ev.ID], b.servers[ev.Server]
 	if noted == nil || s == nil {
 		return
+	} else if s.late = b.now; ev.Message*2 > b.set.Classes[noted.Class].MessageAim {
+		b.relieve(s)
 	}
-	s.late = b.now
-	// Guards against many nodes that all act on one slow server: each acts by its part of what stands there.
-	part := float64(len(s.held)*len(b.ready)) / float64(b.open*b.set.Nodes)
-	if ev.Message*2 <= b.set.Classes[noted.Class].MessageAim || b.rng.Float64() > part {
+}
+
+// relieve moves the group that ranks the server lowest, of these the smallest, if another server can take it.
+// Guards against clients pinned to a failing or crowded server, and against one group's shared work paid on
+// many. Many nodes may act on one server: each acts by its part of what stands there.
+func (b *Balancer) relieve(s *server) {
+	if part := float64(len(s.held)*len(b.ready)) / float64(b.open*b.set.Nodes); b.rng.Float64() > part {
 		return
 	}
 	held := map[string][]*request{}
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -1045,3 +1045,39 @@
 		t.Error("a top under its capacity did not leave the next to choose")
 	}
 }
+
+// On sockets messages may tell nothing of a server's load: a report over its capacity then moves a group off.
+func TestReportOverCapacityMovesAGroup(t *testing.T) {
+	n := newNode(site(), ready(1)...)
+	for i, group := range []string{"big", "big", "small"} {
+		n.do(Opened{Request: Request{ID: RequestID(i + 1), Class: "safe", Key: fmt.Sprint(i), Group: group}, Server: 1})
+	}
+	if acts := n.do(told(n.servers[1], 1.1)); len(acts) != 0 {
+		t.Errorf("moved with nowhere to go: %v", acts)
+	}
+	n.do(Members{Kind: ListChanges, Servers: ready(2)})
+	if acts := n.do(told(n.servers[1], 1)); len(acts) != 0 {
+		t.Errorf("moved at its capacity: %v", acts)
+	}
+	if acts := n.do(told(n.servers[1], 1.1)); !slices.Equal(acts, []Action{Move{ID: 3}}) {
+		t.Errorf("moved %v, want the small group", acts)
+	}
+}
+
+// Clients hear of it before their server or this node stops; only who stands can be moved.
+func TestLeavingMovesWhoStands(t *testing.T) {
+	n := newNode(site(), ready(1, 2)...)
+	for i := range RequestID(4) {
+		n.do(Opened{Request: Request{ID: i + 1, Class: "safe", Key: fmt.Sprint(i)}, Server: ServerID(1 + i%2)})
+	}
+	n.do(Request{ID: 5, Class: "safe", Key: "out", Left: time.Second})
+	if acts := n.do(Leaving{Server: 2}); !slices.Equal(acts, []Action{Move{ID: 2}, Move{ID: 4}}) {
+		t.Errorf("a server leaves: %v", acts)
+	}
+	if acts := n.do(Leaving{Server: 9}); len(acts) != 0 {
+		t.Errorf("an unknown server leaves: %v", acts)
+	}
+	if acts := n.do(Leaving{}); !slices.Equal(acts, []Action{Move{ID: 1}, Move{ID: 2}, Move{ID: 3}, Move{ID: 4}}) {
+		t.Errorf("the node leaves: %v", acts)
+	}
+}
--- a/node/config.go
+++ b/node/config.go
@@ -40,6 +40,7 @@
 	Silence   int64 `json:"silence_ms"`    // a message may be without an answer for it
 	Notice    int64 `json:"notice_ms"`     // and is told as late each time it passes
 	Linger    int64 `json:"linger_ms"`     // what an ended connection may take to close
+	Drain     int64 `json:"drain_ms"`      // a server that drains has it to send its clients away itself
 	Accept    int64 `json:"accept_ms"`     // after a call to stop, clients are accepted for it
 	Stop      int64 `json:"stop_ms"`       // and the node is done within it
 }
@@ -101,7 +102,7 @@
 		{"first_line_ms", &c.Times.FirstLine, 5000}, {"probe_ms", &c.Times.Probe, 300},
 		{"watch_ms", &c.Times.Watch, 3500}, {"silence_ms", &c.Times.Silence, 5000},
 		{"notice_ms", &c.Times.Notice, 1000}, {"linger_ms", &c.Times.Linger, 500},
-		{"accept_ms", &c.Times.Accept, 500}, {"stop_ms", &c.Times.Stop, 3600},
+		{"drain_ms", &c.Times.Drain, 1000}, {"accept_ms", &c.Times.Accept, 500}, {"stop_ms", &c.Times.Stop, 3600},
 	} {
 		if *d.value == 0 {
 			*d.value = d.preset
--- a/node/loop.go
+++ b/node/loop.go
@@ -31,6 +31,7 @@
 	done     <-chan struct{}
 	wall     time.Time // the moment that times count from is Unix time 0; this one carries the steady clock
 	pushed   bool
+	drain    time.Duration // a server that drains has it to send its clients away itself
 	aim      time.Duration // messages over a third of it are told
 	watching bool
 	version  int64
@@ -53,7 +54,7 @@
 	seed, _ := cfg.seed()
 	set := cfg.Settings.Settings()
 	l := &loop{ctx: ctx, done: ctx.Done(), log: log, decide: balance.New(set, seed), events: make(chan func(), queue), wall: time.Now(),
-		pushed: set.Pushed, aim: shortestAim(set), version: cfg.Known.Version,
+		pushed: set.Pushed, drain: ms(cfg.Times.Drain), aim: shortestAim(set), version: cfg.Known.Version,
 		list:    discovery.New(cfg.Discovery, settings.Microseconds(cfg.Settings.Ceilings.DialTimeout)*5, ms(cfg.Times.Watch)),
 		known:   cfg.Known.Members(balance.ListCached),
 		servers: map[balance.ServerID]string{}, draining: map[balance.ServerID]bool{}, open: map[balance.RequestID]*exchange.Exchange{},
@@ -227,7 +228,7 @@
 			l.handle(balance.Accepted{ID: x.ID, Attempt: a.Number, Server: a.Server, Took: took})
 		}
 		if l.draining[a.Server] { // the news came while the attempt was out
-			l.handle(balance.Leaving{Server: a.Server})
+			l.leaving(a.Server)
 		}
 	})
 }
@@ -337,7 +338,7 @@
 	l.handle(list.Members(kind))
 	for _, s := range list.Servers {
 		if s.State == "draining" {
-			l.handle(balance.Leaving{Server: balance.ServerID(s.ID)})
+			l.leaving(balance.ServerID(s.ID))
 		}
 	}
 	waiting := l.returns
@@ -347,6 +348,17 @@
 	}
 }
 
+// leaving has the clients of a server moved that drains and in a while has not sent them away itself.
+func (l *loop) leaving(id balance.ServerID) {
+	time.AfterFunc(l.drain, func() {
+		l.tell(func() {
+			if l.draining[id] {
+				l.handle(balance.Leaving{Server: id})
+			}
+		})
+	})
+}
+
 func (l *loop) addresses(list *discovery.List) {
 	for _, s := range list.Servers {
 		if s.State == "removed" {
--- a/node/standins_test.go
+++ b/node/standins_test.go
@@ -202,7 +202,7 @@
 	t.Helper()
 	c := Config{Name: "n0", Listen: "127.0.0.1:0", Discovery: list.addr, Seed: "8c1f30d27a5be964",
 		Limits: Limits{Cores: 1, MemoryMB: 256, Sockets: 1024}, Known: discovery.List{Version: 1, Full: true},
-		Times: Times{Accept: 20}}
+		Times: Times{Accept: 20, Drain: 20}}
 	if err := json.Unmarshal([]byte(site), &c.Settings); err != nil {
 		t.Fatal(err)
 	}
