--- a/balance/balance.go
+++ b/balance/balance.go
@@ -484,7 +484,8 @@
 	at := slices.Index(order, s)
 	for i, o := range order {
 		busier := o.reported(b.now) && o.reportedLoad > s.reportedLoad
-		if o != s && b.now >= o.aside && !busier && (i < at || !o.full(b.now) && !b.crowded(o)) {
+		sure := o.reported(b.now) || s.late == b.now // a report alone moves nobody to an unknown load
+		if o != s && sure && b.now >= o.aside && !busier && (i < at || !o.full(b.now) && !b.crowded(o)) {
 			return o, i < at
 		}
 	}
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -1056,6 +1056,10 @@
 		t.Errorf("moved with nowhere to go: %v", acts)
 	}
 	n.do(Members{Kind: ListChanges, Servers: ready(2)})
+	if acts := n.do(told(n.servers[1], 1.1)); len(acts) != 0 {
+		t.Errorf("moved to a server whose load is not known: %v", acts)
+	}
+	n.do(told(n.servers[2], 0.1))
 	if acts := n.do(told(n.servers[1], 1)); len(acts) != 0 {
 		t.Errorf("moved at its capacity: %v", acts)
 	}
