Silence: 3 s; a slow client does not make its server silent; a probe's time limit ends with it

Seen in rereading, each with a test now: while a client read nothing for longer than the silence allowed, the deadline that had passed meanwhile counted against its server (exchange.deadline); the time limit of a PONG stayed on the connection and broke an UP written later (lines.WriteLine).

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -96,6 +96,7 @@
 	moving   bool
 	reason   Reason
 	out      []time.Time // when the messages without an answer were passed on, oldest first
+	heeded   time.Time   // when the server was last listened to: not while a slow client holds that up
 	toServer atomic.Int64
 	toClient atomic.Int64
 	sides    atomic.Int32
@@ -105,28 +106,24 @@
 func New(head *Head, client *lines.Conn, sink Sink, limits Limits, log *zap.Logger) *Exchange {
 	now := time.Now()
 	return &Exchange{Head: head, Deadline: now.Add(head.Wait), client: client, sink: sink, limits: limits,
-		log: log, begun: now, up: make(chan struct{}),
-		ended: make(chan struct{})}
+		log: log, begun: now, up: make(chan struct{}), ended: make(chan struct{})}
 }
 
-// settle moves the exchange out of waiting, once. It returns how to call off the attempt that is out.
-func (x *Exchange) settle(to phase, why Reason) (cancel func(), first bool) {
+// settle ends an exchange that waits, once. It returns how to call off the attempt that is out.
+func (x *Exchange) settle(why Reason) (cancel func(), first bool) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	if x.phase != waiting {
 		return nil, false
 	}
-	x.phase = to
-	if why != "" {
-		x.reason = why
-	}
+	x.phase, x.reason = over, why
 	close(x.up)
 	return x.cancel, true
 }
 
 // Answer gives the final answer that is not a server's. The caller does not wait for the client.
 func (x *Exchange) Answer(why Reason, line string) {
-	if cancel, first := x.settle(over, why); first {
+	if cancel, first := x.settle(why); first {
 		if cancel != nil {
 			cancel()
 		}
@@ -193,7 +190,7 @@
 }
 
 func (x *Exchange) clientEnds(err error) {
-	if cancel, first := x.settle(over, ClientLeft); first {
+	if cancel, first := x.settle(ClientLeft); first {
 		if cancel != nil {
 			cancel()
 		}
@@ -295,6 +292,9 @@
 			return balance.Cancelled, nil
 		}
 		x.toClient.Add(1)
+		x.mu.Lock()
+		x.heeded = time.Now()
+		x.mu.Unlock()
 	}
 }
 
@@ -324,7 +324,7 @@
 	x.mu.Lock()
 	var age time.Duration
 	if len(x.out) > 0 {
-		age = time.Since(x.out[0])
+		age = min(time.Since(x.out[0]), time.Since(x.heeded))
 	}
 	if x.reason == "" && age >= x.limits.Silence {
 		x.reason, x.moving, outcome = ServerSilent, true, balance.TimedOut
--- a/internal/lines/lines.go
+++ b/internal/lines/lines.go
@@ -58,6 +58,7 @@
 // WriteLine writes a line of the node's own within a time.
 func (c *Conn) WriteLine(text string, within time.Duration) error {
 	c.SetWriteDeadline(time.Now().Add(within))
+	defer c.SetWriteDeadline(time.Time{}) // what is written later has its own time
 	return c.text.PrintfLine("%s", text)
 }
 
--- a/node/config.go
+++ b/node/config.go
@@ -100,7 +100,7 @@
 		preset int64
 	}{
 		{"first_line_ms", &c.Times.FirstLine, 5000}, {"probe_ms", &c.Times.Probe, 300},
-		{"watch_ms", &c.Times.Watch, 3500}, {"silence_ms", &c.Times.Silence, 5000},
+		{"watch_ms", &c.Times.Watch, 3500}, {"silence_ms", &c.Times.Silence, 3000},
 		{"notice_ms", &c.Times.Notice, 1000}, {"linger_ms", &c.Times.Linger, 500},
 		{"drain_ms", &c.Times.Drain, 1000}, {"accept_ms", &c.Times.Accept, 500}, {"stop_ms", &c.Times.Stop, 3600},
 	} {
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -111,15 +111,17 @@
 
 func TestASlowReaderHoldsUpItsServer(t *testing.T) {
 	h := newHost(t, "s-1")
-	n := start(t, nil, h)
+	n := start(t, func(c *Config) { c.Times.Silence, c.Times.Notice = 40, 20 }, h)
 	client, server := n.stand(h)
+	client.say("hello\r\n") // its answer is behind all that the client does not read: its server is not silent
+	server.hear("hello\r\n")
 	const lines = 20000 // of 1 KiB: far over what the sockets between take
 	body := strings.Repeat("y", 1000)
 	sent := make(chan int, lines)
 	go func() {
 		defer close(sent)
 		for i := range lines {
-			if _, err := fmt.Fprintf(server, "%d %s\r\n", i, body); err != nil {
+			if _, err := fmt.Fprintf(server, "LOAD %d %s\r\n", i, body); err != nil {
 				return
 			}
 			sent <- i
@@ -139,10 +141,24 @@
 		t.Fatal("all was taken while the client read nothing")
 	}
 	for i := range lines {
-		client.hear(fmt.Sprintf("%d %s\r\n", i, body))
+		client.hear(fmt.Sprintf("LOAD %d %s\r\n", i, body))
 	}
 }
 
+// What a node writes itself has a time limit, which must not outlast it.
+func TestAProbeMayBeFollowedByARequest(t *testing.T) {
+	h := newHost(t, "s-1")
+	n := start(t, func(c *Config) { c.Times.Linger = 1 }, h)
+	c := n.dial()
+	c.say("PING\r\n")
+	c.hear("PONG\r\n")
+	c.say("OPEN id k c=chat,d=2000\r\n")
+	s, _ := h.next(t)
+	time.Sleep(5 * time.Millisecond) // the limit has passed
+	s.say("UP r-1\r\n")
+	c.hear("UP r-1\r\n")
+}
+
 // Keep-alive does not notice a machine that has vanished: only missing answers do.
 func TestAClientOfASilentServerIsMoved(t *testing.T) {
 	h := newHost(t, "s-1")
