--- /dev/null
+++ b/internal/backend/probe_test.go
@@ -0,0 +1,138 @@
+package backend
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"brassmux/balance"
+)
+
+const patience = 10 * time.Second
+
+// asker probes a stand-in whose every connection is handled by serve; conns counts them.
+type asker struct {
+	*Client
+	t       *testing.T
+	addr    string
+	results chan balance.Probed
+	conns   chan struct{}
+}
+
+func newAsker(t *testing.T, serve func(n int, c net.Conn, in *bufio.Reader)) *asker {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	a := &asker{t: t, addr: l.Addr().String(), results: make(chan balance.Probed, 10), conns: make(chan struct{}, 10)}
+	a.Client = New(Config{Dial: time.Second, Probe: time.Second, Idle: time.Minute, LoadField: "x0"}, nil,
+		func(p balance.Probed) { a.results <- p })
+	go func() {
+		for n := 0; ; n++ {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			a.conns <- struct{}{}
+			t.Cleanup(func() { c.Close() })
+			go serve(n, c, bufio.NewReader(c))
+		}
+	}()
+	return a
+}
+
+func (a *asker) ask() balance.Probed {
+	a.t.Helper()
+	a.Probe(7, a.addr)
+	select {
+	case p := <-a.results:
+		if p.Server != 7 {
+			a.t.Errorf("result for server %d", p.Server)
+		}
+		return p
+	case <-time.After(patience):
+		a.t.Fatal("no result")
+		return balance.Probed{}
+	}
+}
+
+func answer(c net.Conn, in *bufio.Reader, line string) bool {
+	if asked, err := in.ReadString('\n'); err != nil || asked != "STATS\r\n" {
+		return false
+	}
+	_, err := io.WriteString(c, line)
+	return err == nil
+}
+
+func TestProbesShareAConnection(t *testing.T) {
+	a := newAsker(t, func(_ int, c net.Conn, in *bufio.Reader) {
+		for answer(c, in, "PONG eps=0,rif=3,x0=0.75\r\n") {
+		}
+	})
+	for range 3 {
+		if p := a.ask(); p.Outcome != balance.OK || p.Report == nil || p.Report.Load != 0.75 {
+			t.Fatalf("got %+v", p)
+		}
+	}
+	if len(a.conns) != 1 {
+		t.Errorf("%d connections for three probes", len(a.conns))
+	}
+}
+
+// A server may close what is idle; that tells nothing of its health.
+func TestAProbeOutlivesItsClosedConnection(t *testing.T) {
+	a := newAsker(t, func(_ int, c net.Conn, in *bufio.Reader) {
+		answer(c, in, "PONG x0=0.5\r\n")
+		c.Close()
+	})
+	for range 3 {
+		if p := a.ask(); p.Outcome != balance.OK || p.Report == nil || p.Report.Load != 0.5 {
+			t.Fatalf("got %+v", p)
+		}
+	}
+}
+
+func TestOutcomesOfProbes(t *testing.T) {
+	for name, c := range map[string]struct {
+		line string
+		want balance.Outcome
+		load float64 // -1 where no report or none of its load is told
+	}{
+		"not allowed":       {"NO\r\n", balance.Error, -1},
+		"an error":          {"ERR x0=0.9\r\n", balance.Error, 0.9},
+		"no report":         {"PONG\r\n", balance.OK, -1},
+		"no load in it":     {"PONG eps=1\r\n", balance.OK, -1},
+		"no number":         {"PONG x0=much\r\n", balance.OK, -1},
+		"a negative number": {"PONG x0=-1\r\n", balance.OK, -1},
+		"no answer":         {"", balance.TimedOut, -1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			a := newAsker(t, func(_ int, conn net.Conn, in *bufio.Reader) { answer(conn, in, c.line) })
+			a.cfg.Probe = 300 * time.Millisecond
+			p := a.ask()
+			load := -1.0
+			if p.Report != nil {
+				load = p.Report.Load
+			}
+			if p.Outcome != c.want || load != c.load {
+				t.Errorf("got %+v, load %v", p, load)
+			}
+		})
+	}
+	a := newAsker(t, func(_ int, conn net.Conn, in *bufio.Reader) { conn.Close() })
+	if p := a.ask(); p.Outcome != balance.Reset {
+		t.Errorf("a break: %+v", p)
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	a.addr = l.Addr().String()
+	l.Close()
+	if p := a.ask(); p.Outcome != balance.ConnectFailed {
+		t.Errorf("none there: %+v", p)
+	}
+}
