--- a/balance/api.go
+++ b/balance/api.go
@@ -45,6 +45,8 @@
 	Classes map[string]Class
 	Pushed  bool // changes of the server list come unasked
 
+	TellsLate bool // late messages are told as Slow; else only a load report shows that a server is overloaded
+
 	MaxAttempts   int // attempts for one request; 0 means one
 	MayProbe      bool
 	MaxRetryAfter time.Duration // the longest advice that clients follow; 0 where they get none
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -188,7 +188,7 @@
 func (b *Balancer) probed(s *server, ev Probed) {
 	if ev.Report != nil && ev.Report.Load >= 0 {
 		s.reportedLoad, s.loaded, s.since = ev.Report.Load, b.now, 0
-		if s.reportedLoad > 1 { // its messages are late, even if none has told it
+		if s.reportedLoad > 1 && !b.set.TellsLate { // its messages are late, though nothing else tells it
 			b.relieve(s)
 		}
 		room := float64(max(len(s.held), 1)) * easyLoad / max(s.reportedLoad, 0.01)
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -1063,6 +1063,11 @@
 	if acts := n.do(told(n.servers[1], 1)); len(acts) != 0 {
 		t.Errorf("moved at its capacity: %v", acts)
 	}
+	n.set.TellsLate = true
+	if acts := n.do(told(n.servers[1], 1.1)); len(acts) != 0 {
+		t.Errorf("moved for a report where late messages are told: %v", acts)
+	}
+	n.set.TellsLate = false
 	if acts := n.do(told(n.servers[1], 1.1)); !slices.Equal(acts, []Action{Move{ID: 3}}) {
 		t.Errorf("moved %v, want the small group", acts)
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -32,6 +32,7 @@
 	} `json:"classes"`
 	Family struct {
 		MessageAim []float64 `json:"message_aim_us"`
+		TellsDelay bool      `json:"tells_delay"`
 	} `json:"family_info"`
 	Membership string `json:"membership_mode"`
 	Report     struct {
@@ -58,6 +59,7 @@
 func (in *Info) Settings() balance.Settings {
 	s := balance.Settings{
 		Nodes: in.Balancers, Classes: map[string]balance.Class{}, Pushed: in.Membership == "pushed",
+		TellsLate:   in.Family.TellsDelay,
 		MaxAttempts: in.Ceilings.SendCap,
 		MayProbe:    in.Ceilings.MayProbe,
 		MaxOpen:     in.Ceilings.MaxOpen, Tick: Microseconds(in.Tick),
--- a/node/loop.go
+++ b/node/loop.go
@@ -53,6 +53,7 @@
 func newLoop(ctx context.Context, cfg *Config, log *zap.Logger) *loop {
 	seed, _ := cfg.seed()
 	set := cfg.Settings.Settings()
+	set.TellsLate = false // no server sends such notes on sockets, and an echo may come at once whatever the load
 	l := &loop{ctx: ctx, done: ctx.Done(), log: log, decide: balance.New(set, seed), events: make(chan func(), queue), wall: time.Now(),
 		pushed: set.Pushed, drain: ms(cfg.Times.Drain), aim: shortestAim(set), version: cfg.Known.Version,
 		list:    discovery.New(cfg.Discovery, settings.Microseconds(cfg.Settings.Ceilings.DialTimeout)*5, ms(cfg.Times.Watch)),
