--- a/balance/balance.go
+++ b/balance/balance.go
@@ -477,15 +477,15 @@
 	}
 }
 
-// target names where a group may go from s, and whether that is above s in its ranking, where all nodes
-// gather it: a server there that is not known to be busier, else one below that has room.
+// target names where a group may go from s, and whether that is above s in its ranking, where all nodes gather
+// it: a server there that is not known to be busier, else one that has room, of known load if no message is late.
 func (b *Balancer) target(r *request, s *server) (to *server, above bool) {
 	order := b.rank(r)
 	at := slices.Index(order, s)
 	for i, o := range order {
 		busier := o.reported(b.now) && o.reportedLoad > s.reportedLoad
-		sure := o.reported(b.now) || s.late == b.now // a report alone moves nobody to an unknown load
-		if o != s && sure && b.now >= o.aside && !busier && (i < at || !o.full(b.now) && !b.crowded(o)) {
+		room := (o.reported(b.now) || s.late == b.now) && !o.full(b.now) && !b.crowded(o)
+		if o != s && b.now >= o.aside && !busier && (room || i < at && b.set.TellsLate) {
 			return o, i < at
 		}
 	}
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -1059,6 +1059,10 @@
 	if acts := n.do(told(n.servers[1], 1.1)); len(acts) != 0 {
 		t.Errorf("moved to a server whose load is not known: %v", acts)
 	}
+	n.do(told(n.servers[2], 0.9))
+	if acts := n.do(told(n.servers[1], 1.1)); len(acts) != 0 {
+		t.Errorf("moved to a crowded server: %v", acts)
+	}
 	n.do(told(n.servers[2], 0.1))
 	if acts := n.do(told(n.servers[1], 1)); len(acts) != 0 {
 		t.Errorf("moved at its capacity: %v", acts)
