--- a/balance/balance.go
+++ b/balance/balance.go
@@ -477,8 +477,8 @@
 	}
 }
 
-// target names where a group may go from s, and whether that is above s in its ranking, where all nodes gather
-// it: a server there that is not known to be busier, else one that has room, of known load if no message is late.
+// target names where a group may go from s, and whether that is above s in its ranking, where all nodes
+// gather it: a server there not known to be busier, else one with room, whose load is known if none is late.
 func (b *Balancer) target(r *request, s *server) (to *server, above bool) {
 	order := b.rank(r)
 	at := slices.Index(order, s)
