--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -47,7 +47,7 @@
 }
 
 // Attempt starts an attempt and returns at once. Its end is told to the sink.
-func (c *Client) Attempt(x *exchange.Exchange, a exchange.Attempt, addr string, timeout time.Duration) {
+func (c *Client) Attempt(x *exchange.Exchange, a exchange.Attempt, timeout time.Duration) {
 	until := x.Deadline
 	if timeout > 0 && time.Until(until) > timeout {
 		until = time.Now().Add(timeout)
@@ -62,7 +62,7 @@
 	c.Count.Attempts.Add(1)
 	go func() {
 		defer cancel()
-		if outcome, report, stood := c.attempt(ctx, x, addr, until); !stood {
+		if outcome, report, stood := c.attempt(ctx, x, a.Addr, until); !stood {
 			c.Count.Outcomes[outcome].Add(1)
 			c.sink.Closed(x, a, outcome, time.Since(begun), report)
 		}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -33,6 +33,7 @@
 type Attempt struct {
 	Number int
 	Server balance.ServerID
+	Addr   string // of the server
 }
 
 // Reason tells why a connection ended; it is the code in its log line.
@@ -409,7 +410,7 @@
 		x.server.Close()
 	}
 	x.log.Info("connection ended", zap.String("code", string(x.reason)), zap.ByteString("id", x.Head.ID),
-		zap.ByteString("class", x.Head.Class), zap.Uint64("server", uint64(x.attempt.Server)),
+		zap.ByteString("class", x.Head.Class), zap.String("server", x.attempt.Addr),
 		zap.Int("attempt", x.attempt.Number), zap.Duration("age", time.Since(x.begun)),
 		zap.Int64("to_server", x.toServer.Load()), zap.Int64("to_client", x.toClient.Load()))
 }
--- a/node/loop.go
+++ b/node/loop.go
@@ -122,7 +122,7 @@
 	switch a := a.(type) {
 	case balance.Attempt:
 		if x := l.open[a.ID]; x != nil {
-			l.back.Attempt(x, exchange.Attempt{Number: x.Tries, Server: a.Server}, l.servers[a.Server], a.Timeout)
+			l.back.Attempt(x, exchange.Attempt{Number: x.Tries, Server: a.Server, Addr: l.servers[a.Server]}, a.Timeout)
 			x.Tries++
 		}
 	case balance.Refuse:
@@ -191,7 +191,7 @@
 func (l *loop) standAgain(x *exchange.Exchange) {
 	id := balance.ServerID(settings.NamedServer(string(x.Head.At)))
 	if addr := l.servers[id]; addr != "" {
-		l.back.Attempt(x, exchange.Attempt{Server: id}, addr, 0)
+		l.back.Attempt(x, exchange.Attempt{Server: id, Addr: addr}, 0)
 		return
 	}
 	l.returns = append(l.returns, x)
