--- a/node/loop.go
+++ b/node/loop.go
@@ -43,8 +43,6 @@
 	returns  []*exchange.Exchange // stood before, at a server that no list has named yet
 	speeds   map[balance.ServerID]*speed
 	timers   timers
-	pending  []balance.Event // came of an action
-	busy     bool
 	count    struct {
 		opened, served, refused, failed, left, moved, messages, late, dropped atomic.Int64
 	}
@@ -101,21 +99,12 @@
 	}
 }
 
-// handle tells the decisions of an event and does what they say, and so on for what comes of that.
+// handle tells the decisions of an event and does what they say. Nothing that it does tells of a further
+// event before it returns.
 func (l *loop) handle(ev balance.Event) {
-	l.pending = append(l.pending, ev)
-	if l.busy {
-		return
-	}
-	l.busy = true
-	for len(l.pending) > 0 {
-		ev := l.pending[0]
-		l.pending = l.pending[1:]
-		for _, a := range l.decide.Handle(l.now(), ev) {
-			l.do(a)
-		}
+	for _, a := range l.decide.Handle(l.now(), ev) {
+		l.do(a)
 	}
-	l.pending, l.busy = nil, false
 }
 
 func (l *loop) do(a balance.Action) {
