--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -80,11 +80,7 @@
 	stop := context.AfterFunc(ctx, func() { conn.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
 	head := x.Head.With(time.Until(until))
-	whole := 0
-	for _, part := range head {
-		whole += len(part)
-	}
-	if n, err := head.WriteTo(conn.TCPConn); err != nil && n < int64(whole) {
+	if _, err := head.WriteTo(conn.TCPConn); err != nil && len(head) > 0 { // what is written leaves head
 		conn.Close()
 		return balance.ConnectFailed, nil, false // its last byte was not written, so it never ran
 	}
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -121,7 +121,8 @@
 	}
 	head, err := exchange.ParseHead(append([]byte(nil), line...)) // it outlives the read buffer
 	if err != nil {
-		s.refuse(c, Malformed, err)
+		s.answer(c, "ERR "+err.Error())
+		s.end(c, Malformed)
 		return
 	}
 	s.Count.Requests.Add(1)
@@ -169,12 +170,7 @@
 	}
 }
 
-// refuse answers a first line that is no request.
-func (s *Server) refuse(c *lines.Conn, why exchange.Reason, err error) {
-	s.answer(c, "ERR "+err.Error())
-	s.end(c, why)
-}
-
+// answer answers a first line that is no request.
 func (s *Server) answer(c *lines.Conn, line string) {
 	s.Count.Malformed.Add(1)
 	c.WriteLine(line, s.cfg.Exchange.Linger)
--- a/node/loop.go
+++ b/node/loop.go
@@ -28,7 +28,6 @@
 	list     *discovery.Client
 	events   chan func()     // run by the loop's goroutine
 	ctx      context.Context // ends with the loop
-	done     <-chan struct{}
 	wall     time.Time // the moment that times count from is Unix time 0; this one carries the steady clock
 	pushed   bool
 	drain    time.Duration // a server that drains has it to send its clients away itself
@@ -52,12 +51,13 @@
 	seed, _ := cfg.seed()
 	set := cfg.Settings.Settings()
 	set.TellsLate = false // no server sends such notes on sockets, and an echo may come at once whatever the load
-	l := &loop{ctx: ctx, done: ctx.Done(), log: log, decide: balance.New(set, seed), events: make(chan func(), queue), wall: time.Now(),
-		pushed: set.Pushed, drain: ms(cfg.Times.Drain), aim: shortestAim(set), version: cfg.Known.Version,
-		list:    discovery.New(cfg.Discovery, settings.Microseconds(cfg.Settings.Ceilings.DialTimeout)*5, ms(cfg.Times.Watch)),
-		known:   cfg.Known.Members(balance.ListCached),
-		servers: map[balance.ServerID]string{}, draining: map[balance.ServerID]bool{}, open: map[balance.RequestID]*exchange.Exchange{},
-		speeds: map[balance.ServerID]*speed{}}
+	dial := settings.Microseconds(cfg.Settings.Ceilings.DialTimeout) * 5 // discovery may be further away
+	l := &loop{ctx: ctx, log: log, decide: balance.New(set, seed), events: make(chan func(), queue),
+		wall: time.Now(), pushed: set.Pushed, drain: ms(cfg.Times.Drain), aim: shortestAim(set),
+		version: cfg.Known.Version, known: cfg.Known.Members(balance.ListCached),
+		list:    discovery.New(cfg.Discovery, dial, ms(cfg.Times.Watch)),
+		servers: map[balance.ServerID]string{}, draining: map[balance.ServerID]bool{},
+		open: map[balance.RequestID]*exchange.Exchange{}, speeds: map[balance.ServerID]*speed{}}
 	l.addresses(&cfg.Known)
 	return l
 }
@@ -78,7 +78,7 @@
 			clock.Reset(l.timers[0].at - l.now())
 		}
 		select {
-		case <-l.done:
+		case <-l.ctx.Done():
 			return
 		case do := <-l.events:
 			do()
@@ -95,7 +95,7 @@
 func (l *loop) tell(do func()) {
 	select {
 	case l.events <- do:
-	case <-l.done:
+	case <-l.ctx.Done():
 	}
 }
 
@@ -129,10 +129,8 @@
 			x.Answer(exchange.Failed, "ERR not served")
 		}
 	case balance.Move:
-		if x := l.open[a.ID]; x != nil {
-			if x.Move() {
-				l.count.moved.Add(1)
-			}
+		if x := l.open[a.ID]; x != nil && x.Move() {
+			l.count.moved.Add(1)
 		}
 	case balance.Probe:
 		l.back.Probe(a.Server, l.servers[a.Server])
@@ -227,14 +225,15 @@
 func (l *loop) Closed(x *exchange.Exchange, a exchange.Attempt, outcome balance.Outcome, took time.Duration,
 	report *balance.Report) {
 	l.tell(func() {
-		if owed := x.Owed(); owed && len(x.Head.At) > 0 {
+		owed := x.Owed()
+		if owed && len(x.Head.At) > 0 {
 			l.notBack(x, outcome)
 			return
 		} else if !owed {
 			l.forget(x.ID)
 		}
 		l.handle(balance.Closed{ID: x.ID, Attempt: a.Number, Server: a.Server, Outcome: outcome, Took: took,
-			Final: !x.Owed(), Report: report})
+			Final: !owed, Report: report})
 	})
 }
 
