A client that leaves while its server is asked is forgotten; a vanished server's probe says so

Found in rereading, each with a test that failed before. node/loop.go: Left removed nothing from the loop's map, and where no attempt was out no Closed came to do it, so such exchanges stayed for the node's life. internal/backend/probe.go: where a kept connection broke and a new one was refused, the result stayed the break's (reset), so the module did not set the server aside. Also gofmt of node/loop.go.

--- a/internal/backend/probe.go
+++ b/internal/backend/probe.go
@@ -63,11 +63,12 @@
 		}
 		begun := time.Now()
 		ctx, cancel := context.WithDeadline(context.Background(), begun.Add(c.cfg.Probe))
-		result := balance.Probed{Server: id, Outcome: balance.ConnectFailed}
+		result := balance.Probed{Server: id}
 		for kept := conn != nil; ; kept = false {
 			if conn == nil {
 				var err error
 				if conn, err = c.dial(ctx, p.addr); err != nil {
+					result.Outcome = balance.ConnectFailed // whatever became of a kept one
 					break
 				}
 			}
--- a/internal/backend/probe_test.go
+++ b/internal/backend/probe_test.go
@@ -15,10 +15,11 @@
 // asker probes a stand-in whose every connection is handled by serve; conns counts them.
 type asker struct {
 	*Client
-	t       *testing.T
-	addr    string
-	results chan balance.Probed
-	conns   chan struct{}
+	t        *testing.T
+	listener net.Listener
+	addr     string
+	results  chan balance.Probed
+	conns    chan struct{}
 }
 
 func newAsker(t *testing.T, serve func(n int, c net.Conn, in *bufio.Reader)) *asker {
@@ -27,7 +28,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { l.Close() })
-	a := &asker{t: t, addr: l.Addr().String(), results: make(chan balance.Probed, 10), conns: make(chan struct{}, 10)}
+	a := &asker{t: t, listener: l, addr: l.Addr().String(), results: make(chan balance.Probed, 10), conns: make(chan struct{}, 10)}
 	a.Client = New(Config{Dial: time.Second, Probe: time.Second, Idle: time.Minute, LoadField: "x0"}, nil,
 		func(p balance.Probed) { a.results <- p })
 	go func() {
@@ -95,6 +96,21 @@
 	}
 }
 
+// One that has closed its connection and takes no new one is not there: not a connection that broke.
+func TestAProbeOfAServerThatHasGone(t *testing.T) {
+	var a *asker
+	a = newAsker(t, func(_ int, c net.Conn, in *bufio.Reader) {
+		answer(c, in, "PONG x0=0.5\r\n")
+		a.listener.Close()
+		in.ReadString('\n') // the next probe, which it does not answer
+		c.Close()
+	})
+	a.ask()
+	if p := a.ask(); p.Outcome != balance.ConnectFailed || p.Report != nil {
+		t.Errorf("got %+v", p)
+	}
+}
+
 func TestOutcomesOfProbes(t *testing.T) {
 	for name, c := range map[string]struct {
 		line string
--- a/node/loop.go
+++ b/node/loop.go
@@ -28,7 +28,7 @@
 	list     *discovery.Client
 	events   chan func()     // run by the loop's goroutine
 	ctx      context.Context // ends with the loop
-	wall     time.Time // the moment that times count from is Unix time 0; this one carries the steady clock
+	wall     time.Time       // the moment that times count from is Unix time 0; this one carries the steady clock
 	pushed   bool
 	drain    time.Duration // a server that drains has it to send its clients away itself
 	aim      time.Duration // messages over a third of it are told
@@ -50,7 +50,7 @@
 func newLoop(ctx context.Context, cfg *Config, log *zap.Logger) *loop {
 	seed, _ := cfg.seed()
 	set := cfg.Settings.Settings()
-	set.TellsLate = false // no server sends such notes on sockets, and an echo may come at once whatever the load
+	set.TellsLate = false                                                // no server sends such notes on sockets, and an echo may come at once whatever the load
 	dial := settings.Microseconds(cfg.Settings.Ceilings.DialTimeout) * 5 // discovery may be further away
 	l := &loop{ctx: ctx, log: log, decide: balance.New(set, seed), events: make(chan func(), queue),
 		wall: time.Now(), pushed: set.Pushed, drain: ms(cfg.Times.Drain), aim: shortestAim(set),
@@ -199,6 +199,7 @@
 func (l *loop) Left(x *exchange.Exchange) {
 	l.tell(func() {
 		l.count.left.Add(1)
+		l.forget(x.ID) // where no attempt is out, no Closed comes
 		if i := slices.Index(l.returns, x); i >= 0 {
 			l.returns = slices.Delete(l.returns, i, i+1)
 		}
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -338,6 +338,23 @@
 	}
 }
 
+// No attempt is out then, whose end would have it forgotten.
+func TestAClientThatLeavesWhileItsServerIsAskedIsForgotten(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0") // takes the probe and answers nothing
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	n := start(t, func(c *Config) { c.Times.Probe = 60_000 }, &host{id: "s-1", addr: l.Addr().String()})
+	client := n.open("k", "")
+	n.until("the probe", func() bool { return n.counter("probes") == 1 })
+	client.Close()
+	n.until("the client's leaving", func() bool { return n.counter("left") == 1 })
+	if held := n.held(); held != 0 {
+		t.Errorf("%d held", held)
+	}
+}
+
 func TestAConnectionThatStoodBefore(t *testing.T) {
 	known, later := newHost(t, "s-1"), newHost(t, "s-2")
 	n := start(t, nil, known)
