--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -37,8 +37,8 @@
 
 // Counts counts what the servers' side sends, by outcome.
 type Counts struct {
-	Attempts, Probes atomic.Int64
-	Outcomes         [8]atomic.Int64 // of attempts that did not stand
+	Attempts, Written, Probes atomic.Int64    // attempts begun, and those whose first line was written whole
+	Outcomes                  [8]atomic.Int64 // of attempts that did not stand
 }
 
 // New makes a client. probed takes the results of probes, from any goroutine.
@@ -84,6 +84,7 @@
 		conn.Close()
 		return balance.ConnectFailed, nil, false // its last byte was not written, so it never ran
 	}
+	c.Count.Written.Add(1)
 	line, err := conn.ReadLine()
 	if err != nil {
 		conn.Close()
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -61,6 +61,9 @@
 	Linger  time.Duration // what an ended connection may take to close
 }
 
+// Tally counts what became of the requests of one class.
+type Tally struct{ Served, Refused, Failed atomic.Int64 }
+
 type phase int
 
 const (
@@ -80,6 +83,7 @@
 	Tries    int // attempts started; the node counts them
 
 	client *lines.Conn
+	tally  *Tally
 	sink   Sink
 	limits Limits
 	log    *zap.Logger
@@ -103,10 +107,10 @@
 	sides    atomic.Int32
 }
 
-// New makes an exchange for a first line that has just been read.
-func New(head *Head, client *lines.Conn, sink Sink, limits Limits, log *zap.Logger) *Exchange {
+// New makes an exchange for a first line that has just been read, of a class whose requests are counted in tally.
+func New(head *Head, client *lines.Conn, tally *Tally, sink Sink, limits Limits, log *zap.Logger) *Exchange {
 	now := time.Now()
-	return &Exchange{Head: head, Deadline: now.Add(head.Wait), client: client, sink: sink, limits: limits,
+	return &Exchange{Head: head, Deadline: now.Add(head.Wait), client: client, tally: tally, sink: sink, limits: limits,
 		log: log, begun: now, up: make(chan struct{}), ended: make(chan struct{})}
 }
 
@@ -125,6 +129,11 @@
 // Answer gives the final answer that is not a server's. The caller does not wait for the client.
 func (x *Exchange) Answer(why Reason, line string) {
 	if cancel, first := x.settle(why); first {
+		if why == Refused {
+			x.tally.Refused.Add(1)
+		} else {
+			x.tally.Failed.Add(1)
+		}
 		if cancel != nil {
 			cancel()
 		}
@@ -250,6 +259,7 @@
 	x.phase, x.server, x.stood, x.cancel = standing, server, time.Now(), nil
 	server.SetDeadline(time.Time{})
 	x.sides.Add(1)
+	x.tally.Served.Add(1)
 	x.client.SetWriteDeadline(x.stood.Add(x.limits.Linger))
 	x.mu.Unlock()                  // the loop takes it, and must not wait for a client that does not read
 	_, err := x.client.Write(line) // before anything else that this server sends
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -48,7 +48,7 @@
 		}
 	}
 	client.SetWriteDeadline(time.Time{})
-	x := New(&Head{Wait: time.Minute}, client, deaf{}, Limits{Linger: time.Minute}, zap.NewNop())
+	x := New(&Head{Wait: time.Minute}, client, &Tally{}, deaf{}, Limits{Linger: time.Minute}, zap.NewNop())
 	go x.Stand(server, []byte("UP r\r\n"), func([]byte) *balance.Report { return nil })
 	answered := make(chan bool)
 	go func() {
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -30,10 +30,11 @@
 
 // Config holds what the clients' side is told.
 type Config struct {
-	FirstLine time.Duration          // the first line must come within it, whatever comes before
-	Most      int                    // requests held at once; further ones are told that there is no room
-	Door      int                    // connections held beside them: without a first line yet, or being turned away
-	Class     func(name []byte) bool // tells whether there is such a class
+	FirstLine time.Duration                     // the first line must come within it, whatever comes before
+	Most      int                               // requests held at once; further ones are told that there is no room
+	Door      int                               // connections held beside them: without a first line yet, or being turned away
+	Class     func(name []byte) *exchange.Tally // of a class; nil where there is none
+	Welcome   func() bool                       // tells whether clients should be sent here; nil means always
 	Exchange  exchange.Limits
 }
 
@@ -129,6 +130,9 @@
 	<-s.door
 }
 
+// Open is the number of requests that have not ended.
+func (s *Server) Open() int { return len(s.room) }
+
 // Wait returns when all connections have ended.
 func (s *Server) Wait() { s.wait.Wait() }
 
@@ -143,7 +147,7 @@
 
 func (s *Server) client(c *lines.Conn) {
 	defer c.Close()
-	head, why := s.request(c)
+	head, tally, why := s.request(c)
 	if why != "" {
 		s.leave(c)
 		s.log.Info("connection ended", zap.String("code", string(why)), zap.Stringer("client", c.RemoteAddr()))
@@ -155,39 +159,42 @@
 	id := string(head.ID)
 	defer s.ids.end(id)
 	s.Count.Requests.Add(1)
-	x := exchange.New(head, c, s.sink, s.cfg.Exchange, s.log)
+	x := exchange.New(head, c, tally, s.sink, s.cfg.Exchange, s.log)
 	s.take(x)
 	x.FromClient()
 }
 
 // request reads a client's request, for which there is room then, or turns it away and tells why.
-func (s *Server) request(c *lines.Conn) (head *exchange.Head, why exchange.Reason) {
+func (s *Server) request(c *lines.Conn) (head *exchange.Head, tally *exchange.Tally, why exchange.Reason) {
 	line, why := s.firstLine(c)
 	if why != "" {
-		return nil, why
+		return nil, nil, why
 	}
 	head, err := exchange.ParseHead(append([]byte(nil), line...)) // it outlives the read buffer
 	switch {
 	case err == nil && c.Ahead(): // a client waits for its answer; what it sends unasked is no line for a server
 		err = exchange.ErrMalformed
-	case err == nil && !s.cfg.Class(head.Class):
-		err = errNoClass
+	case err == nil:
+		if tally = s.cfg.Class(head.Class); tally == nil {
+			err = errNoClass
+		}
 	}
 	if err != nil {
-		return nil, s.turnAway(c, Malformed, err.Error())
+		return nil, nil, s.turnAway(c, Malformed, err.Error())
 	}
 	select {
 	case s.room <- struct{}{}:
 	default:
 		s.Count.NoRoom.Add(1)
+		tally.Refused.Add(1)
 		s.answer(c, "BUSY")
-		return nil, NoRoom
+		return nil, nil, NoRoom
 	}
 	if !s.ids.begin(string(head.ID)) {
 		<-s.room
-		return nil, s.turnAway(c, IDInUse, "id in use")
+		return nil, nil, s.turnAway(c, IDInUse, "id in use")
 	}
-	return head, ""
+	return head, tally, ""
 }
 
 var errNoClass = errors.New("unknown class")
@@ -211,7 +218,11 @@
 			return line, ""
 		}
 		s.Count.Pings.Add(1)
-		if err := c.WriteLine("PONG", s.cfg.Exchange.Linger); err != nil {
+		answer := "PONG"
+		if s.cfg.Welcome != nil && !s.cfg.Welcome() {
+			answer = "ERR out of service"
+		}
+		if err := c.WriteLine(answer, s.cfg.Exchange.Linger); err != nil {
 			return nil, Probed
 		}
 	}
--- a/node/config.go
+++ b/node/config.go
@@ -18,6 +18,7 @@
 type Config struct {
 	Name      string         `json:"name"`
 	Listen    string         `json:"listen"`    // where clients connect
+	Admin     string         `json:"admin"`     // the second address, for those who run the node; "" where there is none
 	Discovery string         `json:"discovery"` // where the list of servers is asked for
 	Seed      string         `json:"seed"`      // for random numbers, in hexadecimal digits
 	Limits    Limits         `json:"limits"`
@@ -25,6 +26,7 @@
 	Settings  settings.Info  `json:"settings"`
 	Times     Times          `json:"times"`
 	Watch     *settings.Info `json:"watch_settings"` // of another shape: decided by beside, and only counted
+	ListenFD  int            `json:"-"`              // an inherited socket that listens for clients; 0 where there is none
 }
 
 // Limits are those of the machine.
@@ -45,6 +47,7 @@
 	Drain     int64 `json:"drain_ms"`      // a server that drains has it to send its clients away itself
 	Accept    int64 `json:"accept_ms"`     // after a call to stop, clients are accepted for it
 	Stop      int64 `json:"stop_ms"`       // and the node is done within it; by default a little over the longest deadline
+	Empty     int64 `json:"empty_ms"`      // a node that is put out of service has moved its clients within it
 }
 
 // A node needs descriptors beside those of its connections: its files, its listener, two watches while it changes
@@ -57,7 +60,7 @@
 // places shares the descriptors out: two for each request and its server, and an eighth for connections that are
 // no requests yet, so that those keep no request out.
 func (c *Config) places() (requests, door int) {
-	left := c.Limits.Sockets - ownSockets - len(c.Known.Servers)
+	left := c.Limits.Sockets - ownSockets - len(c.Known.Servers) - c.adminPlaces()
 	door = max(left/8, leastPlaces)
 	requests = max((left-door)/2, leastPlaces)
 	if open := c.Settings.Ceilings.MaxOpen; open > 0 {
@@ -66,8 +69,16 @@
 	return requests, door
 }
 
-// Load reads the configuration for a start: LB_CONFIG names a file, and LB_NAME, LB_LISTEN and LB_DISCOVERY go
-// before what it says.
+// adminPlaces are the descriptors of callers at the second address, set apart so that neither side starves the other.
+func (c *Config) adminPlaces() int {
+	if c.Admin == "" {
+		return 0
+	}
+	return max(c.Limits.Sockets/16, leastPlaces)
+}
+
+// Load reads the configuration for a start: LB_CONFIG names a file, and LB_NAME, LB_LISTEN, LB_ADMIN and LB_DISCOVERY
+// go before what it says. LB_LISTEN_FD names an inherited socket.
 func Load(getenv func(string) string) (Config, error) { return load(getenv, true) }
 
 // LoadAgain reads it for Reload. The environment is as old as the program, so now the file goes before it.
@@ -86,11 +97,16 @@
 	if err := json.Unmarshal(data, &c); err != nil {
 		return c, fmt.Errorf("LB_CONFIG: %s: %w", path, err)
 	}
-	for name, to := range map[string]*string{"LB_NAME": &c.Name, "LB_LISTEN": &c.Listen, "LB_DISCOVERY": &c.Discovery} {
+	for name, to := range map[string]*string{"LB_NAME": &c.Name, "LB_LISTEN": &c.Listen, "LB_ADMIN": &c.Admin, "LB_DISCOVERY": &c.Discovery} {
 		if value := getenv(name); value != "" && (start || *to == "") {
 			*to = value
 		}
 	}
+	if value := getenv("LB_LISTEN_FD"); value != "" {
+		if c.ListenFD, err = strconv.Atoi(value); err != nil || c.ListenFD < 3 {
+			return c, fmt.Errorf("LB_LISTEN_FD: %q is no number of a descriptor from 3 on", value)
+		}
+	}
 	return c, nil
 }
 
@@ -110,6 +126,11 @@
 			fault("config: %s: %q is no address with a port", a.key, a.addr)
 		}
 	}
+	if c.Admin != "" {
+		if _, port, err := net.SplitHostPort(c.Admin); err != nil || port == "" {
+			fault("config: admin (or LB_ADMIN): %q is no address with a port", c.Admin)
+		}
+	}
 	if _, err := c.seed(); err != nil {
 		faults = append(faults, err)
 	}
@@ -132,6 +153,7 @@
 		{"watch_ms", &c.Times.Watch, 3500}, {"silence_ms", &c.Times.Silence, 3000},
 		{"notice_ms", &c.Times.Notice, 1000}, {"linger_ms", &c.Times.Linger, 500},
 		{"drain_ms", &c.Times.Drain, 1000}, {"accept_ms", &c.Times.Accept, 500}, {"stop_ms", &c.Times.Stop, c.stopWithin()},
+		{"empty_ms", &c.Times.Empty, 3000},
 	} {
 		if *d.value == 0 {
 			*d.value = d.preset
--- a/node/loop.go
+++ b/node/loop.go
@@ -46,6 +46,9 @@
 	speeds   map[balance.ServerID]*speed
 	timers   timers
 	shadow   *shadow // decides by other settings, to be counted; nil where none are watched
+	figures  bool    // someone may ask for figures
+	classes  map[string]*exchange.Tally
+	hosts    struct{ known, excluded atomic.Int64 } // as lately counted
 	count    struct {
 		opened, served, refused, failed, left, moved, messages, late, dropped atomic.Int64
 	}
@@ -63,6 +66,10 @@
 		list: discovery.New(dial, ms(cfg.Times.Watch)), asked: cfg.Discovery, unwatch: func() {},
 		servers: map[balance.ServerID]string{}, draining: map[balance.ServerID]bool{},
 		open: map[balance.RequestID]*exchange.Exchange{}, speeds: map[balance.ServerID]*speed{}}
+	l.figures, l.classes = cfg.Admin != "", map[string]*exchange.Tally{}
+	for name := range set.Classes {
+		l.classes[name] = &exchange.Tally{}
+	}
 	l.addresses(&cfg.Known)
 	if cfg.Watch != nil {
 		set := cfg.Watch.Settings()
@@ -86,6 +93,13 @@
 		l.subscribe()
 	}
 	clock := time.NewTimer(0)
+	var look <-chan time.Time
+	if l.figures {
+		l.lookAtHosts()
+		ticker := time.NewTicker(figuresEvery)
+		defer ticker.Stop()
+		look = ticker.C
+	}
 	for {
 		if len(l.timers) > 0 {
 			clock.Reset(l.timers[0].at - l.now())
@@ -95,6 +109,8 @@
 			return
 		case do := <-l.events:
 			do()
+		case <-look:
+			l.lookAtHosts()
 		case <-clock.C:
 			for now := l.now(); len(l.timers) > 0 && l.timers[0].at <= now; {
 				if t := heap.Pop(&l.timers).(timer); t.shadow {
@@ -108,6 +124,16 @@
 	}
 }
 
+// figuresEvery is how often what only the loop knows is put where others read it.
+const figuresEvery = 200 * time.Millisecond
+
+// lookAtHosts counts the servers in the list, and those that get no new connection now: they drain, or the decisions
+// have set them aside.
+func (l *loop) lookAtHosts() {
+	l.hosts.known.Store(int64(len(l.servers)))
+	l.hosts.excluded.Store(int64(l.decide.Avoided(l.now())))
+}
+
 // tell has the loop do something, and waits while the queue is full. The loop's own goroutine must not call
 // it. What comes after the loop's end is dropped.
 func (l *loop) tell(do func()) {
--- a/node/node.go
+++ b/node/node.go
@@ -6,15 +6,18 @@
 	"context"
 	"fmt"
 	"net"
+	"os"
 	"reflect"
 	"runtime"
 	"runtime/debug"
 	"slices"
+	"syscall"
 	"time"
 
 	"go.uber.org/zap"
 
 	"brassmux/balance"
+	"brassmux/internal/admin"
 	"brassmux/internal/backend"
 	"brassmux/internal/exchange"
 	"brassmux/internal/frontend"
@@ -26,8 +29,11 @@
 	cfg      Config
 	log      *zap.Logger
 	listener *net.TCPListener
+	life     *life
 	loop     *loop
 	front    *frontend.Server
+	admin    *admin.Server   // nil where there is no second address
+	second   net.Listener    // its
 	work     context.Context // ends when all is done
 	stop     context.CancelFunc
 }
@@ -40,29 +46,58 @@
 	if err := cfg.check(); err != nil {
 		return nil, err
 	}
-	addr, err := net.ResolveTCPAddr("tcp", cfg.Listen)
+	listener, err := cfg.listener()
 	if err != nil {
-		return nil, fmt.Errorf("config: listen: %w", err)
+		return nil, err
 	}
-	listener, err := net.ListenTCP("tcp", addr)
-	if err != nil {
-		return nil, fmt.Errorf("config: listen: %w", err)
+	n := &Node{cfg: cfg, log: log.With(zap.String("node", cfg.Name)), listener: listener, life: newLife()}
+	if cfg.Admin != "" {
+		if n.second, err = net.Listen("tcp", cfg.Admin); err != nil {
+			listener.Close()
+			return nil, fmt.Errorf("config: admin (or LB_ADMIN): %w", err)
+		}
+		n.admin = admin.New(operated{n}, admin.Limits{Places: cfg.adminPlaces(), Call: ms(cfg.Times.FirstLine)}, n.log)
 	}
-	n := &Node{cfg: cfg, log: log.With(zap.String("node", cfg.Name)), listener: listener}
 	limits := exchange.Limits{Silence: ms(cfg.Times.Silence), Notice: ms(cfg.Times.Notice),
 		Linger: ms(cfg.Times.Linger)}
 	requests, door := cfg.places()
-	classes := cfg.Settings.Settings().Classes
 	n.work, n.stop = context.WithCancel(context.Background())
 	n.loop = newLoop(n.work, &n.cfg, n.log)
 	n.loop.back = backend.New(backend.Config{Dial: settings.Microseconds(cfg.Settings.Ceilings.DialTimeout),
 		Probe: ms(cfg.Times.Probe), Idle: settings.Microseconds(cfg.Settings.Ceilings.KeepAlive),
 		LoadField: settings.LoadField}, n.loop, n.loop.probed)
 	n.front = frontend.New(frontend.Config{FirstLine: ms(cfg.Times.FirstLine), Most: requests, Door: door,
-		Class: func(name []byte) bool { _, ok := classes[string(name)]; return ok }, Exchange: limits}, n.log, n.loop, n.loop.take)
+		Class: func(name []byte) *exchange.Tally { return n.loop.classes[string(name)] }, Welcome: n.life.welcome,
+		Exchange: limits}, n.log, n.loop, n.loop.take)
 	return n, nil
 }
 
+// listener is the inherited socket, or one of the node's own.
+func (c *Config) listener() (*net.TCPListener, error) {
+	if c.ListenFD == 0 {
+		l, err := net.Listen("tcp", c.Listen)
+		if err != nil {
+			return nil, fmt.Errorf("config: listen: %w", err)
+		}
+		return l.(*net.TCPListener), nil
+	}
+	if listens, err := syscall.GetsockoptInt(c.ListenFD, syscall.SOL_SOCKET, syscall.SO_ACCEPTCONN); err != nil || listens == 0 {
+		return nil, fmt.Errorf("LB_LISTEN_FD: descriptor %d is no listening socket", c.ListenFD)
+	}
+	f := os.NewFile(uintptr(c.ListenFD), "LB_LISTEN_FD")
+	defer f.Close() // the listener has a copy
+	l, err := net.FileListener(f)
+	if err != nil {
+		return nil, fmt.Errorf("LB_LISTEN_FD: descriptor %d: %w", c.ListenFD, err)
+	}
+	tcp, ok := l.(*net.TCPListener)
+	if !ok {
+		l.Close()
+		return nil, fmt.Errorf("LB_LISTEN_FD: descriptor %d listens on no TCP", c.ListenFD)
+	}
+	return tcp, nil
+}
+
 // Addr is where the node listens.
 func (n *Node) Addr() net.Addr { return n.listener.Addr() }
 
@@ -83,7 +118,7 @@
 	if err := cfg.check(); err != nil {
 		return err
 	}
-	for key, changed := range map[string]bool{"name": cfg.Name != n.cfg.Name, "listen": cfg.Listen != n.cfg.Listen,
+	for key, changed := range map[string]bool{"name": cfg.Name != n.cfg.Name, "listen": cfg.Listen != n.cfg.Listen, "admin": cfg.Admin != n.cfg.Admin,
 		"limits": cfg.Limits != n.cfg.Limits, "times": cfg.Times != n.cfg.Times,
 		"settings": !reflect.DeepEqual(cfg.Settings, n.cfg.Settings)} {
 		if changed {
@@ -99,8 +134,13 @@
 
 // Run serves until ctx ends, goes on accepting for a while, moves all clients away and returns. Where there is no
 // other node, who stands is moved only when the time to stop runs out: until this one is back nobody takes them.
+// Of an inherited socket it takes no more at once: what waits there is the next process's.
 func (n *Node) Run(ctx context.Context) error {
 	defer n.stop()
+	if n.admin != nil { // open before all else, and closed last
+		go n.admin.Serve(n.second)
+		defer n.admin.Close()
+	}
 	done := make(chan struct{})
 	go func() {
 		n.loop.run()
@@ -111,17 +151,23 @@
 		n.front.Serve(n.work, n.listener)
 		close(served)
 	}()
+	n.life.begin()
 	n.log.Info("serving", zap.Stringer("listen", n.listener.Addr()))
-	<-ctx.Done()
+	n.keep(ctx)
+	n.life.end()
 	n.log.Info("stopping")
 	t := n.cfg.Times
 	end, leave := time.After(ms(t.Stop)), time.After(0)
-	if n.cfg.Settings.Balancers <= 1 {
+	if n.alone() && n.cfg.ListenFD == 0 {
 		leave = time.After(ms(t.Stop - t.Linger)) // a client may take that long to go
 	}
-	time.Sleep(ms(t.Accept)) // the front still sends clients here
-	n.listener.Close()
-	n.front.HangUp(ms(t.Linger))
+	if n.cfg.ListenFD == 0 {
+		time.Sleep(ms(t.Accept)) // the front still sends clients here
+		n.listener.Close()
+		n.front.HangUp(ms(t.Linger))
+	} else { // those at the door have the time that every first line has
+		n.listener.Close()
+	}
 	gone := make(chan struct{})
 	go func() {
 		<-served // no more can come
@@ -151,6 +197,74 @@
 	return nil
 }
 
+// alone tells that no other node takes a client that this one sends away.
+func (n *Node) alone() bool { return n.cfg.Settings.Balancers <= 1 }
+
+// keep serves until ctx ends, and empties the node while it is out of service.
+func (n *Node) keep(ctx context.Context) {
+	for {
+		now, changed := n.life.now()
+		if now == outOfService {
+			n.log.Info("out of service")
+			if n.empty(ctx); ctx.Err() != nil {
+				return
+			}
+			n.log.Info("in service")
+			continue
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
+
+// empty moves all clients away, and those who still come, until the node is back in service. The front notices
+// after a while that PING says no; who were moved before that might come straight back.
+func (n *Node) empty(ctx context.Context) {
+	pause := n.cfg.Times.Accept
+	if n.alone() {
+		pause = max(pause, n.cfg.Times.Empty-n.cfg.Times.Linger)
+	}
+	leave, again := time.After(ms(pause)), time.NewTicker(leaveEvery)
+	defer again.Stop()
+	for leaving := false; ; {
+		now, changed := n.life.now()
+		if now != outOfService {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		case <-leave:
+			leaving = true
+		case <-again.C:
+		}
+		if leaving {
+			n.loop.tell(func() { n.loop.handle(balance.Leaving{}) })
+		}
+	}
+}
+
+// operated is the node as the second address knows it.
+type operated struct{ n *Node }
+
+func (o operated) Ready() bool { return o.n.life.ready() }
+
+func (o operated) PutOutOfService(out bool) bool { return o.n.life.put(out) }
+
+func (o operated) Figures() admin.Figures {
+	l := o.n.loop
+	f := admin.Figures{Requests: map[string]admin.Class{}, Attempts: l.back.Count.Written.Load(),
+		InFlight: int64(o.n.front.Open()), Known: l.hosts.known.Load(), Excluded: l.hosts.excluded.Load()}
+	for name, t := range l.classes {
+		f.Requests[name] = admin.Class{Served: t.Served.Load(), Refused: t.Refused.Load(), Failed: t.Failed.Load()}
+	}
+	return f
+}
+
 // Counters gives what the node has taken in, sent and answered, as fields of a log line.
 func (n *Node) Counters() []zap.Field {
 	f, b, d, l := &n.front.Count, &n.loop.back.Count, &n.loop.list.Count, &n.loop.count
