--- a/balance/balance.go
+++ b/balance/balance.go
@@ -56,6 +56,7 @@
 	usual           float64       // load of a connection
 	boot            uint8         // tells this start from others
 	boots           map[int]uint8 // what the nodes said last of theirs
+	relieved        bool          // another process of this node spends the cold budgets
 }
 
 type server struct {
@@ -119,10 +120,8 @@
 		b.members(ev)
 	case Request:
 		b.place(b.admit(ev))
-	case Opened: // load like any other
-		r := b.admit(ev.Request)
-		r.standing, r.answered = true, true
-		b.start(r, b.server(ev.Server))
+	case Opened, Adopted, Relieved: // from before this process, or after it
+		b.handed(ev)
 	case Accepted:
 		if r := b.requests[ev.ID]; r != nil {
 			r.standing, r.answered = true, true
@@ -505,7 +504,7 @@
 }
 
 func (b *Balancer) allowed(r *request, s *server) bool {
-	if b.cold(s) && !b.spend(s) {
+	if b.cold(s) && (!b.spend(s) || b.relieved) {
 		return false // it started so lately that it may do only part of its work
 	}
 	class := b.set.Classes[r.Class]
--- a/balance/state.go
+++ b/balance/state.go
@@ -1,6 +1,12 @@
 package balance
 
-import "time"
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+	"time"
+)
 
 // Avoided counts the servers in the list that get no new connection now: they drain, or are set aside.
 func (b *Balancer) Avoided(now time.Duration) (n int) {
@@ -11,3 +17,119 @@
 	}
 	return n
 }
+
+// Memory is what one process of a node tells the next: what it has learned and what it has spent. Connections
+// that stand are not in it; the next process is told of each as Adopted.
+type Memory struct {
+	Rate    float64       `json:"rate"`
+	Rated   time.Duration `json:"rated"`
+	Servers []Learned     `json:"servers"`
+	Clients []Remembered  `json:"clients"`
+}
+
+// Learned is what is known of a server beyond the list.
+type Learned struct {
+	ID      ServerID      `json:"id"`
+	UpSince time.Duration `json:"up_since"`
+	Budget  float64       `json:"budget"`
+	Counted time.Duration `json:"counted"`
+	Aside   time.Duration `json:"aside"`
+	Signs   int           `json:"signs"`
+	Load    float64       `json:"load"`
+	Loaded  time.Duration `json:"loaded"`
+}
+
+// Remembered is a client's entry in the table.
+type Remembered struct {
+	Key     string        `json:"key"`
+	Server  ServerID      `json:"server"`
+	UpSince time.Duration `json:"up_since"`
+	Until   time.Duration `json:"until"`
+}
+
+// Memory gives what the next process of this node needs to go on.
+func (b *Balancer) Memory(now time.Duration) (state Memory) {
+	b.learnRate(0)
+	state.Rate, state.Rated = b.rate, b.rated
+	for _, id := range slices.Sorted(maps.Keys(b.servers)) {
+		s := b.servers[id]
+		state.Servers = append(state.Servers, Learned{ID: id, UpSince: s.UpSince, Budget: s.budget, Counted: s.counted,
+			Aside: s.aside, Signs: s.signs, Load: s.reportedLoad, Loaded: s.loaded})
+	}
+	for _, key := range slices.Sorted(maps.Keys(b.table.entries)) {
+		e := b.table.entries[key]
+		until := e.until
+		if e.held > 0 {
+			until = now + afterEnd
+		}
+		state.Clients = append(state.Clients, Remembered{key, e.server.ID, e.upSince, until})
+	}
+	return state
+}
+
+// Restore takes over from the process before this one, after the list. What does not fit the list, or comes from
+// a clock that is ahead, is left out: it may only make this process more careful than an empty one, or remember more.
+func (b *Balancer) Restore(now time.Duration, state Memory) {
+	b.now = max(b.now, now)
+	if state.Rate >= 0 && state.Rated <= now {
+		b.rate, b.rated = state.Rate, state.Rated
+	}
+	for _, l := range state.Servers {
+		s := b.servers[l.ID]
+		if s == nil || s.UpSince != l.UpSince {
+			continue
+		}
+		if l.Counted <= now && !math.IsNaN(l.Budget) {
+			s.budget, s.counted = l.Budget, max(l.Counted, 0)
+		}
+		s.aside, s.signs = min(l.Aside, now+lately<<signsMost), min(max(l.Signs, 0), signsMost)
+		if l.Loaded <= now && l.Load >= 0 {
+			s.reportedLoad, s.loaded = l.Load, max(l.Loaded, 0)
+		}
+	}
+	slices.SortFunc(state.Clients, func(x, y Remembered) int { // the table forgets in this order
+		return cmp.Or(cmp.Compare(x.Until, y.Until), cmp.Compare(x.Key, y.Key))
+	})
+	for _, c := range state.Clients {
+		s := b.servers[c.Server]
+		if s == nil || c.Key == "" || c.Until <= now || len(b.table.entries) >= b.table.bound {
+			continue
+		}
+		e := &entry{key: c.Key, server: s, upSince: c.UpSince, until: min(c.Until, now+afterEnd)}
+		b.table.entries[c.Key] = e
+		b.table.ended = append(b.table.ended, *e)
+	}
+}
+
+// Adopted is a connection that stands, and that the process before this one has handed over.
+type Adopted struct{ Opened }
+
+func (Adopted) event() {}
+
+// Relieved tells whether another process of this node goes on with the cold budgets: from then on this one sends
+// cold servers nothing, so that no budget is spent twice. That process may fail, and not be there any more.
+type Relieved struct{ By bool }
+
+func (Relieved) event() {}
+
+// handed takes in what the processes of a node tell one another, and connections that stood before. These are load
+// like any other.
+func (b *Balancer) handed(ev Event) {
+	open := func(ev Opened) {
+		r := b.admit(ev.Request)
+		r.standing, r.answered = true, true
+		b.start(r, b.server(ev.Server))
+	}
+	switch ev := ev.(type) {
+	case Opened:
+		open(ev)
+	case Adopted:
+		open(ev.Opened)
+		b.server(ev.Server).since-- // what its server reported has it already
+	case Relieved:
+		b.relieved = ev.By
+		for _, s := range b.servers { // what was saved up is the other's, and it may have spent it before it failed
+			s.budget, s.counted = min(s.budget, 0), b.now
+		}
+	}
+}
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -98,7 +98,7 @@
 	}
 	switch string(lines.Word(line)) {
 	case "UP":
-		if stop() && x.Stand(conn, line, c.report) {
+		if stop() && x.Stand(conn, line, c.Report) {
 			return balance.OK, nil, true
 		}
 		conn.Reset()
@@ -111,7 +111,7 @@
 	default:
 		outcome = balance.Error
 	}
-	report = c.report(line)
+	report = c.Report(line)
 	conn.Close()
 	return outcome, report, false
 }
@@ -125,8 +125,8 @@
 	return lines.New(conn.(*net.TCPConn)), nil
 }
 
-// report reads a load report at the end of a server's line; nil where there is none.
-func (c *Client) report(line []byte) *balance.Report {
+// Report reads a load report at the end of a server's line; nil where there is none.
+func (c *Client) Report(line []byte) *balance.Report {
 	text := bytes.TrimSpace(line)
 	i := bytes.LastIndexByte(text, ' ')
 	if i < 0 || !bytes.Contains(text[i:], []byte("=")) {
--- a/internal/backend/probe.go
+++ b/internal/backend/probe.go
@@ -102,7 +102,7 @@
 	case err != nil:
 		return balance.Reset, nil, err
 	case string(lines.Word(line)) != "PONG":
-		return balance.Error, c.report(line), nil
+		return balance.Error, c.Report(line), nil
 	}
-	return balance.OK, c.report(line), nil
+	return balance.OK, c.Report(line), nil
 }
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -99,6 +99,7 @@
 	sent     time.Time // when it was
 	stood    time.Time
 	moving   bool
+	handing  *handing // while it is being handed over
 	reason   Reason
 	out      []time.Time // when the messages without an answer were passed on, oldest first
 	heeded   time.Time   // when the server was last listened to: not while a slow client holds that up
@@ -181,6 +182,13 @@
 func (x *Exchange) fromClient() {
 	for {
 		line, err := x.client.ReadLine()
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			if gone, again := x.park(); gone {
+				return
+			} else if again || x.stands() { // else it did not close after the server had
+				continue
+			}
+		}
 		if err != nil {
 			x.clientEnds(err)
 			return
@@ -195,7 +203,7 @@
 		if len(x.out) < messagesMost {
 			x.out = append(x.out, time.Now())
 		}
-		if len(x.out) == 1 && !x.moving {
+		if len(x.out) == 1 && !x.moving && x.handing == nil {
 			server.SetReadDeadline(x.out[0].Add(x.limits.Notice))
 		}
 		x.mu.Unlock()
@@ -206,6 +214,13 @@
 	}
 }
 
+// stands tells that the connection is up and nothing ends it.
+func (x *Exchange) stands() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.phase == standing && !x.moving && x.reason == ""
+}
+
 func (x *Exchange) clientEnds(err error) {
 	if cancel, first := x.settle(ClientLeft); first {
 		if cancel != nil {
@@ -275,13 +290,18 @@
 	} else { // part of the line may be out: nothing more can follow it
 		x.client.Reset()
 	}
+	x.Relay(read)
+	return true
+}
+
+// Relay passes on what the server of a standing connection sends, until it ends.
+func (x *Exchange) Relay(read func([]byte) *balance.Report) {
 	outcome, report := x.fromServer(read)
 	x.mu.Lock()
 	x.phase = over
 	x.mu.Unlock()
 	x.sink.Closed(x, x.attempt, outcome, time.Since(x.sent), report)
 	x.sideDone()
-	return true
 }
 
 func (x *Exchange) fromServer(read func([]byte) *balance.Report) (balance.Outcome, *balance.Report) {
@@ -290,6 +310,11 @@
 	for {
 		line, err := x.server.ReadLine()
 		if errors.Is(err, os.ErrDeadlineExceeded) {
+			if gone, again := x.park(); gone {
+				return balance.Cancelled, nil
+			} else if again {
+				continue
+			}
 			if done, outcome := x.deadline(); done {
 				return outcome, nil
 			}
@@ -333,12 +358,8 @@
 	}
 	sent := x.out[0]
 	x.out = x.out[:copy(x.out, x.out[1:])]
-	if !x.moving && x.reason == "" {
-		var next time.Time
-		if len(x.out) > 0 {
-			next = x.out[0].Add(x.limits.Notice)
-		}
-		x.server.SetReadDeadline(next)
+	if !x.moving && x.handing == nil && x.reason == "" {
+		x.listen()
 	}
 	x.mu.Unlock()
 	x.sink.Message(x, x.attempt.Server, now.Sub(sent))
@@ -348,6 +369,10 @@
 // for long, or the server does not close after the client has.
 func (x *Exchange) deadline() (done bool, outcome balance.Outcome) {
 	x.mu.Lock()
+	if x.handing != nil { // it began just now: the passed deadline is to stay
+		x.mu.Unlock()
+		return false, balance.Cancelled
+	}
 	var age time.Duration
 	if len(x.out) > 0 {
 		age = min(time.Since(x.out[0]), time.Since(x.heeded))
@@ -369,7 +394,11 @@
 		x.server.Reset()
 		return true, outcome
 	}
-	x.server.SetReadDeadline(time.Now().Add(min(x.limits.Notice, x.limits.Silence-age)))
+	if len(x.out) == 0 { // nothing is awaited: the deadline was that of a hand-over that came to nothing
+		x.listen()
+	} else {
+		x.server.SetReadDeadline(time.Now().Add(min(x.limits.Notice, x.limits.Silence-age)))
+	}
 	x.mu.Unlock()
 	if age > 0 {
 		x.sink.Message(x, x.attempt.Server, age)
@@ -412,7 +441,7 @@
 func (x *Exchange) Move() bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if x.phase != standing || x.moving || x.reason != "" {
+	if x.phase != standing || x.moving || x.reason != "" || x.handing != nil {
 		return false
 	}
 	x.moving, x.reason = true, Moved
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -164,6 +164,37 @@
 	x.FromClient()
 }
 
+// Adopt goes on with a connection that another process has handed over; run is called with its exchange before
+// anything is read. False means that there is no room for it, or that it is nothing that this process would take.
+func (s *Server) Adopt(st *exchange.Standing, client, server *net.TCPConn, run func(*exchange.Exchange)) bool {
+	head, err := exchange.ParseHead(st.Head)
+	if err != nil {
+		return false
+	}
+	tally := s.cfg.Class(head.Class)
+	if tally == nil {
+		return false
+	}
+	select {
+	case s.room <- struct{}{}:
+	default:
+		return false
+	}
+	id := string(head.ID)
+	if !s.ids.begin(id) {
+		<-s.room
+		return false
+	}
+	x := exchange.Resume(st, head, client, server, tally, s.sink, s.cfg.Exchange, s.log)
+	run(x)
+	s.wait.Go(func() {
+		defer func() { <-s.room }()
+		defer s.ids.end(id)
+		x.FromClient()
+	})
+	return true
+}
+
 // request reads a client's request, for which there is room then, or turns it away and tells why.
 func (s *Server) request(c *lines.Conn) (head *exchange.Head, tally *exchange.Tally, why exchange.Reason) {
 	line, why := s.firstLine(c)
--- a/internal/lines/lines.go
+++ b/internal/lines/lines.go
@@ -51,6 +51,12 @@
 // Ahead tells whether more has come than the lines that were read.
 func (c *Conn) Ahead() bool { return c.text.R.Buffered() > 0 }
 
+// Unread gives a copy of what was read off the connection and belongs to no line yet.
+func (c *Conn) Unread() []byte {
+	rest, _ := c.text.R.Peek(c.text.R.Buffered())
+	return append([]byte(nil), rest...)
+}
+
 // Rest returns what has come since the last whole line, when the connection has ended.
 func (c *Conn) Rest() []byte {
 	rest, _ := c.text.R.Peek(c.text.R.Buffered())
--- a/node/config.go
+++ b/node/config.go
@@ -27,6 +27,8 @@
 	Times     Times          `json:"times"`
 	Watch     *settings.Info `json:"watch_settings"` // of another shape: decided by beside, and only counted
 	ListenFD  int            `json:"-"`              // an inherited socket that listens for clients; 0 where there is none
+
+	HandoverIn string `json:"-"` // the folder where two processes of this node meet in an upgrade; "" where none do
 }
 
 // Limits are those of the machine.
@@ -106,6 +108,7 @@
 		if c.ListenFD, err = strconv.Atoi(value); err != nil || c.ListenFD < 3 {
 			return c, fmt.Errorf("LB_LISTEN_FD: %q is no number of a descriptor from 3 on", value)
 		}
+		c.HandoverIn = getenv("TMPDIR")
 	}
 	return c, nil
 }
--- /dev/null
+++ b/node/handover.go
@@ -0,0 +1,354 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"net"
+	"os"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"brassmux/balance"
+	"brassmux/internal/discovery"
+	"brassmux/internal/exchange"
+	"brassmux/internal/upgrade"
+)
+
+// Bounds of the hand-over between the two processes of this node.
+const (
+	tellWithin  = time.Second            // what one tells the other at its start, and each message later
+	standWithin = 100 * time.Millisecond // a connection comes to stand between two lines; else it is tried again
+	readyWithin = 30 * time.Second       // the next process serves; the platform gives up long before
+)
+
+// handover is what a node knows of its other process.
+type handover struct {
+	attending sync.Mutex           // one process at a time
+	heir      atomic.Pointer[heir] // the next process, while it serves
+	count     struct{ given, taken, faults atomic.Int64 }
+}
+
+type heir struct {
+	link *upgrade.Link
+	acks chan bool // closed with the link
+}
+
+// learned is what the process before this one knew.
+type learned struct {
+	list     discovery.List
+	memory   balance.Memory
+	out      bool // out of service
+	askedOf  string
+	anything bool
+}
+
+// fault notes a hand-over that does not go on; the node does.
+func (n *Node) fault(what string, err error) {
+	n.other.count.faults.Add(1)
+	n.log.Warn("the hand-over breaks off", zap.String("at", what), zap.Error(err))
+}
+
+// before reaches the process that serves now and hears what it knows; nil where there is none.
+func (n *Node) before() (*upgrade.Link, *learned) {
+	path := upgrade.Path(n.cfg.HandoverIn, n.cfg.Listen)
+	if path == "" {
+		return nil, nil
+	}
+	link, err := upgrade.Dial(path)
+	if errors.Is(err, os.ErrNotExist) {
+		return nil, nil
+	} else if err != nil {
+		n.fault("the start", err)
+		return nil, nil
+	}
+	until, known := time.Now().Add(tellWithin), &learned{}
+	if err = link.Send(upgrade.Message{Kind: upgrade.Hello}, tellWithin); err == nil {
+		err = known.hear(link, until)
+	}
+	if err != nil {
+		n.fault("what is known", err)
+		link.Close()
+		return nil, nil
+	}
+	return link, known
+}
+
+func (k *learned) hear(link *upgrade.Link, until time.Time) error {
+	for {
+		m, _, err := link.Receive(until)
+		if err != nil {
+			return err
+		}
+		switch m.Kind {
+		case upgrade.Learned:
+			if m.List != nil {
+				k.list.Version, k.anything = m.List.Version, true
+				k.list.Servers = append(k.list.Servers, m.List.Servers...)
+			}
+			if m.Memory != nil {
+				k.memory.Rate, k.memory.Rated = m.Memory.Rate, m.Memory.Rated
+				k.memory.Servers = append(k.memory.Servers, m.Memory.Servers...)
+				k.memory.Clients = append(k.memory.Clients, m.Memory.Clients...)
+			}
+		case upgrade.Told:
+			k.out, k.askedOf = m.OutOfService, m.Discovery
+			return nil
+		default:
+			return errors.New("what is known ends with " + string(m.Kind))
+		}
+	}
+}
+
+// relieve tells the process before this one that this one serves; nil where that is not heard.
+func (n *Node) relieve(link *upgrade.Link) *upgrade.Link {
+	if link == nil {
+		return nil
+	}
+	err := link.Send(upgrade.Message{Kind: upgrade.Serving}, tellWithin)
+	if err == nil {
+		_, _, err = link.Receive(time.Now().Add(tellWithin))
+	}
+	if err != nil {
+		n.fault("the change-over", err)
+		link.Close()
+		return nil
+	}
+	return link
+}
+
+// takeOver goes on with the connections that the process before this one hands over.
+func (n *Node) takeOver(link *upgrade.Link) {
+	defer link.Close()
+	defer context.AfterFunc(n.work, link.Close)()
+	for {
+		m, conns, err := link.Receive(time.Time{})
+		if err != nil {
+			if n.work.Err() == nil {
+				n.log.Info("the process before this one has ended", zap.Int64("taken_over", n.other.count.taken.Load()))
+			}
+			return
+		}
+		if m.Kind != upgrade.Connection {
+			continue
+		}
+		answer := upgrade.NotTaken
+		if n.adopt(m.Standing, conns[0], conns[1]) {
+			answer = upgrade.Taken
+			n.other.count.taken.Add(1)
+		} else {
+			conns[0].Close()
+			conns[1].Close()
+		}
+		if err := link.Send(upgrade.Message{Kind: answer}, tellWithin); err != nil {
+			n.fault("an answer", err)
+			return
+		}
+	}
+}
+
+// adopt has a connection go on here.
+func (n *Node) adopt(s *exchange.Standing, client, server *net.TCPConn) bool {
+	return n.front.Adopt(s, client, server, func(x *exchange.Exchange) {
+		n.loop.adopt(x)
+		go x.Relay(n.loop.back.Report)
+	})
+}
+
+// awaitNext attends to the process that is to come after this one, and to another where that fails.
+func (n *Node) awaitNext() (stop func()) {
+	path := upgrade.Path(n.cfg.HandoverIn, n.cfg.Listen)
+	if path == "" {
+		return func() {}
+	}
+	l, err := upgrade.Listen(path)
+	if err != nil {
+		n.fault("the socket for the next process", err)
+		return func() {}
+	}
+	go func() {
+		for {
+			link, err := l.Accept()
+			if errors.Is(err, net.ErrClosed) {
+				return
+			} else if err != nil {
+				n.fault("the next process", err)
+				select {
+				case <-time.After(standWithin): // as when descriptors run out
+					continue
+				case <-n.work.Done():
+					return
+				}
+			}
+			go n.attend(link)
+		}
+	}()
+	return l.Close
+}
+
+// attend tells the next process what is known, and lets it serve in this one's place.
+func (n *Node) attend(link *upgrade.Link) {
+	defer link.Close()
+	if !n.other.attending.TryLock() {
+		return
+	}
+	defer n.other.attending.Unlock()
+	defer context.AfterFunc(n.work, link.Close)() // else what waits on it outlives the node
+	if m, _, err := link.Receive(time.Now().Add(tellWithin)); err != nil || m.Kind != upgrade.Hello {
+		n.fault("the next process's start", err)
+		return
+	}
+	parts := n.loop.handOn()
+	defer n.loop.tell(func() { n.loop.handle(balance.Relieved{By: false}) })
+	now, _ := n.life.now()
+	parts = append(parts, upgrade.Message{Kind: upgrade.Told, OutOfService: now == outOfService, Discovery: n.loop.askedNow()})
+	for _, m := range parts {
+		if err := link.Send(m, tellWithin); err != nil {
+			n.fault("what is known", err)
+			return
+		}
+	}
+	if m, _, err := link.Receive(time.Now().Add(readyWithin)); err != nil || m.Kind != upgrade.Serving {
+		n.fault("the next process, which does not serve", err)
+		return
+	}
+	h := &heir{link, make(chan bool, 1)}
+	n.life.relieve(true)
+	n.other.heir.Store(h)
+	n.log.Info("another process of this node serves")
+	defer func() {
+		n.other.heir.Store(nil)
+		close(h.acks)
+		n.life.relieve(false)
+	}()
+	if err := link.Send(upgrade.Message{Kind: upgrade.Relieved}, tellWithin); err != nil {
+		n.fault("the change-over", err)
+		return
+	}
+	for {
+		m, _, err := link.Receive(time.Time{})
+		if err != nil {
+			if n.work.Err() == nil {
+				n.fault("the next process, which has gone", err)
+			}
+			return
+		}
+		h.acks <- m.Kind == upgrade.Taken
+	}
+}
+
+// give hands the connections that stand to the next process; false where there is none. What another process has
+// taken is no more this one's; of what it does not answer for, it may have.
+func (n *Node) give(until time.Time) bool {
+	h := n.other.heir.Load()
+	if h == nil {
+		return false
+	}
+	for _, x := range n.loop.standing() {
+		if time.Now().After(until) {
+			break
+		}
+		if x.HandOver(standWithin, h.give) {
+			n.other.count.given.Add(1)
+		}
+	}
+	return true
+}
+
+func (h *heir) give(s *exchange.Standing, client, server *net.TCPConn) bool {
+	if h.link.Send(upgrade.Message{Kind: upgrade.Connection, Standing: s}, tellWithin, client, server) != nil {
+		return false
+	}
+	select {
+	case taken := <-h.acks: // closed: the other process is no more, and the connection is only here
+		return taken
+	case <-time.After(2 * tellWithin):
+		return true // two readers of one connection would be worse than none
+	}
+}
+
+// handOn gives what this process knows, in messages, and has it spend no cold budget any more.
+func (l *loop) handOn() (parts []upgrade.Message) {
+	l.ask(func() {
+		memory := l.decide.Memory(l.now())
+		l.handle(balance.Relieved{By: true})
+		list := discovery.List{Version: l.version, Full: true}
+		for _, s := range l.servers {
+			list.Servers = append(list.Servers, s)
+		}
+		for some := range slices.Chunk(list.Servers, upgrade.PartMost) {
+			parts = append(parts, upgrade.Message{Kind: upgrade.Learned,
+				List: &discovery.List{Version: list.Version, Full: true, Servers: some}})
+		}
+		part := func(m balance.Memory) {
+			m.Rate, m.Rated = memory.Rate, memory.Rated
+			parts = append(parts, upgrade.Message{Kind: upgrade.Learned, Memory: &m})
+		}
+		for some := range slices.Chunk(memory.Servers, upgrade.PartMost) {
+			part(balance.Memory{Servers: some})
+		}
+		for some := range slices.Chunk(memory.Clients, upgrade.PartMost) {
+			part(balance.Memory{Clients: some})
+		}
+	})
+	return parts
+}
+
+// askedNow is the discovery that is followed.
+func (l *loop) askedNow() (addr string) {
+	l.ask(func() { addr = l.asked })
+	return addr
+}
+
+// standing gives the requests that are open; some of them do not stand yet.
+func (l *loop) standing() (all []*exchange.Exchange) {
+	l.ask(func() {
+		for _, x := range l.open {
+			all = append(all, x)
+		}
+	})
+	return all
+}
+
+// ask has the loop do something and waits for it. Where the loop has ended, nothing is done.
+func (l *loop) ask(do func()) {
+	done := make(chan struct{})
+	l.tell(func() {
+		do()
+		close(done)
+	})
+	select {
+	case <-done:
+	case <-l.ctx.Done():
+	}
+}
+
+// restore begins with what the process before this one knew.
+func (l *loop) restore(k *learned) {
+	if k == nil || !k.anything {
+		return
+	}
+	if k.askedOf == l.asked { // else it may count its versions otherwise
+		l.version = k.list.Version
+	}
+	clear(l.servers)
+	clear(l.draining)
+	l.addresses(&k.list)
+	l.known = k.list.Members(balance.ListCached)
+}
+
+// adopt takes in a connection that stands, and that the process before this one has handed over.
+func (l *loop) adopt(x *exchange.Exchange) {
+	l.tell(func() {
+		l.next++
+		x.ID = l.next
+		l.open[x.ID] = x
+		l.handle(balance.Adopted{Opened: balance.Opened{Request: l.request(x), Server: x.Server()}})
+		if l.draining[x.Server()] {
+			l.leaving(x.Server())
+		}
+	})
+}
--- a/node/loop.go
+++ b/node/loop.go
@@ -38,7 +38,7 @@
 	asked    string             // the address of the discovery
 	version  int64
 	known    balance.Members
-	servers  map[balance.ServerID]string // addresses
+	servers  map[balance.ServerID]discovery.Server // as the list has them
 	draining map[balance.ServerID]bool
 	open     map[balance.RequestID]*exchange.Exchange
 	next     balance.RequestID
@@ -64,7 +64,7 @@
 		wall: time.Now(), pushed: set.Pushed, drain: ms(cfg.Times.Drain), aim: shortestAim(set),
 		version: cfg.Known.Version, known: cfg.Known.Members(balance.ListCached),
 		list: discovery.New(dial, ms(cfg.Times.Watch)), asked: cfg.Discovery, unwatch: func() {},
-		servers: map[balance.ServerID]string{}, draining: map[balance.ServerID]bool{},
+		servers: map[balance.ServerID]discovery.Server{}, draining: map[balance.ServerID]bool{},
 		open: map[balance.RequestID]*exchange.Exchange{}, speeds: map[balance.ServerID]*speed{}}
 	l.figures, l.classes = cfg.Admin != "", map[string]*exchange.Tally{}
 	for name := range set.Classes {
@@ -87,8 +87,12 @@
 	return time.Duration(l.wall.UnixNano()) + time.Since(l.wall)
 }
 
-func (l *loop) run() {
+func (l *loop) run(k *learned) {
+	l.restore(k)
 	l.handle(l.known)
+	if k != nil {
+		l.decide.Restore(l.now(), k.memory)
+	}
 	if l.pushed { // changes are to come unasked
 		l.subscribe()
 	}
@@ -167,7 +171,7 @@
 	switch a := a.(type) {
 	case balance.Attempt:
 		if x := l.open[a.ID]; x != nil {
-			l.back.Attempt(x, exchange.Attempt{Number: x.Tries, Server: a.Server, Addr: l.servers[a.Server]}, a.Timeout)
+			l.back.Attempt(x, exchange.Attempt{Number: x.Tries, Server: a.Server, Addr: l.servers[a.Server].Addr}, a.Timeout)
 			x.Tries++
 		}
 	case balance.Refuse:
@@ -189,7 +193,7 @@
 			l.count.moved.Add(1)
 		}
 	case balance.Probe:
-		l.back.Probe(a.Server, l.servers[a.Server])
+		l.back.Probe(a.Server, l.servers[a.Server].Addr)
 	case balance.SetTimer:
 		heap.Push(&l.timers, timer{l.now() + a.After, a.Token, false})
 	case balance.Subscribe:
@@ -233,7 +237,7 @@
 // while no list has named the server, it waits. The decisions hear of it once it is up.
 func (l *loop) standAgain(x *exchange.Exchange) {
 	id := balance.ServerID(settings.NamedServer(string(x.Head.At)))
-	if addr := l.servers[id]; addr != "" {
+	if addr := l.servers[id].Addr; addr != "" {
 		l.back.Attempt(x, exchange.Attempt{Server: id, Addr: addr}, 0)
 		return
 	}
@@ -429,7 +433,7 @@
 			delete(l.servers, balance.ServerID(s.ID))
 			delete(l.speeds, balance.ServerID(s.ID))
 		} else {
-			l.servers[balance.ServerID(s.ID)] = s.Addr
+			l.servers[balance.ServerID(s.ID)] = s
 		}
 		if s.State == "draining" {
 			l.draining[balance.ServerID(s.ID)] = true
--- a/node/node.go
+++ b/node/node.go
@@ -30,6 +30,7 @@
 	log      *zap.Logger
 	listener *net.TCPListener
 	life     *life
+	other    handover
 	loop     *loop
 	front    *frontend.Server
 	admin    *admin.Server   // nil where there is no second address
@@ -141,9 +142,10 @@
 		go n.admin.Serve(n.second)
 		defer n.admin.Close()
 	}
+	before, known := n.before()
 	done := make(chan struct{})
 	go func() {
-		n.loop.run()
+		n.loop.run(known)
 		close(done)
 	}()
 	served := make(chan struct{})
@@ -151,16 +153,22 @@
 		n.front.Serve(n.work, n.listener)
 		close(served)
 	}()
+	if known != nil && known.out {
+		n.life.put(true)
+	}
+	before = n.relieve(before)
 	n.life.begin()
+	if before != nil {
+		go n.takeOver(before)
+	}
+	defer n.awaitNext()()
 	n.log.Info("serving", zap.Stringer("listen", n.listener.Addr()))
 	n.keep(ctx)
 	n.life.end()
 	n.log.Info("stopping")
 	t := n.cfg.Times
-	end, leave := time.After(ms(t.Stop)), time.After(0)
-	if n.alone() && n.cfg.ListenFD == 0 {
-		leave = time.After(ms(t.Stop - t.Linger)) // a client may take that long to go
-	}
+	end := time.After(ms(t.Stop))
+	last := time.Now().Add(ms(t.Stop - t.Linger)) // a client may take that long to go
 	if n.cfg.ListenFD == 0 {
 		time.Sleep(ms(t.Accept)) // the front still sends clients here
 		n.listener.Close()
@@ -176,13 +184,13 @@
 	}()
 	again := time.NewTicker(leaveEvery)
 	defer again.Stop()
-	for going, leaving := true, false; going; {
-		if leaving {
+	for going := true; going; {
+		late := time.Now().After(last)
+		others := !n.alone() || n.cfg.ListenFD != 0 // who take those that are moved
+		if given := !late && n.give(last); late || others && !given {
 			n.loop.tell(func() { n.loop.handle(balance.Leaving{}) })
 		}
 		select {
-		case <-leave:
-			leaving = true
 		case <-again.C: // what was not up before may stand now
 		case <-gone:
 			going = false
@@ -287,6 +295,9 @@
 	add("failed", l.failed.Load())
 	add("left", l.left.Load())
 	add("moved", l.moved.Load())
+	add("handed_over", n.other.count.given.Load())
+	add("taken_over", n.other.count.taken.Load())
+	add("handover_faults", n.other.count.faults.Load())
 	add("messages", l.messages.Load())
 	add("messages_late", l.late.Load())
 	add("messages_dropped", l.dropped.Load())
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -489,7 +489,7 @@
 // address asks the loop where a host is.
 func (r *running) address(h *host) string {
 	addr := make(chan string)
-	r.loop.tell(func() { addr <- r.loop.servers[balance.ServerID(settings.NamedServer(h.id))] })
+	r.loop.tell(func() { addr <- r.loop.servers[balance.ServerID(settings.NamedServer(h.id))].Addr })
 	return <-addr
 }
 
--- a/node/trace.go
+++ b/node/trace.go
@@ -51,4 +51,4 @@
 	}
 }
 
-func (l *loop) server(id balance.ServerID) zap.Field { return zap.String("server", l.servers[id]) }
+func (l *loop) server(id balance.ServerID) zap.Field { return zap.String("server", l.servers[id].Addr) }
