--- /dev/null
+++ b/node/handover_test.go
@@ -0,0 +1,275 @@
+package node
+
+import (
+	"io"
+	"net"
+	"os"
+	"syscall"
+	"testing"
+	"time"
+
+	"brassmux/balance"
+	"brassmux/internal/discovery"
+	"brassmux/internal/upgrade"
+)
+
+// inherited has a node listen on a socket that the test holds, and meet its other process in a folder.
+func inherited(t *testing.T) (change func(*Config), path string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	f, err := l.(*net.TCPListener).File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	fd, err := syscall.Dup(int(f.Fd())) // the node closes its own
+	if err != nil {
+		t.Fatal(err)
+	}
+	folder, err := os.MkdirTemp("", "b") // a socket's name must be short
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { os.RemoveAll(folder) })
+	return func(c *Config) {
+		c.Listen, c.ListenFD, c.HandoverIn, c.Admin = l.Addr().String(), fd, folder, "127.0.0.1:0"
+	}, upgrade.Path(folder, l.Addr().String())
+}
+
+// another is a stand-in for the next process.
+func another(t *testing.T, path string) *upgrade.Link {
+	t.Helper()
+	for end := time.Now().Add(patience); ; time.Sleep(time.Millisecond) {
+		if link, err := upgrade.Dial(path); err == nil {
+			t.Cleanup(link.Close)
+			return link
+		} else if time.Now().After(end) {
+			t.Fatal(err)
+		}
+	}
+}
+
+func send(t *testing.T, link *upgrade.Link, kind upgrade.Kind) {
+	t.Helper()
+	if err := link.Send(upgrade.Message{Kind: kind}, patience); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func receive(t *testing.T, link *upgrade.Link) (*upgrade.Message, []*net.TCPConn) {
+	t.Helper()
+	m, conns, err := link.Receive(time.Now().Add(patience))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range conns {
+		t.Cleanup(func() { c.Close() })
+	}
+	return m, conns
+}
+
+// serves has the stand-in say that it does, and gives what it was told before.
+func serves(t *testing.T, link *upgrade.Link) (told []*upgrade.Message) {
+	t.Helper()
+	send(t, link, upgrade.Hello)
+	for {
+		m, _ := receive(t, link)
+		if told = append(told, m); m.Kind == upgrade.Told {
+			break
+		}
+	}
+	send(t, link, upgrade.Serving)
+	if m, _ := receive(t, link); m.Kind != upgrade.Relieved {
+		t.Fatalf("got %v", m.Kind)
+	}
+	return told
+}
+
+// What the next process does not take goes on, and is moved when the time to stop runs out.
+func TestAConnectionThatIsNotTakenIsServedAndMoved(t *testing.T) {
+	h := newHost(t, "s-1")
+	change, path := inherited(t)
+	n := start(t, func(c *Config) { change(c); c.Times.Stop, c.Times.Linger = 900, 300 }, h)
+	client, server := n.stand(h)
+	link := another(t, path)
+	serves(t, link)
+	n.stop()
+	m, conns := receive(t, link)
+	if m.Kind != upgrade.Connection || len(conns) != 2 {
+		t.Fatalf("got %v with %d sockets", m.Kind, len(conns))
+	}
+	for _, c := range conns {
+		c.Close()
+	}
+	send(t, link, upgrade.NotTaken)
+	client.say("still\r\n")
+	server.hear("still\r\n")
+	server.say("here\r\n")
+	client.hear("here\r\n")
+	go func() { // and each time it is offered again
+		for {
+			if _, conns, err := link.Receive(time.Now().Add(patience)); err != nil {
+				return
+			} else {
+				for _, c := range conns {
+					c.Close()
+				}
+				link.Send(upgrade.Message{Kind: upgrade.NotTaken}, patience)
+			}
+		}
+	}()
+	client.hear("MOVE\r\n")
+	client.Close()
+	n.wait()
+	if given, moved := n.counter("handed_over"), n.counter("moved"); given != 0 || moved != 1 {
+		t.Errorf("%d handed over, %d moved", given, moved)
+	}
+}
+
+// The next process dies while it is handed a connection: the old one still has it.
+func TestAConnectionOutlivesTheProcessThatWasToTakeIt(t *testing.T) {
+	h := newHost(t, "s-1")
+	change, path := inherited(t)
+	n := start(t, change, h)
+	client, server := n.stand(h)
+	link := another(t, path)
+	serves(t, link)
+	n.stop()
+	_, conns := receive(t, link)
+	for _, c := range conns {
+		c.Close()
+	}
+	link.Close()
+	client.hear("MOVE\r\n") // and nothing before it
+	client.end(io.EOF)
+	server.end(io.EOF)
+	client.Close()
+	n.wait()
+}
+
+// A hand-over that is damaged is counted, told in one line, and changes nothing.
+func TestADamagedHandOverChangesNothing(t *testing.T) {
+	h := newHost(t, "s-1")
+	change, path := inherited(t)
+	n := start(t, change, h)
+	client, server := n.stand(h)
+	another(t, path).Close() // it listens now, and this is one fault
+	n.until("that to be over", func() bool { return n.counter("handover_faults") == 1 })
+	c, err := net.DialUnix("unixpacket", nil, &net.UnixAddr{Name: path, Net: "unixpacket"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.Write([]byte(`{"version":1,"kind":"connection"`))
+	n.until("the fault to be counted", func() bool { return n.counter("handover_faults") == 2 })
+	if got := n.logs.FilterMessage("the hand-over breaks off").Len(); got != 2 {
+		t.Errorf("%d lines", got)
+	}
+	client.say("still\r\n")
+	server.hear("still\r\n")
+	link := another(t, path) // the next one finds the node as it was
+	serves(t, link)
+}
+
+// A process that says hello and goes leaves the node its cold budgets and its place.
+func TestANextProcessThatNeverServesLeavesAllAsItWas(t *testing.T) {
+	h := newHost(t, "s-1")
+	change, path := inherited(t)
+	n := start(t, change, h)
+	for range 3 {
+		link := another(t, path)
+		send(t, link, upgrade.Hello)
+		for {
+			if m, _ := receive(t, link); m.Kind == upgrade.Told {
+				break
+			}
+		}
+		faults := n.counter("handover_faults")
+		link.Close()
+		n.until("its end to be seen", func() bool { return n.counter("handover_faults") == faults+1 })
+	}
+	if got := n.ping(); got != "PONG\r\n" {
+		t.Errorf("got %q", got)
+	}
+	n.stand(h)
+	link := another(t, path)
+	told := serves(t, link)
+	if last := told[len(told)-1]; last.OutOfService {
+		t.Error("told to be out of service")
+	}
+}
+
+// before is a stand-in for the process that serves already.
+func beforeAt(t *testing.T, path string, say ...upgrade.Message) {
+	t.Helper()
+	l, err := upgrade.Listen(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(l.Close)
+	go func() {
+		link, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer link.Close()
+		link.Receive(time.Now().Add(patience))
+		for _, m := range say {
+			link.Send(m, patience)
+		}
+		if m, _, err := link.Receive(time.Now().Add(patience)); err == nil && m.Kind == upgrade.Serving {
+			link.Send(upgrade.Message{Kind: upgrade.Relieved}, patience)
+			link.Receive(time.Now().Add(patience))
+		}
+	}()
+}
+
+// The new process goes by the list of the old one, which is newer than its configuration's, and stays out of service.
+func TestTheNewProcessGoesOnWhereTheOldOneStands(t *testing.T) {
+	h := newHost(t, "s-new")
+	change, path := inherited(t)
+	list := newLister(t, 0)
+	cfg := config(t, list)
+	change(&cfg)
+	beforeAt(t, path,
+		upgrade.Message{Kind: upgrade.Learned, List: &discovery.List{Version: 41, Full: true, Servers: []discovery.Server{h.entry("up")}}},
+		upgrade.Message{Kind: upgrade.Learned, Memory: &balance.Memory{Rate: 3}},
+		upgrade.Message{Kind: upgrade.Told, OutOfService: true, Discovery: list.addr})
+	n := run(t, cfg, list)
+	n.until("the node to be ready", func() bool { return n.life.ready() })
+	if got := n.ping(); got != "ERR out of service\r\n" {
+		t.Errorf("got %q", got)
+	}
+	n.until("the list to be asked for", func() bool { return list.since() == "41" })
+	client := n.open("k", "")
+	s, _ := h.next(t)
+	s.say("UP r\r\n")
+	client.hear("UP r\r\n")
+	client.hear("MOVE\r\n") // as the node is out of service
+}
+
+// An old process that says nonsense, or nothing more, holds the new one up for no longer than its time.
+func TestTheNewProcessStartsWithoutTheOldOnesWord(t *testing.T) {
+	for name, say := range map[string][]upgrade.Message{
+		"nonsense": {{Kind: upgrade.Taken}},
+		"half":     {{Kind: upgrade.Learned, Memory: &balance.Memory{}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHost(t, "s-1")
+			change, path := inherited(t)
+			beforeAt(t, path, say...)
+			n := start(t, change, h)
+			client := n.open("k", "")
+			s, _ := h.next(t)
+			s.say("UP r\r\n")
+			client.hear("UP r\r\n")
+			if got := n.counter("handover_faults"); got != 1 {
+				t.Errorf("%d faults counted", got)
+			}
+		})
+	}
+}
--- a/node/node.go
+++ b/node/node.go
@@ -305,6 +305,11 @@
 	add("messages", l.messages.Load())
 	add("messages_late", l.late.Load())
 	add("messages_dropped", l.dropped.Load())
+	if n.admin != nil {
+		add("admin_callers", n.admin.Count.Callers.Load())
+		add("admin_calls", n.admin.Count.Calls.Load())
+		add("admin_made_way", n.admin.Count.MadeWay.Load())
+	}
 	for i, name := range outcomes {
 		add("attempts_"+name, b.Outcomes[i].Load())
 	}
