--- a/balance/balance.go
+++ b/balance/balance.go
@@ -62,7 +62,7 @@
 type server struct {
 	Server
 	held                  map[RequestID]*request // connections, attempts included
-	since, signs          int                    // came since its last report; times shunned
+	since, signs, unseen  int                    // came since its last report, handed over so; times shunned
 	score, told           float64                // in the ranking at hand; load last told its keeper
 	budget                float64                // connections that it may get while it is cold
 	counted, aside, late  time.Duration          // budget's; nothing new before it; the last late message
@@ -238,7 +238,8 @@
 func (b *Balancer) watch() {
 	b.watched = false
 	for _, s := range b.ready {
-		if len(s.held) > 0 && (2*s.since >= len(s.held) || s.reportedLoad > easyLoad) {
+		n := len(s.held) // what came since its report is to be reckoned with
+		if n > 0 && (2*s.since >= n || s.reportedLoad*float64(n) > easyLoad*float64(n-s.since)) {
 			if s.drawn = b.draw(s, relieveMost); s.drawn {
 				b.out = append(b.out, Probe{s.ID})
 			}
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -989,6 +989,16 @@
 	if acts := n.do(Timer{timerWatch}); len(acts) != 0 {
 		t.Errorf("known and at ease: %v", acts)
 	}
+	for id := RequestID(21); id <= 31; id++ {
+		n.do(Opened{Request: Request{ID: id, Class: "safe", Key: fmt.Sprint(id)}, Server: first.ID})
+	}
+	for 2*first.since >= len(first.held) { // two of twelve are not in its report: 0.55 may be 0.66 by now
+		n.do(told(first, 0.55))
+	}
+	n.now += time.Second
+	if acts := n.do(Timer{timerWatch}); !slices.Equal(probed(acts), []ServerID{first.ID}) {
+		t.Errorf("at ease by a report that lacks some: %v", acts)
+	}
 	n.set.TellsLate = true
 	n.now += lately
 	n.join(2)
--- a/balance/state.go
+++ b/balance/state.go
@@ -37,6 +37,7 @@
 	Signs   int           `json:"signs"`
 	Load    float64       `json:"load"`
 	Loaded  time.Duration `json:"loaded"`
+	Since   int           `json:"since"` // connections that came after that report
 }
 
 // Remembered is a client's entry in the table.
@@ -54,7 +55,7 @@
 	for _, id := range slices.Sorted(maps.Keys(b.servers)) {
 		s := b.servers[id]
 		state.Servers = append(state.Servers, Learned{ID: id, UpSince: s.UpSince, Budget: s.budget, Counted: s.counted,
-			Aside: s.aside, Signs: s.signs, Load: s.reportedLoad, Loaded: s.loaded})
+			Aside: s.aside, Signs: s.signs, Load: s.reportedLoad, Loaded: s.loaded, Since: s.since})
 	}
 	for _, key := range slices.Sorted(maps.Keys(b.table.entries)) {
 		e := b.table.entries[key]
@@ -84,7 +85,7 @@
 		}
 		s.aside, s.signs = min(l.Aside, now+lately<<signsMost), min(max(l.Signs, 0), signsMost)
 		if l.Loaded <= now && l.Load >= 0 {
-			s.reportedLoad, s.loaded = l.Load, max(l.Loaded, 0)
+			s.reportedLoad, s.loaded, s.unseen = l.Load, max(l.Loaded, 0), max(l.Since, 0)
 		}
 	}
 	slices.SortFunc(state.Clients, func(x, y Remembered) int { // the table forgets in this order
@@ -125,7 +126,11 @@
 		open(ev)
 	case Adopted:
 		open(ev.Opened)
-		b.server(ev.Server).since-- // what its server reported has it already
+		if s := b.server(ev.Server); s.unseen > 0 {
+			s.unseen-- // it came after its server's report
+		} else {
+			s.since--
+		}
 	case Relieved:
 		b.relieved = ev.By
 		for _, s := range b.servers { // what was saved up is the other's, and it may have spent it before it failed
--- a/balance/state_test.go
+++ b/balance/state_test.go
@@ -109,13 +109,17 @@
 	set.MayProbe = true
 	n := newNode(set, ready(1, 2)...)
 	n.do(Probed{Server: 1, Outcome: OK, Report: &Report{Load: 0.4}})
+	for range 5 {
+		n.do(Opened{Request: Request{ID: n.next, Class: "safe"}, Server: 1})
+		n.next++
+	}
 	next := n.takeOver(set, ready(1, 2)...)
 	for i := range 20 {
 		next.do(Adopted{Opened{Request: Request{ID: next.next, Class: "safe", Key: fmt.Sprint(i)}, Server: 1}})
 		next.next++
 	}
 	s := next.servers[1]
-	if len(s.held) != 20 || s.since != 0 || next.open != 20 {
+	if len(s.held) != 20 || s.since != 5 || next.open != 20 { // five came after the report
 		t.Errorf("holds %d, %d of them new", len(s.held), s.since)
 	}
 	next.do(Closed{ID: 1, Server: 1, Outcome: OK, Final: true})
