--- a/node/config_test.go
+++ b/node/config_test.go
@@ -15,6 +15,8 @@
 	for want, fault := range map[string]func(*Config){
 		"config: listen:":                            func(c *Config) { c.Listen = "here" },
 		"config: discovery:":                         func(c *Config) { c.Discovery = "" },
+		"config: admin (or LB_ADMIN):":               func(c *Config) { c.Admin = "9900" },
+		"LB_LISTEN_FD: descriptor 999":               func(c *Config) { c.ListenFD = 999 },
 		"config: seed:":                              func(c *Config) { c.Seed = "seed" },
 		"config: limits.sockets:":                    func(c *Config) { c.Limits.Sockets = 10 },
 		"config: limits.memory_mb:":                  func(c *Config) { c.Limits.MemoryMB = -1 },
@@ -84,6 +86,16 @@
 		cfg.Settings.Classes[1].Name != "pay" {
 		t.Errorf("got %+v, %v", cfg, err)
 	}
+	env["LB_ADMIN"], env["LB_LISTEN_FD"], env["TMPDIR"] = "127.0.0.1:6", "5", "/shared"
+	if cfg, err := Load(get); err != nil || cfg.Admin != "127.0.0.1:6" || cfg.ListenFD != 5 || cfg.HandoverIn != "/shared" {
+		t.Errorf("got %+v, %v", cfg, err)
+	}
+	for _, fd := range []string{"x", "2", "-1", "3.5"} {
+		env["LB_LISTEN_FD"] = fd
+		if _, err := Load(get); err == nil || !strings.Contains(err.Error(), "LB_LISTEN_FD") {
+			t.Errorf("descriptor %s: got %v", fd, err)
+		}
+	}
 	if _, err := Load(func(string) string { return "" }); err == nil {
 		t.Error("no error without LB_CONFIG")
 	}
