After a reading: one event for connections that stood, one way to hold a place, less code

Connections handed over are Opened with a mark, so that watched settings hear of them too (they did not); the rest behaves as before. Out: a reader, a writer and a list search that the standard library has, a method and a field that nothing used, a flag that the list itself tells.

--- a/balance/api.go
+++ b/balance/api.go
@@ -140,7 +140,8 @@
 // Opened is a connection that stood already when this node started; Attempt 0 made it.
 type Opened struct {
 	Request
-	Server ServerID
+	Server  ServerID
+	Adopted bool // from the process before this one: its server's last report may have it already
 }
 
 // Left tells that the client is gone: nothing more is owed for the request.
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -120,7 +120,7 @@
 		b.members(ev)
 	case Request:
 		b.place(b.admit(ev))
-	case Opened, Adopted, Relieved: // from before this process, or after it
+	case Opened, Relieved: // from before this process, or after it
 		b.handed(ev)
 	case Accepted:
 		if r := b.requests[ev.ID]; r != nil {
--- a/balance/state.go
+++ b/balance/state.go
@@ -19,7 +19,7 @@
 }
 
 // Memory is what one process of a node tells the next: what it has learned and what it has spent. Connections
-// that stand are not in it; the next process is told of each as Adopted.
+// that stand are not in it; the next process is told of each as Opened.
 type Memory struct {
 	Rate    float64       `json:"rate"`
 	Rated   time.Duration `json:"rated"`
@@ -102,11 +102,6 @@
 	}
 }
 
-// Adopted is a connection that stands, and that the process before this one has handed over.
-type Adopted struct{ Opened }
-
-func (Adopted) event() {}
-
 // Relieved tells whether another process of this node goes on with the cold budgets: from then on this one sends
 // cold servers nothing, so that no budget is spent twice. That process may fail, and not be there any more.
 type Relieved struct{ By bool }
@@ -116,19 +111,14 @@
 // handed takes in what the processes of a node tell one another, and connections that stood before. These are load
 // like any other.
 func (b *Balancer) handed(ev Event) {
-	open := func(ev Opened) {
-		r := b.admit(ev.Request)
-		r.standing, r.answered = true, true
-		b.start(r, b.server(ev.Server))
-	}
 	switch ev := ev.(type) {
 	case Opened:
-		open(ev)
-	case Adopted:
-		open(ev.Opened)
-		if s := b.server(ev.Server); s.unseen > 0 {
+		r, s := b.admit(ev.Request), b.server(ev.Server)
+		r.standing, r.answered = true, true
+		b.start(r, s)
+		if ev.Adopted && s.unseen > 0 {
 			s.unseen-- // it came after its server's report
-		} else {
+		} else if ev.Adopted {
 			s.since--
 		}
 	case Relieved:
--- a/balance/state_test.go
+++ b/balance/state_test.go
@@ -115,7 +115,7 @@
 	}
 	next := n.takeOver(set, ready(1, 2)...)
 	for i := range 20 {
-		next.do(Adopted{Opened{Request: Request{ID: next.next, Class: "safe", Key: fmt.Sprint(i)}, Server: 1}})
+		next.do(Opened{Request: Request{ID: next.next, Class: "safe", Key: fmt.Sprint(i)}, Server: 1, Adopted: true})
 		next.next++
 	}
 	s := next.servers[1]
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -5,9 +5,11 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"log"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -109,7 +111,7 @@
 			mux.ServeHTTP(w, r)
 		}),
 		ReadTimeout: limits.Call, WriteTimeout: 2 * limits.Call, MaxHeaderBytes: headMost,
-		ErrorLog: log.New(nowhere{}, "", 0), // a caller's faults are counted; a log must not hold up an answer
+		ErrorLog: log.New(io.Discard, "", 0), // a caller's faults are counted; a log must not hold up an answer
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
 			return context.WithValue(ctx, callerKey{}, c)
 		},
@@ -118,10 +120,6 @@
 	return s
 }
 
-type nowhere struct{}
-
-func (nowhere) Write(p []byte) (int, error) { return len(p), nil }
-
 type callerKey struct{}
 
 // Serve answers calls until Close.
@@ -152,11 +150,8 @@
 func (s *Server) leave(c *caller) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for i, other := range s.held {
-		if other == c {
-			s.held = append(s.held[:i], s.held[i+1:]...)
-			break
-		}
+	if i := slices.Index(s.held, c); i >= 0 {
+		s.held = slices.Delete(s.held, i, i+1)
 	}
 	select {
 	case s.freed <- struct{}{}:
@@ -185,11 +180,8 @@
 			break
 		}
 		var oldest *caller
-		for _, c := range s.held {
-			if !c.whole.Load() {
-				oldest = c
-				break
-			}
+		if i := slices.IndexFunc(s.held, func(c *caller) bool { return !c.whole.Load() }); i >= 0 {
+			oldest = s.held[i]
 		}
 		s.mu.Unlock()
 		wait := graceEach
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -214,11 +214,14 @@
 	}
 }
 
-// stands tells that the connection is up and nothing ends it.
+// free tells that the connection is up and nothing ends it. x.mu is held.
+func (x *Exchange) free() bool { return x.phase == standing && !x.moving && x.reason == "" }
+
+// stands is free for who does not hold x.mu.
 func (x *Exchange) stands() bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	return x.phase == standing && !x.moving && x.reason == ""
+	return x.free()
 }
 
 func (x *Exchange) clientEnds(err error) {
@@ -441,7 +444,7 @@
 func (x *Exchange) Move() bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if x.phase != standing || x.moving || x.reason != "" || x.handing != nil {
+	if !x.free() || x.handing != nil {
 		return false
 	}
 	x.moving, x.reason = true, Moved
--- a/internal/exchange/handover.go
+++ b/internal/exchange/handover.go
@@ -36,7 +36,7 @@
 // write waits for a slow reader: that can't be cut in two.
 func (x *Exchange) HandOver(within time.Duration, send func(s *Standing, client, server *net.TCPConn) bool) bool {
 	x.mu.Lock()
-	if x.phase != standing || x.moving || x.reason != "" || x.handing != nil {
+	if !x.free() || x.handing != nil {
 		x.mu.Unlock()
 		return false
 	}
@@ -59,13 +59,7 @@
 			waiting = false
 		}
 	}
-	taken := false
-	x.mu.Lock()
-	whole := x.phase == standing && !x.moving && x.reason == ""
-	x.mu.Unlock()
-	if sides == 2 && whole {
-		taken = send(x.standing(), x.client.TCPConn, x.server.TCPConn)
-	}
+	taken := sides == 2 && x.stands() && send(x.standing(), x.client.TCPConn, x.server.TCPConn)
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	h.taken, x.handing = taken, nil
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -34,7 +34,7 @@
 	Most      int                               // requests held at once; further ones are told that there is no room
 	Door      int                               // connections held beside them: without a first line yet, or being turned away
 	Class     func(name []byte) *exchange.Tally // of a class; nil where there is none
-	Welcome   func() bool                       // tells whether clients should be sent here; nil means always
+	Welcome   func() bool                       // tells whether clients should be sent here
 	Exchange  exchange.Limits
 }
 
@@ -153,11 +153,9 @@
 		s.log.Info("connection ended", zap.String("code", string(why)), zap.Stringer("client", c.RemoteAddr()))
 		return
 	}
-	defer func() { <-s.room }()
+	defer s.release(head)
 	s.leave(c)
 	c.SetReadDeadline(time.Time{})
-	id := string(head.ID)
-	defer s.ids.end(id)
 	s.Count.Requests.Add(1)
 	x := exchange.New(head, c, tally, s.sink, s.cfg.Exchange, s.log)
 	s.take(x)
@@ -175,26 +173,38 @@
 	if tally == nil {
 		return false
 	}
-	select {
-	case s.room <- struct{}{}:
-	default:
-		return false
-	}
-	id := string(head.ID)
-	if !s.ids.begin(id) {
-		<-s.room
+	if s.hold(head) != "" {
 		return false
 	}
 	x := exchange.Resume(st, head, client, server, tally, s.sink, s.cfg.Exchange, s.log)
 	run(x)
 	s.wait.Go(func() {
-		defer func() { <-s.room }()
-		defer s.ids.end(id)
+		defer s.release(head)
 		x.FromClient()
 	})
 	return true
 }
 
+// hold takes a place for a request and notes its id, or tells why it can't.
+func (s *Server) hold(head *exchange.Head) exchange.Reason {
+	select {
+	case s.room <- struct{}{}:
+	default:
+		return NoRoom
+	}
+	if !s.ids.begin(string(head.ID)) {
+		<-s.room
+		return IDInUse
+	}
+	return ""
+}
+
+// release gives up what hold took.
+func (s *Server) release(head *exchange.Head) {
+	s.ids.end(string(head.ID))
+	<-s.room
+}
+
 // request reads a client's request, for which there is room then, or turns it away and tells why.
 func (s *Server) request(c *lines.Conn) (head *exchange.Head, tally *exchange.Tally, why exchange.Reason) {
 	line, why := s.firstLine(c)
@@ -213,17 +223,14 @@
 	if err != nil {
 		return nil, nil, s.turnAway(c, Malformed, err.Error())
 	}
-	select {
-	case s.room <- struct{}{}:
-	default:
+	switch why := s.hold(head); why {
+	case NoRoom:
 		s.Count.NoRoom.Add(1)
 		tally.Refused.Add(1)
 		s.answer(c, "BUSY")
-		return nil, nil, NoRoom
-	}
-	if !s.ids.begin(string(head.ID)) {
-		<-s.room
-		return nil, nil, s.turnAway(c, IDInUse, "id in use")
+		return nil, nil, why
+	case IDInUse:
+		return nil, nil, s.turnAway(c, why, "id in use")
 	}
 	return head, tally, ""
 }
@@ -250,7 +257,7 @@
 		}
 		s.Count.Pings.Add(1)
 		answer := "PONG"
-		if s.cfg.Welcome != nil && !s.cfg.Welcome() {
+		if !s.cfg.Welcome() {
 			answer = "ERR out of service"
 		}
 		if err := c.WriteLine(answer, s.cfg.Exchange.Linger); err != nil {
--- a/internal/lines/lines.go
+++ b/internal/lines/lines.go
@@ -4,6 +4,7 @@
 import (
 	"bytes"
 	"errors"
+	"io"
 	"net"
 	"net/textproto"
 	"time"
@@ -24,6 +25,14 @@
 // New wraps a connection. The buffer of textproto's reader holds one line of the greatest length.
 func New(c *net.TCPConn) *Conn { return &Conn{c, textproto.NewConn(c)} }
 
+// Resume wraps a connection of which another process has read some bytes ahead: those come first.
+func Resume(c *net.TCPConn, ahead []byte) *Conn {
+	return &Conn{c, textproto.NewConn(struct {
+		io.Reader
+		io.WriteCloser
+	}{io.MultiReader(bytes.NewReader(ahead), c), c})}
+}
+
 // ReadLine returns the next line with its end, in place: it is valid until the next call. textproto's own
 // ReadLine would take a line of any length and hide how it ended. After an error, such as a passed
 // deadline, nothing that has come is lost and a further call goes on.
--- a/internal/upgrade/upgrade.go
+++ b/internal/upgrade/upgrade.go
@@ -238,10 +238,7 @@
 }
 
 // Listener waits for the process that comes next.
-type Listener struct {
-	l    *net.UnixListener
-	path string
-}
+type Listener struct{ l *net.UnixListener }
 
 // Listen takes the place of whoever listened there.
 func Listen(path string) (*Listener, error) {
@@ -260,7 +257,7 @@
 		l.Close()
 		return nil, err
 	}
-	return &Listener{l, path}, nil
+	return &Listener{l}, nil
 }
 
 // Accept waits for the next process.
--- a/node/handover.go
+++ b/node/handover.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net"
 	"os"
 	"slices"
@@ -69,11 +70,10 @@
 
 // learned is what the process before this one knew.
 type learned struct {
-	list     discovery.List
-	memory   balance.Memory
-	out      bool // out of service
-	askedOf  string
-	anything bool
+	list    discovery.List
+	memory  balance.Memory
+	out     bool // out of service
+	askedOf string
 }
 
 // fault notes a hand-over that does not go on; the node does.
@@ -116,7 +116,7 @@
 		switch m.Kind {
 		case upgrade.Learned:
 			if m.List != nil {
-				k.list.Version, k.anything = m.List.Version, true
+				k.list.Version = m.List.Version
 				k.list.Servers = append(k.list.Servers, m.List.Servers...)
 			}
 			if m.Memory != nil {
@@ -252,10 +252,9 @@
 		n.fault("the next process's start", err)
 		return
 	}
-	parts := n.loop.handOn()
-	defer n.loop.tell(func() { n.loop.handle(balance.Relieved{By: false}) })
 	now, _ := n.life.now()
-	parts = append(parts, upgrade.Message{Kind: upgrade.Told, OutOfService: now == outOfService, Discovery: n.loop.askedNow()})
+	parts := n.loop.handOn(now == outOfService)
+	defer n.loop.tell(func() { n.loop.handle(balance.Relieved{By: false}) })
 	for _, m := range parts {
 		if err := link.Send(m, tellWithin); err != nil {
 			n.fault("what is known", err)
@@ -337,17 +336,13 @@
 }
 
 // handOn gives what this process knows, in messages, and has it spend no cold budget any more.
-func (l *loop) handOn() (parts []upgrade.Message) {
+func (l *loop) handOn(out bool) (parts []upgrade.Message) {
 	l.ask(func() {
 		memory := l.decide.Memory(l.now())
 		l.handle(balance.Relieved{By: true})
-		list := discovery.List{Version: l.version, Full: true}
-		for _, s := range l.servers {
-			list.Servers = append(list.Servers, s)
-		}
-		for some := range slices.Chunk(list.Servers, upgrade.PartMost) {
+		for some := range slices.Chunk(slices.Collect(maps.Values(l.servers)), upgrade.PartMost) {
 			parts = append(parts, upgrade.Message{Kind: upgrade.Learned,
-				List: &discovery.List{Version: list.Version, Full: true, Servers: some}})
+				List: &discovery.List{Version: l.version, Full: true, Servers: some}})
 		}
 		part := func(m balance.Memory) {
 			m.Rate, m.Rated = memory.Rate, memory.Rated
@@ -359,16 +354,11 @@
 		for some := range slices.Chunk(memory.Clients, upgrade.PartMost) {
 			part(balance.Memory{Clients: some})
 		}
+		parts = append(parts, upgrade.Message{Kind: upgrade.Told, OutOfService: out, Discovery: l.asked})
 	})
 	return parts
 }
 
-// askedNow is the discovery that is followed.
-func (l *loop) askedNow() (addr string) {
-	l.ask(func() { addr = l.asked })
-	return addr
-}
-
 // standing gives the requests that are open; some of them do not stand yet.
 func (l *loop) standing() (all []*exchange.Exchange) {
 	l.ask(func() {
@@ -394,7 +384,7 @@
 
 // restore begins with what the process before this one knew.
 func (l *loop) restore(k *learned) {
-	if k == nil || !k.anything {
+	if k == nil || len(k.list.Servers) == 0 {
 		return
 	}
 	if k.askedOf == l.asked { // else it may count its versions otherwise
@@ -409,10 +399,8 @@
 // adopt takes in a connection that stands, and that the process before this one has handed over.
 func (l *loop) adopt(x *exchange.Exchange) {
 	l.tell(func() {
-		l.next++
-		x.ID = l.next
-		l.open[x.ID] = x
-		l.handle(balance.Adopted{Opened: balance.Opened{Request: l.request(x), Server: x.Server()}})
+		l.enter(x)
+		l.handle(balance.Opened{Request: l.request(x), Server: x.Server(), Adopted: true})
 		if l.draining[x.Server()] {
 			l.leaving(x.Server())
 		}
--- a/node/life.go
+++ b/node/life.go
@@ -52,6 +52,11 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	do()
+	l.tell()
+}
+
+// tell has who waits for a change look again. l.mu is held.
+func (l *life) tell() {
 	close(l.changed)
 	l.changed = make(chan struct{})
 }
@@ -62,12 +67,6 @@
 // relieve notes whether another process of this node serves.
 func (l *life) relieve(by bool) { l.change(func() { l.relieved = by }) }
 
-func (l *life) isRelieved() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.relieved
-}
-
 // put takes the node out of service, or back in; false where it stops. To do it again changes nothing.
 func (l *life) put(out bool) (done bool) {
 	l.mu.Lock()
@@ -77,8 +76,7 @@
 	}
 	if l.out != out {
 		l.out = out
-		close(l.changed)
-		l.changed = make(chan struct{})
+		l.tell()
 	}
 	return true
 }
--- a/node/loop.go
+++ b/node/loop.go
@@ -212,9 +212,7 @@
 // take hands a new exchange to the decisions.
 func (l *loop) take(x *exchange.Exchange) {
 	l.tell(func() {
-		l.next++
-		x.ID = l.next
-		l.open[x.ID] = x
+		l.enter(x)
 		if len(x.Head.At) > 0 {
 			l.count.opened.Add(1)
 			l.standAgain(x)
@@ -224,6 +222,13 @@
 	})
 }
 
+// enter gives an exchange its number here.
+func (l *loop) enter(x *exchange.Exchange) {
+	l.next++
+	x.ID = l.next
+	l.open[x.ID] = x
+}
+
 func (l *loop) request(x *exchange.Exchange) balance.Request {
 	h := x.Head
 	return balance.Request{ID: x.ID, Class: string(h.Class), Key: string(h.Key), Group: string(h.Group),
--- a/node/node.go
+++ b/node/node.go
@@ -119,8 +119,8 @@
 	if err := cfg.check(); err != nil {
 		return err
 	}
-	for key, changed := range map[string]bool{"name": cfg.Name != n.cfg.Name, "listen": cfg.Listen != n.cfg.Listen, "admin": cfg.Admin != n.cfg.Admin,
-		"limits": cfg.Limits != n.cfg.Limits, "times": cfg.Times != n.cfg.Times,
+	for key, changed := range map[string]bool{"name": cfg.Name != n.cfg.Name, "listen": cfg.Listen != n.cfg.Listen,
+		"admin": cfg.Admin != n.cfg.Admin, "limits": cfg.Limits != n.cfg.Limits, "times": cfg.Times != n.cfg.Times,
 		"settings": !reflect.DeepEqual(cfg.Settings, n.cfg.Settings)} {
 		if changed {
 			n.log.Warn("a changed key waits for a restart", zap.String("key", key))
@@ -173,12 +173,13 @@
 	t := n.cfg.Times
 	end := time.After(ms(t.Stop))
 	last := time.Now().Add(ms(t.Stop - t.Linger)) // a client may take that long to go
-	if n.cfg.ListenFD == 0 {
+	own := n.cfg.ListenFD == 0
+	if own {
 		time.Sleep(ms(t.Accept)) // the front still sends clients here
-		n.listener.Close()
+	}
+	n.listener.Close()
+	if own { // else those at the door have the time that every first line has
 		n.front.HangUp(ms(t.Linger))
-	} else { // those at the door have the time that every first line has
-		n.listener.Close()
 	}
 	gone := make(chan struct{})
 	go func() {
@@ -188,9 +189,9 @@
 	}()
 	again := time.NewTicker(leaveEvery)
 	defer again.Stop()
+	others := !n.alone() || !own // who take those that are moved
 	for going := true; going; {
 		late := time.Now().After(last)
-		others := !n.alone() || n.cfg.ListenFD != 0 // who take those that are moved
 		if given := !late && n.give(last); late || others && !given {
 			n.loop.tell(func() { n.loop.handle(balance.Leaving{}) })
 		}
