Gone servers, times left and starts that may be off reach the module and are allowed for

Cause: settings rules.left_margin_us, only_draining_binds and start_error_us of the two new deployments were not read. Change: a request's time is taken for as long as may be (its class's deadline at most), waits for a report end with half the wanted time, and a try that was moot ends it at once; a start is sure from its first listing at the latest; a gone server that was not listed as draining stays in the ranking until it shows four times in a row that it takes nobody.

--- a/balance/api.go
+++ b/balance/api.go
@@ -38,6 +38,7 @@
 	Window     time.Duration // how long repeats of a keyed request are dropped
 	MessageAim time.Duration // a message on the open connection should take no longer
 	Aim        time.Duration // a connection should stand within it; 0 means that it is not looked at
+	Deadline   time.Duration // the longest that any client waits for all its tries; 0 means unknown
 }
 
 // Settings are fixed for the life of an instance. A zero limit has the meaning beside it.
@@ -65,6 +66,10 @@
 	FallMultiple float64       // work over this multiple of its present capacity
 	FallWindow   time.Duration // for this long makes a cold server fall over
 	Connections  float64       // open at once on all servers, that these are to bear; 0 means unknown
+
+	LeftMargin   time.Duration // by which a request's Left may be off, either way; answers may be that much later
+	StartError   time.Duration // by which a server's UpSince may be off, either way
+	OnlyDraining bool          // only a listed Draining binds: who is Gone without it may still be sent to
 }
 
 // State is what the server list says of a server.
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -66,6 +66,8 @@
 	score, told           float64                // in the ranking at hand; load last told its keeper
 	budget                float64                // connections that it may get while it is cold
 	counted, aside, late  time.Duration          // budget's; nothing new before it; the last late message
+	started               time.Duration          // surely by then, as UpSince may be off
+	unlisted              bool                   // no list names it any more, but none had it drain
 	reportedLoad          float64                // its last report: work asked of it over what it can do
 	loaded, asked, sought time.Duration          // when it came, 0 for never; it, others were asked
 	waiting               []*request             // for its report
@@ -232,6 +234,10 @@
 
 func (b *Balancer) shun(s *server) { // guards against clients sent to who drains or is gone, unlisted yet
 	s.aside, s.signs = b.now+lately<<min(s.signs, signsMost), s.signs+1
+	if s.unlisted && s.signs > signsMost {
+		b.gone(s)
+		b.relist()
+	}
 }
 
 // watch guards against a wave placed on reports of idle servers, where no late message tells of it.
@@ -261,29 +267,26 @@
 func (b *Balancer) members(ev Members) {
 	if ev.Kind == ListFull || ev.Kind == ListCached {
 		for _, s := range b.servers {
-			s.State = Gone
+			b.gone(s)
 		}
 	}
 	for _, e := range ev.Servers {
 		s := b.server(e.ID)
-		if e.UpSince != s.UpSince {
-			s.budget, s.counted, s.aside, s.signs = b.turn(e), b.now, 0, 0
+		if e.State == Gone {
+			b.gone(s)
+			continue
+		} else if e.UpSince != s.UpSince {
+			s.budget, s.counted, s.aside, s.signs, s.started = b.turn(e), b.now, 0, 0, e.UpSince
+			if b.set.StartError > 0 { // guards against a wrong start: who is listed so was there by then
+				s.started = min(e.UpSince+b.set.StartError, b.now)
+			}
 			if ev.Kind != ListCached { // else this node may have sent it some before it restarted itself
-				s.counted = min(e.UpSince, b.now)
+				s.counted = min(s.started, b.now)
 			}
 		}
-		s.Server, s.Weight = e, cmp.Or(max(e.Weight, 0), 1)
-	}
-	clear(b.orders)
-	b.ready = b.ready[:0]
-	for id, s := range b.servers {
-		if s.State == Ready {
-			b.ready = append(b.ready, s)
-		} else if s.State == Gone && len(s.held) == 0 {
-			delete(b.servers, id)
-		}
+		s.Server, s.Weight, s.unlisted = e, cmp.Or(max(e.Weight, 0), 1), false
 	}
-	slices.SortFunc(b.ready, func(x, y *server) int { return cmp.Compare(x.ID, y.ID) })
+	b.relist()
 	if b.set.Talks && ev.Kind == ListCached {
 		b.out = append(b.out, SetTimer{time.Duration(b.rng.Float64() * float64(bookEvery)), timerBook})
 	}
@@ -298,6 +301,27 @@
 	}
 }
 
+func (b *Balancer) relist() {
+	clear(b.orders)
+	b.ready = b.ready[:0]
+	for id, s := range b.servers {
+		if s.State == Ready {
+			b.ready = append(b.ready, s)
+		} else if s.State == Gone && len(s.held) == 0 {
+			delete(b.servers, id)
+		}
+	}
+	slices.SortFunc(b.ready, func(x, y *server) int { return cmp.Compare(x.ID, y.ID) })
+}
+
+// gone guards against a list that leaves out servers that run, where only draining binds: such a one stays,
+// until it shows time and again that it takes nobody.
+func (b *Balancer) gone(s *server) {
+	if s.unlisted = b.set.OnlyDraining && s.State == Ready && s.signs <= signsMost; !s.unlisted {
+		s.State = Gone
+	}
+}
+
 func (b *Balancer) turn(e Server) float64 { // guards against nodes that send a cold one none, or all at once
 	h := xxhash.Sum64(binary.LittleEndian.AppendUint64(nil, uint64(e.ID)^uint64(e.UpSince)))
 	_, part := math.Modf(float64(b.set.Index)/float64(b.set.Nodes) + float64(h>>11)/(1<<53))
@@ -305,7 +329,11 @@
 }
 
 func (b *Balancer) admit(ev Request) *request {
-	r := &request{Request: ev, deadline: b.now + ev.Left}
+	left := ev.Left
+	if more := left + b.set.LeftMargin; more > left { // guards against clocks that take a request's time
+		left = max(left, min(more, cmp.Or(b.set.Classes[ev.Class].Deadline, more)))
+	}
+	r := &request{Request: ev, deadline: b.now + left}
 	if r.name() == "" {
 		r.Group = string(binary.LittleEndian.AppendUint64(nil, b.rng.Uint64())) // all its attempts agree
 	}
@@ -347,7 +375,10 @@
 	}
 	timeout, left := time.Duration(0), r.deadline-b.now
 	if len(r.tries)+1 < b.set.MaxAttempts && b.set.Classes[r.Class].Effect == Safe {
-		timeout = min(left/2, cmp.Or(b.set.Classes[r.Class].Aim, left)) // a silent server must leave time
+		timeout = left / 2 // a silent server must leave time
+		if aim := b.set.Classes[r.Class].Aim; b.set.Talks && aim > 0 {
+			timeout = min(timeout, aim)
+		}
 	}
 	s.budget-- // counts only while it is cold
 	b.start(r, s)
@@ -401,7 +432,7 @@
 	return top, "none ready"
 }
 
-func (b *Balancer) cold(s *server) bool { return s.UpSince > 0 && b.now < s.UpSince+b.set.ColdFor }
+func (b *Balancer) cold(s *server) bool { return s.UpSince > 0 && b.now < s.started+b.set.ColdFor }
 
 func (b *Balancer) crowded(s *server, wave float64) bool {
 	n, open := len(b.ready), len(s.held)
@@ -528,7 +559,7 @@
 // spend guards against a cold server pushed over: it gets this node's part of what would fill it as it warms.
 func (b *Balancer) spend(s *server) bool {
 	b.learnRate(0)
-	age := float64(b.now-s.UpSince) / float64(b.set.ColdFor)
+	age := float64(b.now-s.started) / float64(b.set.ColdFor)
 	share := b.set.ColdFrom + (1-b.set.ColdFrom)*min(max(age, 0), 1)
 	rate := cmp.Or(b.set.Connections/float64(b.set.Nodes)/max(b.set.ColdFor.Seconds(), 1), b.rate)
 	rate *= share * b.set.FallMultiple * coldMargin / float64(max(len(b.ready), 1))
@@ -572,6 +603,9 @@
 		b.shun(t.server) // an error at a later server may be the request's own
 	}
 	b.tell(t.server, 1)
+	if o == Moot { // guards against tries without end for a client whose time was over before it seemed so
+		r.deadline = b.now
+	}
 	if r.answered || ev.Final {
 		b.answered(r)
 	} else {
--- /dev/null
+++ b/balance/world_test.go
@@ -0,0 +1,139 @@
+package balance
+
+import (
+	"testing"
+	"time"
+)
+
+// What the operators' settings say of lists, clocks and starts that are not to be trusted.
+
+func TestOnlyAListedDrainingBinds(t *testing.T) {
+	for _, c := range []struct {
+		only    bool
+		before  State // what the list said first
+		leaves  ListKind
+		sentTo1 bool
+	}{
+		{false, Ready, ListFull, false}, {false, Ready, ListChanges, false},
+		{true, Ready, ListFull, true}, {true, Ready, ListChanges, true},
+		{true, Draining, ListFull, false}, {true, Draining, ListChanges, false},
+	} {
+		set := site()
+		set.OnlyDraining = c.only
+		n := newNode(set, ready(1)...)
+		n.do(Members{Kind: ListChanges, Servers: []Server{{ID: 1, State: c.before, Weight: 3}}})
+		gone := Members{Kind: c.leaves}
+		if c.leaves == ListChanges {
+			gone.Servers = []Server{{ID: 1, State: Gone}}
+		}
+		n.do(gone)
+		if _, s := n.place("safe", "client"); (s == 1) != c.sentTo1 {
+			t.Errorf("%+v: sent to %d", c, s)
+		}
+	}
+}
+
+// A list that names a server no more is no proof, but what the server shows is: it must not be tried for ever.
+func TestAnUnlistedServerGoesWhenItShowsNobodyIsThere(t *testing.T) {
+	set := site()
+	set.OnlyDraining, set.MaxAttempts = true, 1
+	n := newNode(set, ready(1)...)
+	n.do(Members{Kind: ListFull})
+	tries := 0
+	for range 20 {
+		if id, s := n.place("safe", "client"); s == 1 {
+			tries++
+			n.do(Closed{ID: id, Server: 1, Outcome: ConnectFailed})
+		}
+		n.now += time.Minute
+	}
+	if tries != signsMost+1 {
+		t.Errorf("tried %d times, not %d", tries, signsMost+1)
+	}
+	n.do(Members{Kind: ListFull, Servers: ready(1)})
+	if _, s := n.place("safe", "client"); s != 1 {
+		t.Error("not tried when it is listed again")
+	}
+}
+
+// A node whose clock takes a request's time must try, and must answer as soon as the true time shows to be over.
+func TestTimeLeftMayBeOff(t *testing.T) {
+	class := Class{Effect: Safe, Aim: 300 * ms, Deadline: 1800 * ms}
+	for _, c := range []struct{ margin, told, want time.Duration }{
+		{0, 20 * ms, 20 * ms}, {4800 * ms, 20 * ms, 1800 * ms}, {100 * ms, 20 * ms, 120 * ms}, {4800 * ms, 1800 * ms, 1800 * ms},
+		{4800 * ms, 2500 * ms, 2500 * ms},
+	} {
+		set := site()
+		set.LeftMargin, set.Classes["timed"] = c.margin, class
+		n := newNode(set, ready(1, 2, 3)...)
+		acts := n.do(Request{ID: 9, Class: "timed", Key: "client", Left: c.told})
+		if got := n.requests[9].deadline - n.now; got != c.want {
+			t.Errorf("%+v: taken for %v", c, got)
+		}
+		if sentTo(acts) == 0 {
+			t.Errorf("%+v: not tried", c)
+		}
+		if acts = n.do(Closed{ID: 9, Server: sentTo(acts), Outcome: Moot}); answer(acts) != "refuse" || sentTo(acts) != 0 {
+			t.Errorf("%+v: its time was over, and got %v", c, acts)
+		}
+	}
+}
+
+func TestAWaitForAReportEndsWithinTheWantedTimeWhereTimeLeftMayBeOff(t *testing.T) {
+	set := site()
+	set.MayProbe, set.LeftMargin = true, 4800*ms
+	set.Classes["timed"] = Class{Effect: Safe, Aim: 300 * ms, Deadline: 4800 * ms}
+	n := newNode(set, ready(1, 2)...)
+	for _, a := range n.do(Request{ID: 9, Class: "timed", Key: "client", Left: 4800 * ms}) {
+		if a, ok := a.(SetTimer); ok && a.Token == timerAsked+9 && a.After != 150*ms {
+			t.Errorf("it waits for %v", a.After)
+		}
+	}
+}
+
+// Each row: a start as it is listed against the moment of the news, then how long the server counts as cold.
+func TestAColdServerIsColdUntilItSurelyIsWarm(t *testing.T) {
+	for _, c := range []struct{ err, listed, cold time.Duration }{
+		{0, -2 * time.Second, 6 * time.Second},
+		{33 * time.Second, 30 * time.Second, 8 * time.Second},  // listed too late: it was there when it was listed
+		{33 * time.Second, -20 * time.Second, 8 * time.Second}, // perhaps listed too early
+		{3 * time.Second, -4 * time.Second, 7 * time.Second},
+	} {
+		set := site()
+		set.StartError = c.err
+		n := newNode(set, ready(1)...)
+		two := ready(2)[0]
+		two.UpSince = n.now + c.listed
+		n.do(Members{Kind: ListChanges, Servers: []Server{two}})
+		n.now += c.cold - ms
+		n.do(Timer{Token: 99999})
+		if !n.cold(n.server(2)) {
+			t.Errorf("%+v: warm too early", c)
+		}
+		n.now += ms
+		n.do(Timer{Token: 99999})
+		if n.cold(n.server(2)) {
+			t.Errorf("%+v: cold too long", c)
+		}
+	}
+}
+
+// A start that is listed too early must not bring a budget of time in which the server was not there.
+func TestABudgetBeginsWithTheEarliestShareThatIsSure(t *testing.T) {
+	for _, c := range []struct {
+		err   time.Duration
+		saved bool
+	}{{0, true}, {33 * time.Second, false}} {
+		set := site()
+		set.StartError, set.Connections = c.err, 400
+		n := newNode(set, ready(1)...)
+		two := ready(2)[0]
+		two.UpSince = n.now - 7*time.Second
+		n.do(Members{Kind: ListChanges, Servers: []Server{two}})
+		s := n.server(2)
+		s.budget = 0 // without its turn
+		if n.spend(s); (s.budget > 0.5) != c.saved {
+			t.Errorf("error %v: %v saved up at the news", c.err, s.budget)
+		}
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -54,6 +54,9 @@
 		Cold         int64   `json:"cold_us"`
 		FallMultiple float64 `json:"fall_multiple"`
 		Fall         int64   `json:"fall_us"`
+		LeftMargin   int64   `json:"left_margin_us"`
+		OnlyDraining bool    `json:"only_draining_binds"`
+		StartError   int64   `json:"start_error_us"`
 	} `json:"rules"`
 	Tick    int64  `json:"tick_us"`
 	Weights string `json:"weight_kind"`
@@ -79,7 +82,8 @@
 		Zone:        in.Zone, CrossPrice: in.Prices.CrossZone,
 		MaxOpen: in.Ceilings.MaxOpen, Tick: Microseconds(in.Tick),
 		ColdFrom: in.Rules.ColdFrom, ColdFor: Microseconds(in.Rules.Cold), FallMultiple: in.Rules.FallMultiple,
-		FallWindow: Microseconds(in.Rules.Fall),
+		FallWindow: Microseconds(in.Rules.Fall), LeftMargin: Microseconds(max(in.Rules.LeftMargin, 0)),
+		OnlyDraining: in.Rules.OnlyDraining, StartError: Microseconds(max(in.Rules.StartError, 0)),
 	}
 	s.Cores = 2 // where sizes are not told
 	if in.Weights == "nominal" || in.Weights == "rough" {
@@ -92,8 +96,9 @@
 		s.Connections += max(quota, 0)
 	}
 	for i, c := range in.Classes {
-		class := balance.Class{Effect: effects[c.Effect], Scope: scopes[c.Scope], Window: Microseconds(c.Window)}
-		if s.Talks { // else the time that a server may take is known by experience
+		class := balance.Class{Effect: effects[c.Effect], Scope: scopes[c.Scope], Window: Microseconds(c.Window),
+			Deadline: Microseconds(max(c.Deadline, 0))}
+		if s.Talks || s.LeftMargin > 0 { // else the time that a server may take is known by experience
 			class.Aim = Microseconds(c.Aim)
 		}
 		if i < len(in.Family.MessageAim) {
--- a/node/config.go
+++ b/node/config.go
@@ -203,6 +203,8 @@
 		{prefix + ".ceilings.send_cap", in.Ceilings.SendCap < 0, in.Ceilings.SendCap},
 		{prefix + ".classes", len(in.Classes) == 0, "none"},
 		{prefix + ".rules.cold_from", in.Rules.ColdFrom < 0 || in.Rules.ColdFrom > 1, in.Rules.ColdFrom},
+		{prefix + ".rules.left_margin_us", in.Rules.LeftMargin < 0, in.Rules.LeftMargin},
+		{prefix + ".rules.start_error_us", in.Rules.StartError < 0, in.Rules.StartError},
 		{prefix + ".tick_us", in.Tick < 0, in.Tick},
 		{prefix + ".prices.cross_zone", in.Prices.CrossZone < 0, in.Prices.CrossZone},
 	} {
