Late servers get nothing new; reports go before books where both can be had

Ruled out: time-outs (0), full queues (0), the margin of times left (clock_skew had ended). Change: a server whose last told message took longer than it should counts as late for 1.5 s; its own clients are refused, others of its groups go on to servers at ease, and are refused where there is none. It guards against whatever piles up work, stands still or slows the way, and may do harm where a single slow message at a well server turns a group away for 1.5 s. Books are kept only where no report can be had.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -67,6 +67,7 @@
 	budget                float64                // connections that it may get while it is cold
 	counted, aside, late  time.Duration          // budget's; nothing new before it; the last late message
 	started               time.Duration          // surely by then, as UpSince may be off
+	lateBy                float64                // what that message took over what it should take at most
 	unlisted              bool                   // no list names it any more, but none had it drain
 	reportedLoad          float64                // its last report: work asked of it over what it can do
 	loaded, asked, sought time.Duration          // when it came, 0 for never; it, others were asked
@@ -393,13 +394,13 @@
 		return !b.set.Talks && !b.unknown(r, s) && s.reported(b.now) && s.reportedLoad+wave > 1
 	}
 	if s := b.table.server(r.Key); s != nil && b.allowed(r, s) && b.now >= s.aside && !b.set.Talks {
-		if full(s, b.wave(r, s, 0)) {
+		if b.behind(s) || full(s, b.wave(r, s, 0)) {
 			return nil, "own full" // guards against clients that come straight back to be dropped again
 		}
 		return s, ""
 	}
 	var top *server
-	over := false // what is left to it are cold servers that have budget
+	over, late := false, false // what is left to it are cold servers that have budget; or servers at ease
 	for at, s := range b.rank(r) {
 		if over && !b.cold(s) || !b.allowed(r, s) {
 			continue
@@ -416,6 +417,8 @@
 			if top == nil || b.now >= s.aside && s.reported(b.now) && s.reportedLoad < top.reportedLoad {
 				top = s
 			}
+		} else if b.behind(s) {
+			late = true
 		} else if full(s, wave) || top != nil && r.asks >= asksMost && !s.reported(b.now) {
 			over = true // guards against a group that scatters over unknown loads, or once dropped
 		} else if b.now >= s.aside && !b.crowded(s, wave) {
@@ -426,6 +429,8 @@
 	}
 	if b.set.Talks && top != nil && top.reported(b.now) && top.reportedLoad > fullMost {
 		return nil, "full"
+	} else if late {
+		return nil, "late"
 	} else if over {
 		return top, "full"
 	}
@@ -434,6 +439,10 @@
 
 func (b *Balancer) cold(s *server) bool { return s.UpSince > 0 && b.now < s.started+b.set.ColdFor }
 
+// behind guards against clients sent to who serves nobody in time though it reports room: work is piled up,
+// it stands still, or the way there is slow. They would be dropped, and without them it may catch up.
+func (b *Balancer) behind(s *server) bool { return s.lateBy > 1 && b.now < s.late+lately }
+
 func (b *Balancer) crowded(s *server, wave float64) bool {
 	n, open := len(b.ready), len(s.held)
 	if n*open > 2*b.open && n*open >= b.open+3*n {
@@ -615,7 +624,8 @@
 
 func (b *Balancer) slow(ev Slow) {
 	if noted, s := b.requests[ev.ID], b.servers[ev.Server]; noted != nil && s != nil {
-		if s.late = b.now; ev.Message*2 > b.set.Classes[noted.Class].MessageAim && b.draw(s, 1) {
+		by := float64(ev.Message) / float64(max(b.set.Classes[noted.Class].MessageAim, 1))
+		if s.late, s.lateBy = b.now, by; by > 0.5 && b.draw(s, 1) {
 			b.relieve(s)
 		}
 	}
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -823,6 +823,30 @@
 	}
 }
 
+// Work is piled up at a server that reports room again: who goes there is dropped, and comes back to be dropped again.
+func TestServerWhoseMessagesAreTooLateGetsNothing(t *testing.T) {
+	n, first, second := probing(1, 2)
+	n.join(1)
+	n.do(told(first, 0.1))
+	n.do(Accepted{ID: 1, Server: first.ID})
+	n.do(Slow{ID: 1, Server: first.ID, Message: 101 * ms})
+	n.join(2)
+	if s := sentTo(n.do(told(second, 0.1))); s != second.ID {
+		t.Errorf("sent to %d, not on to %d, which is at ease", s, second.ID)
+	}
+	n.do(told(second, easyLoad+0.1))
+	if acts := n.join(3); answer(acts) != "refuse" {
+		t.Errorf("nobody is at ease, but: %v", acts)
+	}
+	n.do(Slow{ID: 1, Server: first.ID, Message: 99 * ms})
+	n.now += lately / 2
+	n.do(told(first, 0.1))
+	n.do(told(second, easyLoad+0.1))
+	if s := sentTo(n.join(4)); s != first.ID {
+		t.Errorf("it is in time again, but the request went to %d", s)
+	}
+}
+
 // Without reports a late message is all that a node knows of a server's load.
 func TestLateMessagePassesByWithoutReports(t *testing.T) {
 	n := newNode(site(), ready(1, 2, 3)...)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -85,7 +85,8 @@
 		FallWindow: Microseconds(in.Rules.Fall), LeftMargin: Microseconds(max(in.Rules.LeftMargin, 0)),
 		OnlyDraining: in.Rules.OnlyDraining, StartError: Microseconds(max(in.Rules.StartError, 0)),
 	}
-	s.Cores = 2 // where sizes are not told
+	s.Talks = s.Talks && !s.MayProbe // a server knows its speed, and what its groups cost, better than any book
+	s.Cores = 2                      // where sizes are not told
 	if in.Weights == "nominal" || in.Weights == "rough" {
 		s.Cores = 1
 	}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -37,6 +37,27 @@
 	}
 }
 
+// A server's own report knows its speed and what its groups cost, so nodes keep books only where there is none.
+func TestBooksAreKeptOnlyWhereServersReportNothing(t *testing.T) {
+	for _, c := range []struct {
+		text  string
+		talks bool
+	}{
+		{`{"ceilings":{"peers":true,"may_probe":true},"family_info":{"tells_load":true},"report":{"via":"probe"}}`, false},
+		{`{"ceilings":{"peers":true,"may_probe":true},"family_info":{"tells_load":true},"report":{"via":"none"}}`, true},
+		{`{"ceilings":{"peers":true},"family_info":{"tells_load":true}}`, true},
+		{`{"ceilings":{"peers":true},"family_info":{}}`, false},
+	} {
+		var in Info
+		if err := json.Unmarshal([]byte(c.text), &in); err != nil {
+			t.Fatal(err)
+		}
+		if got := in.Settings().Talks; got != c.talks {
+			t.Errorf("%s: talks %v", c.text, got)
+		}
+	}
+}
+
 // Nodes and restarts must come to the same number, or their rankings differ.
 func TestServerIDs(t *testing.T) {
 	var ids []ServerID
