Groups stay where they stand, full means 0.9, a live weight only rises

A trace of each choice: 237 of 1,900 at the top of the ranking, the rest at places 1 to 17. Change: a server takes more of a group that stands there up to 0.85, and past a crowded top the walk comes to such servers first; a server is full from 0.9, since reports are up to 1.7 s old; a live weight, which falls as a server holds more, only rises, so that rankings stay.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -20,6 +20,8 @@
 	signsMost   = 3                       // doublings of that for a server that takes nobody
 	asksMost    = 3                       // servers asked for one request
 	easyLoad    = 0.6                     // a server is crowded over this load
+	fullLoad    = 0.9                     // a server is full over it: reports are old, and loads swing
+	groupLoad   = 0.85                    // and over this one for a group that stands there
 	relieveMost = 4                       // groups that all nodes move off a server each second
 	rateMemory  = 20 * time.Second        // over which the usual rate of new clients is learned
 	coldMargin  = 0.42                    // part of the cold budget, as two windows of it may be saved up
@@ -285,7 +287,11 @@
 				s.counted = min(s.started, b.now)
 			}
 		}
-		s.Server, s.Weight, s.unlisted = e, cmp.Or(max(e.Weight, 0), 1), false
+		w := cmp.Or(max(e.Weight, 0), 1)
+		if b.set.LiveWeights { // guards against rankings that change as loads do, and scatter the groups
+			w = max(w, s.Weight)
+		}
+		s.Server, s.Weight, s.unlisted = e, w, false
 	}
 	b.relist()
 	if b.set.Talks && ev.Kind == ListCached {
@@ -391,7 +397,7 @@
 		return nil, "tries spent"
 	}
 	full := func(s *server, wave float64) bool {
-		return !b.set.Talks && !b.unknown(r, s) && s.reported(b.now) && s.reportedLoad+wave > 1
+		return !b.set.Talks && !b.unknown(r, s) && s.reported(b.now) && s.reportedLoad+wave > fullLoad
 	}
 	if s := b.table.server(r.Key); s != nil && b.allowed(r, s) && b.now >= s.aside && !b.set.Talks {
 		if b.behind(s) || full(s, b.wave(r, s, 0)) {
@@ -401,7 +407,7 @@
 	}
 	var top *server
 	over, late := false, false // what is left to it are cold servers that have budget; or servers at ease
-	for at, s := range b.rank(r) {
+	for at, s := range b.walk(r) {
 		if over && !b.cold(s) || !b.allowed(r, s) {
 			continue
 		}
@@ -421,7 +427,7 @@
 			late = true
 		} else if full(s, wave) || top != nil && r.asks >= asksMost && !s.reported(b.now) {
 			over = true // guards against a group that scatters over unknown loads, or once dropped
-		} else if b.now >= s.aside && !b.crowded(s, wave) {
+		} else if b.now >= s.aside && !b.crowded(r, s, wave) {
 			return s, ""
 		} else if top == nil || b.now < top.aside && b.now >= s.aside {
 			top = s // health comes before crowding, and fails open
@@ -437,23 +443,50 @@
 	return top, "none ready"
 }
 
+// walk is the ranking; past its top the servers where the group stands come first.
+func (b *Balancer) walk(r *request) []*server {
+	order := b.rank(r)
+	if b.set.Talks || len(order) == 0 {
+		return order
+	}
+	first, then := []*server{order[0]}, make([]*server, 0, len(order))
+	for _, s := range order[1:] {
+		if b.most(r, s) == groupLoad {
+			first = append(first, s)
+		} else {
+			then = append(then, s)
+		}
+	}
+	return append(first, then...)
+}
+
 func (b *Balancer) cold(s *server) bool { return s.UpSince > 0 && b.now < s.started+b.set.ColdFor }
 
 // behind guards against clients sent to who serves nobody in time though it reports room: work is piled up,
 // it stands still, or the way there is slow. They would be dropped, and without them it may catch up.
 func (b *Balancer) behind(s *server) bool { return s.lateBy > 1 && b.now < s.late+lately }
 
-func (b *Balancer) crowded(s *server, wave float64) bool {
+func (b *Balancer) crowded(r *request, s *server, wave float64) bool {
 	n, open := len(b.ready), len(s.held)
 	if n*open > 2*b.open && n*open >= b.open+3*n {
 		return true
 	} else if s.reported(b.now) {
 		here := s.reportedLoad * float64(s.since) / float64(max(open-s.since, 1))
-		return s.reportedLoad+max(here, wave) > easyLoad
+		return s.reportedLoad+max(here, wave) > b.most(r, s)
 	}
 	return s.late > 0 && b.now < s.late+lately
 }
 
+// most guards against groups that scatter, as each server that holds any of one pays for it.
+func (b *Balancer) most(r *request, s *server) float64 {
+	for _, o := range s.held { // only reports, which are old, tell elsewhere that it was too much
+		if b.set.TellsLate && o != r && o.name() == r.name() {
+			return groupLoad
+		}
+	}
+	return easyLoad
+}
+
 func (b *Balancer) tell(s *server, least float64) { // guards against many nodes that each see a little
 	if !b.set.Talks {
 		return
@@ -675,7 +708,7 @@
 	at := slices.Index(order, s)
 	for i, o := range order {
 		busier := o.reported(b.now) && o.reportedLoad > s.reportedLoad
-		room := (o.reported(b.now) || s.late == b.now) && !b.crowded(o, 0)
+		room := (o.reported(b.now) || s.late == b.now) && !b.crowded(r, o, 0)
 		if o != s && b.now >= o.aside && !busier && (room || i < at && b.set.TellsLate) {
 			return o, i < at
 		}
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -245,7 +245,7 @@
 			hold(n, s, c.rest)
 		}
 		hold(n, n.ready[0], c.open-c.rest)
-		if crowded := n.crowded(n.ready[0], 0); crowded != c.skip {
+		if crowded := n.crowded(&request{}, n.ready[0], 0); crowded != c.skip {
 			t.Errorf("%d against %d each: passed over is %v", c.open, c.rest, crowded)
 		}
 	}
--- a/balance/world_test.go
+++ b/balance/world_test.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"slices"
 	"testing"
 	"time"
 )
@@ -137,3 +138,68 @@
 		}
 	}
 }
+
+// Each server that holds any of a group pays for it: a group must not scatter over servers just under easyLoad, and
+// past a crowded top it goes first to where it stands.
+func TestAGroupStaysTogetherPastACrowdedTop(t *testing.T) {
+	n, first, second := probing(1, 2, 3, 4)
+	n.set.TellsLate = true
+	third := n.rank(&request{Request: Request{Group: "group"}})[2]
+	for id, s := range []*server{first, third} {
+		n.do(Opened{Request: Request{ID: RequestID(100 + id), Class: "safe", Key: "old", Group: "group"}, Server: s.ID})
+	}
+	tell := func(loads ...float64) {
+		for i, s := range []*server{first, second, third} {
+			n.do(told(s, loads[i]))
+		}
+	}
+	for _, c := range []struct {
+		loads []float64
+		to    *server
+	}{
+		{[]float64{0.5, 0.1, 0.1}, first},
+		{[]float64{easyLoad + 0.1, 0.1, 0.1}, first}, // it stands there
+		{[]float64{groupLoad + 0.01, 0.1, easyLoad + 0.1}, third},
+		{[]float64{groupLoad + 0.01, 0.1, groupLoad + 0.01}, second},
+	} {
+		tell(c.loads...)
+		if s := sentTo(n.join(RequestID(1 + len(n.requests)))); s != c.to.ID {
+			t.Errorf("%v: sent to %d, not to %d", c.loads, s, c.to.ID)
+		}
+		n.table = table{bound: 9, entries: map[string]*entry{}}
+		for _, s := range n.servers {
+			s.since = 0
+		}
+	}
+}
+
+// Where only reports tell of load, a group that is kept together fills its server before one comes.
+func TestAGroupIsNotKeptTogetherOnReportsAlone(t *testing.T) {
+	n, first, second := probing(1, 2)
+	n.do(Opened{Request: Request{ID: 100, Class: "safe", Key: "old", Group: "group"}, Server: first.ID})
+	n.do(told(first, easyLoad+0.1))
+	n.do(told(second, 0.1))
+	if s := sentTo(n.join(1)); s != second.ID {
+		t.Errorf("sent to %d, not to %d, which is at ease", s, second.ID)
+	}
+}
+
+// A live weight falls as a server holds more, and rankings that follow it scatter the groups.
+func TestALiveWeightOnlyRises(t *testing.T) {
+	for _, live := range []bool{false, true} {
+		set := site()
+		set.LiveWeights = live
+		n := newNode(set, ready(1)...)
+		weights := []float64{2, 1.2, 2.5, 0.5}
+		for i, w := range weights {
+			n.do(Members{Kind: ListChanges, Servers: []Server{{ID: 1, State: Ready, Weight: w}}})
+			want := w
+			if live {
+				want = max(slices.Max(weights[:i+1]), 1)
+			}
+			if got := n.server(1).Weight; got != want {
+				t.Errorf("live %v: %v counts as %v, not %v", live, w, got, want)
+			}
+		}
+	}
+}
