--- a/balance/balance.go
+++ b/balance/balance.go
@@ -20,8 +20,8 @@
 	signsMost   = 3                       // doublings of that for a server that takes nobody
 	asksMost    = 3                       // servers asked for one request
 	easyLoad    = 0.6                     // a server is crowded over this load
-	fullLoad    = 0.9                     // a server is full over it: reports are old, and loads swing
-	groupLoad   = 0.85                    // and over this one for a group that stands there
+	fullLoad    = 0.9                     // it is full over this one, as reports are old and loads swing
+	groupLoad   = 0.85                    // and crowded over this one for a group that stands there
 	relieveMost = 4                       // groups that all nodes move off a server each second
 	rateMemory  = 20 * time.Second        // over which the usual rate of new clients is learned
 	coldMargin  = 0.42                    // part of the cold budget, as two windows of it may be saved up
@@ -56,6 +56,7 @@
 	rated, cameBack time.Duration // when rate was last brought up to date; the first of them did
 	relief          *server       // is to be relieved once another's load is known
 	usual           float64       // load of a connection
+	full, group     float64       // fullLoad and groupLoad, where late messages tell that it was too much
 	boot            uint8         // tells this start from others
 	boots           map[int]uint8 // what the nodes said last of theirs
 	relieved        bool          // another process of this node spends the cold budgets
@@ -109,11 +110,15 @@
 func New(set Settings, seed uint64) *Balancer {
 	set.Nodes, set.MaxAttempts = max(set.Nodes, 1), max(set.MaxAttempts, 1)
 	set.MaxOpen = cmp.Or(max(set.MaxOpen, 0), 1<<20) // a bound of its own
-	return &Balancer{set: set, rng: rand.New(rand.NewPCG(seed, 0)),
+	b := &Balancer{set: set, rng: rand.New(rand.NewPCG(seed, 0)),
 		servers: map[ServerID]*server{}, requests: map[RequestID]*request{}, orders: map[string][]*server{},
 		table: table{bound: set.MaxOpen, entries: map[string]*entry{}},
-		boots: map[int]uint8{}, boot: uint8(1 + seed%64),
+		boots: map[int]uint8{}, boot: uint8(1 + seed%64), full: 1, group: easyLoad,
 	}
+	if set.TellsLate {
+		b.full, b.group = fullLoad, groupLoad
+	}
+	return b
 }
 
 // Handle takes one event and returns what to do. The slice is valid until the next call.
@@ -397,7 +402,7 @@
 		return nil, "tries spent"
 	}
 	full := func(s *server, wave float64) bool {
-		return !b.set.Talks && !b.unknown(r, s) && s.reported(b.now) && s.reportedLoad+wave > fullLoad
+		return !b.set.Talks && !b.unknown(r, s) && s.reported(b.now) && s.reportedLoad+wave > b.full
 	}
 	if s := b.table.server(r.Key); s != nil && b.allowed(r, s) && b.now >= s.aside && !b.set.Talks {
 		if b.behind(s) || full(s, b.wave(r, s, 0)) {
@@ -451,7 +456,7 @@
 	}
 	first, then := []*server{order[0]}, make([]*server, 0, len(order))
 	for _, s := range order[1:] {
-		if b.most(r, s) == groupLoad {
+		if b.most(r, s) > easyLoad {
 			first = append(first, s)
 		} else {
 			then = append(then, s)
@@ -479,9 +484,9 @@
 
 // most guards against groups that scatter, as each server that holds any of one pays for it.
 func (b *Balancer) most(r *request, s *server) float64 {
-	for _, o := range s.held { // only reports, which are old, tell elsewhere that it was too much
-		if b.set.TellsLate && o != r && o.name() == r.name() {
-			return groupLoad
+	for _, o := range s.held {
+		if o != r && o.name() == r.name() {
+			return b.group
 		}
 	}
 	return easyLoad
--- a/balance/world_test.go
+++ b/balance/world_test.go
@@ -143,7 +143,7 @@
 // past a crowded top it goes first to where it stands.
 func TestAGroupStaysTogetherPastACrowdedTop(t *testing.T) {
 	n, first, second := probing(1, 2, 3, 4)
-	n.set.TellsLate = true
+	n.full, n.group = fullLoad, groupLoad
 	third := n.rank(&request{Request: Request{Group: "group"}})[2]
 	for id, s := range []*server{first, third} {
 		n.do(Opened{Request: Request{ID: RequestID(100 + id), Class: "safe", Key: "old", Group: "group"}, Server: s.ID})
