A next process that comes while the one before is let go waits for its turn

Cause: attend() took the place of the one attended process with TryLock; a process that failed gave it back only after its fault was counted (and the loop was told), so one that dialled in that moment was closed unheard. A real successor loses its hand-over so: it starts without list, table and budgets, and the connections are moved. Told from a slow machine by the tests: link reset at receive or broken at send, within a millisecond, with no fault counted by the node. Change: who comes waits up to half of the time that a next process gives, in turn. The test holds the place and sees that the newcomer is not sent away; before, it was.

--- a/node/handover.go
+++ b/node/handover.go
@@ -28,7 +28,7 @@
 
 // handover is what a node knows of its other process.
 type handover struct {
-	attending sync.Mutex           // one process at a time
+	attending chan struct{}        // has room for one: a process at a time
 	heir      atomic.Pointer[heir] // the next process, while it serves
 	count     struct{ given, taken, faults atomic.Int64 }
 	mu        sync.Mutex
@@ -243,10 +243,14 @@
 // attend tells the next process what is known, and lets it serve in this one's place.
 func (n *Node) attend(link *upgrade.Link) {
 	defer link.Close()
-	if !n.other.attending.TryLock() {
+	// Guards against a process that comes just when the one before it has failed, and is still being let go: it would
+	// start without what is known. Where another is there for longer, it has still half of its own time left.
+	select {
+	case n.other.attending <- struct{}{}:
+	case <-time.After(tellWithin / 2):
 		return
 	}
-	defer n.other.attending.Unlock()
+	defer func() { <-n.other.attending }()
 	defer context.AfterFunc(n.work, link.Close)() // else what waits on it outlives the node
 	if m, _, err := link.Receive(time.Now().Add(tellWithin)); err != nil || m.Kind != upgrade.Hello {
 		n.fault("the next process's start", err)
--- a/node/handover_test.go
+++ b/node/handover_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"errors"
 	"io"
 	"net"
 	"os"
@@ -203,6 +204,26 @@
 	}
 }
 
+// A process that comes while the one before it is still being let go waits for its turn; it would start knowing nothing.
+func TestANextProcessThatComesAtOnceIsHeard(t *testing.T) {
+	h := newHost(t, "s-1")
+	change, path := inherited(t)
+	n := start(t, change, h)
+	n.other.attending <- struct{}{} // the one before
+	link := another(t, path)
+	send(t, link, upgrade.Hello)
+	var late net.Error
+	if _, _, err := link.Receive(time.Now().Add(50 * time.Millisecond)); !errors.As(err, &late) || !late.Timeout() {
+		t.Fatalf("it was sent away: %v", err)
+	}
+	<-n.other.attending
+	for {
+		if m, _ := receive(t, link); m.Kind == upgrade.Told {
+			break
+		}
+	}
+}
+
 // before is a stand-in for the process that serves already.
 func beforeAt(t *testing.T, path string, say ...upgrade.Message) {
 	t.Helper()
--- a/node/node.go
+++ b/node/node.go
@@ -52,6 +52,7 @@
 		return nil, err
 	}
 	n := &Node{cfg: cfg, log: log.With(zap.String("node", cfg.Name)), listener: listener, life: newLife()}
+	n.other.attending = make(chan struct{}, 1)
 	if cfg.Admin != "" {
 		if n.second, err = net.Listen("tcp", cfg.Admin); err != nil {
 			listener.Close()
