Tests of a server that is not there hold its address, so that nobody else gets it

Cause: TestAServerThatIsNotThereNeverRan closed a listener and took its address for one that refuses; with 16 copies at once another program got the port (1 of 48 plays: no connection came to the other host). The address is now taken and not listened on.

--- a/node/node_test.go
+++ b/node/node_test.go
@@ -343,12 +343,7 @@
 
 func TestAServerThatIsNotThereNeverRan(t *testing.T) {
 	gone, h := newHost(t, "s-1"), newHost(t, "s-2")
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	gone.addr = l.Addr().String()
-	l.Close()
+	gone.addr = nobody(t)
 	n := start(t, func(c *Config) { c.Settings.Ceilings.MayProbe = false }, gone, h)
 	for key := range 8 { // some of them rank the server first that is not there
 		c := n.dial()
--- a/node/standins_test.go
+++ b/node/standins_test.go
@@ -12,6 +12,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -331,3 +332,22 @@
 	r.t.Fatal("no counter " + name)
 	return 0
 }
+
+// nobody gives an address that refuses connections for as long as the test runs: taken, so that no other program gets
+// it meanwhile, but not listened on.
+func nobody(t *testing.T) string {
+	t.Helper()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { syscall.Close(fd) })
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	at, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return fmt.Sprintf("127.0.0.1:%d", at.(*syscall.SockaddrInet4).Port)
+}
