--- a/balance/balance.go
+++ b/balance/balance.go
@@ -326,8 +326,7 @@
 	slices.SortFunc(b.ready, func(x, y *server) int { return cmp.Compare(x.ID, y.ID) })
 }
 
-// gone guards against a list that leaves out servers that run, where only draining binds: such a one stays,
-// until it shows time and again that it takes nobody.
+// gone guards against a list that leaves out who runs: it stays until it shows that it takes nobody.
 func (b *Balancer) gone(s *server) {
 	if s.unlisted = b.set.OnlyDraining && s.State == Ready && s.signs <= signsMost; !s.unlisted {
 		s.State = Gone
@@ -409,8 +408,9 @@
 	if s := b.table.server(r.Key); s != nil && b.allowed(r, s) && b.now >= s.aside && !b.set.Talks {
 		if b.behind(s) || full(s, b.wave(r, s, 0)) {
 			return nil, "own full" // guards against clients that come straight back to be dropped again
+		} else if !b.set.TellsLate || !s.reported(b.now) || s.load(0) <= b.group {
+			return s, "" // else guards against all of them that come on one report
 		}
-		return s, ""
 	}
 	var top *server
 	over, late := false, false // what is left to it are cold servers that have budget; or servers at ease
@@ -473,13 +473,17 @@
 // it stands still, or the way there is slow. They would be dropped, and without them it may catch up.
 func (b *Balancer) behind(s *server) bool { return s.lateBy > 1 && b.now < s.late+lately }
 
+// load is what it reports, grown by what came from here since, or by the wave.
+func (s *server) load(wave float64) float64 {
+	return s.reportedLoad + max(s.reportedLoad*float64(s.since)/float64(max(len(s.held)-s.since, 1)), wave)
+}
+
 func (b *Balancer) crowded(r *request, s *server, wave float64) bool {
 	n, open := len(b.ready), len(s.held)
 	if n*open > 2*b.open && n*open >= b.open+3*n {
 		return true
 	} else if s.reported(b.now) {
-		here := s.reportedLoad * float64(s.since) / float64(max(open-s.since, 1))
-		return s.reportedLoad+max(here, wave) > b.most(r, s)
+		return s.load(wave) > b.most(r, s)
 	}
 	return s.late > 0 && b.now < s.late+lately
 }
--- a/balance/world_test.go
+++ b/balance/world_test.go
@@ -237,6 +237,31 @@
 	}
 }
 
+// A server at ease by its report gets no more of those whom the table sends there than that report allows: all of
+// them come on the same one.
+func TestOwnClientsDoNotAllComeOnOneReport(t *testing.T) {
+	n, first, second := probing(1, 2)
+	n.set.TellsLate, n.full, n.group = true, fullLoad, groupLoad
+	for id := range RequestID(60) {
+		n.table.hold(fmt.Sprint("client-", id+1), first)
+	}
+	for id := range RequestID(4) {
+		n.do(Opened{Request: Request{ID: 100 + id, Class: "safe", Group: "group"}, Server: first.ID})
+	}
+	first.since = 0 // the report has these
+	n.do(told(first, 0.4))
+	n.do(told(second, 0.1))
+	got := 0
+	for id := range RequestID(8) {
+		if sentTo(n.join(1+id)) == first.ID {
+			got++
+		}
+	}
+	if got < 3 || got > 5 {
+		t.Errorf("%d of 8 went to a server of 0.4 that four connections make", got)
+	}
+}
+
 // Where only reports tell of load, a group that is kept together fills its server before one comes.
 func TestAGroupIsNotKeptTogetherOnReportsAlone(t *testing.T) {
 	n, first, second := probing(1, 2)
--- a/lab/fleet/fleet.go
+++ b/lab/fleet/fleet.go
@@ -26,6 +26,8 @@
 	Totals   map[string]int   `json:"totals"`      // of the whole day, all nodes together
 	Seconds  map[string][]int `json:"seconds"`     // the same by second
 	OneHost  map[string]int   `json:"one_host_1s"` // the most that one server met in one second
+	Used     []float64        `json:"used"`        // by second: what is asked of all servers over what they can do
+	Spread   []float64        `json:"spread"`      // by second: the load of the busiest server over the mean of all
 	History  []string         `json:"history"`     // of what broke a rule, the first few
 }
 
@@ -80,6 +82,7 @@
 	decide   Decider
 	life     int // counts its starts
 	alive    bool
+	leaving  bool // it stops, and nobody new comes
 	watching bool
 	known    int // of the news
 	told     map[balance.ServerID]time.Duration
@@ -287,11 +290,32 @@
 			w.good[at]++
 		}
 	}
+	if at%int(time.Second/slice) == 0 {
+		w.levels()
+	}
 	if !w.over() {
 		w.after(slice, w.measure)
 	}
 }
 
+// levels notes how full the servers are, and how unevenly.
+func (w *world) levels() {
+	var asked, can, sum, most float64
+	serving := 0
+	for _, s := range w.servers {
+		if s.serves() {
+			load := w.load(s)
+			asked, can, sum, most = asked+load*w.capacity(s), can+w.capacity(s), sum+load, max(most, load)
+			serving++
+		}
+	}
+	used, spread := 0.0, 0.0
+	if can > 0 && sum > 0 {
+		used, spread = asked/can, most*float64(serving)/sum
+	}
+	w.result.Used, w.result.Spread = append(w.result.Used, used), append(w.result.Spread, spread)
+}
+
 func (w *world) finish() *Result {
 	var good, wanted float64
 	window, worst := int(5*time.Second/slice), 1.0
@@ -347,7 +371,7 @@
 
 func (w *world) connect(c *client, again bool) {
 	n := w.nodes[w.rng.IntN(len(w.nodes))]
-	if !n.alive {
+	if !n.alive || n.leaving {
 		w.count("node_not_there")
 		w.back(c)
 		return
@@ -375,7 +399,7 @@
 func (n *node) start() {
 	w := n.w
 	n.life++
-	n.alive, n.watching, n.known, n.next = true, false, 0, 0
+	n.alive, n.leaving, n.watching, n.known, n.next = true, false, false, 0, 0
 	n.told, n.requests = map[balance.ServerID]time.Duration{}, map[balance.RequestID]*request{}
 	v := w.s.Server
 	n.decide = w.make(balance.Settings{Nodes: w.s.Nodes, Index: n.index, MaxAttempts: 3, MayProbe: true,
--- a/lab/fleet/scenario.go
+++ b/lab/fleet/scenario.go
@@ -77,12 +77,12 @@
 	At     Duration `toml:"at"`
 	Do     string   `toml:"do"`
 	Part   float64  `toml:"part"`   // of the nodes, servers or clients
-	For    Duration `toml:"for"`    // how long it lasts; for replace_servers, how long an old one drains
+	For    Duration `toml:"for"`    // how long it lasts; for replace_servers, how long an old one drains; for restart_nodes, how long one stops
 	Over   Duration `toml:"over"`   // spread over this time
 	Factor float64  `toml:"factor"` // slow_servers: part of the capacity left
 }
 
-var kinds = []string{"discovery_down", "kill_nodes", "lose_servers", "reconnect", "replace_servers", "slow_servers"}
+var kinds = []string{"discovery_down", "kill_nodes", "lose_servers", "reconnect", "replace_servers", "restart_nodes", "slow_servers"}
 
 //go:embed scenarios/*.toml
 var kept embed.FS
--- a/lab/fleet/trouble.go
+++ b/lab/fleet/trouble.go
@@ -28,6 +28,8 @@
 		}
 	case "kill_nodes":
 		inTurn(w.some(len(w.nodes), e.Part), func(at int) { w.kill(w.nodes[at], lasts) })
+	case "restart_nodes":
+		inTurn(w.some(len(w.nodes), e.Part), func(at int) { w.restart(w.nodes[at], lasts) })
 	case "reconnect":
 		for _, at := range w.some(len(w.clients), e.Part) {
 			if r := w.clients[at].on; r != nil {
@@ -83,6 +85,26 @@
 	w.after(after, n.start)
 }
 
+// restart has a node stop in order: nobody new comes, it moves its clients for a while, and is back with what it holds then lost.
+func (w *world) restart(n *node, stops time.Duration) {
+	if !n.alive || n.leaving {
+		return
+	}
+	n.leaving = true
+	const again = 50 * time.Millisecond
+	until := w.now + stops
+	var leave func()
+	leave = func() {
+		if w.now >= until {
+			w.kill(n, again)
+			return
+		}
+		n.tell(balance.Leaving{})
+		n.later(again, leave)
+	}
+	leave()
+}
+
 // replace starts a new server, and has the old one drain and go.
 func (w *world) replace(old *server, drains time.Duration) {
 	if old.entry.State != balance.Ready {
