Relief goes by how late messages are, up to three times as often

Change: the chance of a move at a late message grows with half of how many times over the wanted time it is, to three times at most.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -667,7 +667,7 @@
 func (b *Balancer) slow(ev Slow) {
 	if noted, s := b.requests[ev.ID], b.servers[ev.Server]; noted != nil && s != nil {
 		by := float64(ev.Message) / float64(max(b.set.Classes[noted.Class].MessageAim, 1))
-		if s.late, s.lateBy = b.now, by; by > 0.5 && b.draw(s, 1) {
+		if s.late, s.lateBy = b.now, by; by > 0.5 && b.draw(s, min(max(by/2, 1), 3)) {
 			b.relieve(s)
 		}
 	}
--- a/balance/world_test.go
+++ b/balance/world_test.go
@@ -262,6 +262,29 @@
 	}
 }
 
+// The later a server's messages are, the more groups leave it at once, up to three times as many: one group a second
+// leaves it with seconds of work piled up for as long as its clients live.
+func TestReliefGoesByHowLateMessagesAre(t *testing.T) {
+	moved := func(message time.Duration) (n int) {
+		for seed := range uint64(400) {
+			set := site()
+			set.Nodes = 16
+			b := New(set, seed)
+			b.Handle(0, Members{Kind: ListCached, Servers: ready(1, 2, 3, 4)})
+			for id := RequestID(1); id <= 8; id++ {
+				r := Request{ID: id, Class: "safe", Group: fmt.Sprint("group-", id)}
+				b.Handle(0, Opened{Request: r, Server: ServerID(id%4 + 1)})
+			}
+			n += len(b.Handle(time.Second, Slow{ID: 3, Server: 4, Message: message}))
+		}
+		return n
+	}
+	once, thrice, most := moved(90*ms), moved(600*ms), moved(60*time.Second)
+	if once == 0 || thrice < 2*once || thrice > 4*once || most > thrice*5/4 {
+		t.Errorf("%d moves at 90 ms, %d at 600 ms, %d at a minute", once, thrice, most)
+	}
+}
+
 // Where only reports tell of load, a group that is kept together fills its server before one comes.
 func TestAGroupIsNotKeptTogetherOnReportsAlone(t *testing.T) {
 	n, first, second := probing(1, 2)
