--- a/balance/balance.go
+++ b/balance/balance.go
@@ -424,7 +424,7 @@
 			if slices.Contains(s.here, groupHash(r)) {
 				most = fullMost // as each server that holds any of a group pays for it
 			}
-			if b.now >= s.aside && (unknown || s.reported(b.now) && s.reportedLoad <= most) {
+			if b.now >= s.aside && !b.behind(s) && (unknown || s.reported(b.now) && s.reportedLoad <= most) {
 				return s, ""
 			}
 			if top == nil || b.now >= s.aside && s.reported(b.now) && s.reportedLoad < top.reportedLoad {
@@ -667,7 +667,7 @@
 func (b *Balancer) slow(ev Slow) {
 	if noted, s := b.requests[ev.ID], b.servers[ev.Server]; noted != nil && s != nil {
 		by := float64(ev.Message) / float64(max(b.set.Classes[noted.Class].MessageAim, 1))
-		if s.late, s.lateBy = b.now, by; by > 0.5 && b.draw(s, min(max(by/2, 1), 3)) {
+		if s.late, s.lateBy = b.now, by; by > 0.5 && b.draw(s, min(max(by/2, 1), 2)) {
 			b.relieve(s)
 		}
 	}
