--- a/balance/book_test.go
+++ b/balance/book_test.go
@@ -163,6 +163,25 @@
 	}
 }
 
+// A book cannot know what is piled up at a server: one whose messages are late gets nothing, whatever its book says.
+func TestALateServerIsPassedByWithBooksToo(t *testing.T) {
+	n := &node{Balancer: New(talking(1, 0), 1), now: time.Minute, next: 1}
+	n.do(Members{Kind: ListFull, Servers: ready(1, 2, 3)})
+	first := sentTo(n.join(1))
+	n.do(Accepted{ID: 1, Server: first})
+	if again := sentTo(n.join(2)); first == 0 || again != first {
+		t.Fatalf("sent to %d and %d", first, again)
+	}
+	n.do(Slow{ID: 1, Server: first, Message: 150 * ms})
+	if s := sentTo(n.join(3)); s == 0 || s == first {
+		t.Errorf("sent to %d", s)
+	}
+	n.now += lately
+	if s := sentTo(n.join(4)); s != first {
+		t.Errorf("in time again, and the request goes to %d, not to %d", s, first)
+	}
+}
+
 // Words from nowhere, from oneself, of unknown servers or kinds change nothing and never panic.
 func TestOddWordsArePassedOver(t *testing.T) {
 	b := New(talking(4, 0), 1)
