--- a/balance/api.go
+++ b/balance/api.go
@@ -67,7 +67,6 @@
 	FallWindow   time.Duration // for this long makes a cold server fall over
 	Connections  float64       // open at once on all servers, that these are to bear; 0 means unknown
 
-	LiveWeights  bool          // a listed weight is a server's size, lowered as it holds more
 	LeftMargin   time.Duration // by which a request's Left may be off, either way; answers may be that much later
 	StartError   time.Duration // by which a server's UpSince may be off, either way
 	OnlyDraining bool          // only a listed Draining binds: who is Gone without it may still be sent to
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -292,11 +292,7 @@
 				s.rest = b.now + b.set.FallWindow
 			}
 		}
-		w := cmp.Or(max(e.Weight, 0), 1)
-		if b.set.LiveWeights { // guards against rankings that change as loads do, and scatter the groups
-			w = max(w, s.Weight)
-		}
-		s.Server, s.Weight, s.unlisted = e, w, false
+		s.Server, s.Weight, s.unlisted = e, cmp.Or(max(e.Weight, 0), 1), false
 	}
 	b.relist()
 	if b.set.Talks && ev.Kind == ListCached {
--- a/balance/world_test.go
+++ b/balance/world_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"testing"
 	"time"
 
@@ -295,23 +294,3 @@
 		t.Errorf("sent to %d, not to %d, which is at ease", s, second.ID)
 	}
 }
-
-// A live weight falls as a server holds more, and rankings that follow it scatter the groups.
-func TestALiveWeightOnlyRises(t *testing.T) {
-	for _, live := range []bool{false, true} {
-		set := site()
-		set.LiveWeights = live
-		n := newNode(set, ready(1)...)
-		weights := []float64{2, 1.2, 2.5, 0.5}
-		for i, w := range weights {
-			n.do(Members{Kind: ListChanges, Servers: []Server{{ID: 1, State: Ready, Weight: w}}})
-			want := w
-			if live {
-				want = max(slices.Max(weights[:i+1]), 1)
-			}
-			if got := n.server(1).Weight; got != want {
-				t.Errorf("live %v: %v counts as %v, not %v", live, w, got, want)
-			}
-		}
-	}
-}
