--- a/balance/balance.go
+++ b/balance/balance.go
@@ -610,7 +610,7 @@
 func (b *Balancer) spend(r *request, s *server) bool {
 	if b.set.Parts != nil {
 		left := b.set.Parts.Left(s.ID)
-		return left > 0 || left < 0 && r.asks < asksMost
+		return left > 0 || left < 0 && r.asks < asksMost-1 // else it went to one of the others blind
 	}
 	b.learnRate(0)
 	age := float64(b.now-s.started-b.set.FallWindow/2) / float64(b.set.ColdFor) // the mean
--- a/balance/fleet_test.go
+++ b/balance/fleet_test.go
@@ -331,3 +331,40 @@
 		t.Errorf("past a full server to %d", s)
 	}
 }
+
+// emptyParts has none, and the other nodes never give any.
+type emptyParts struct{}
+
+func (emptyParts) Left(ServerID) int   { return -1 }
+func (emptyParts) Want(ServerID) bool  { return true }
+func (emptyParts) Spend(ServerID) bool { return false }
+
+// A request that asked the other nodes for three cold servers in vain had no question left for a warm one, and went there
+// blind: the few warm servers of a deploy day were filled to 1.2 of what they can do.
+func TestARequestThatAskedForColdServersStillAsksAWarmOne(t *testing.T) {
+	n, _, _ := probing(1, 2, 3, 4)
+	n.set.Parts = emptyParts{}
+	order := n.rank(&request{Request: Request{Group: "group"}})
+	cold, warm := order[:3], order[3]
+	var list []Server
+	for _, s := range cold {
+		e := s.Server
+		e.UpSince = n.now - time.Second
+		list = append(list, e)
+	}
+	n.do(Members{Kind: ListChanges, Servers: list})
+	acts := n.join(1)
+	for range asksMost {
+		for _, s := range cold {
+			if len(s.waiting) > 0 && len(warm.waiting) == 0 {
+				acts = n.do(Probed{Server: s.ID, Outcome: OK}) // nothing is given
+			}
+		}
+	}
+	if to := sentTo(acts); to != 0 || !slices.Contains(acts, Action(Probe{warm.ID})) {
+		t.Fatalf("sent to %d without a question: %v", to, acts)
+	}
+	if acts := n.do(told(warm, 1.1)); answer(acts) != "refuse" {
+		t.Errorf("the warm one is full: %v", acts)
+	}
+}
--- a/lab/rig/rig.go
+++ b/lab/rig/rig.go
@@ -30,9 +30,19 @@
 	Effects  []int              `json:"effects"`  // by event: how often it was seen to act at who met it
 	Counters map[string]float64 `json:"counters"` // the nodes' own, summed over all processes that told theirs
 	Words    Words              `json:"words"`
+	Seconds  []Second           `json:"seconds"` // the day, second by second
 	History  []string           `json:"history"` // of what broke a rule, the first few, and the logs of the nodes in it
 }
 
+// Second is where clients were in one second of the day, as means of ten looks, and how full servers were.
+type Second struct {
+	Served  float64 `json:"served"`  // stood at a server within what it can do
+	Crowded float64 `json:"crowded"` // stood at one beyond that
+	Waiting float64 `json:"waiting"` // stood nowhere
+
+	Loads map[string]float64 `json:"loads"` // by server: asked of it over what it can do, at the second's last look
+}
+
 // Words counts what nodes told one another, a second.
 type Words struct {
 	All          float64 `json:"words"`
@@ -74,8 +84,7 @@
 	effects []int
 	failed  string
 	late    time.Duration
-	good    float64
-	wanted  float64
+	seconds []Second
 	sum     map[string]float64
 	logs    []*process
 }
@@ -429,29 +438,38 @@
 	}
 }
 
-// measure counts ten times a second which clients are served by a server within what it can do.
+// measure looks ten times a second where the clients are, and which servers are asked for more than they can do.
 func (r *rig) measure() {
-	for r.sleep(100 * time.Millisecond) {
-		loads := map[*emulator.Server]float64{}
+	const looks = 10
+	for r.sleep(time.Second / looks) {
+		loads := map[string]float64{}
 		r.mu.Lock()
 		all, servers := slices.Clone(r.clients), slices.Clone(r.servers)
 		r.mu.Unlock()
-		byID := map[string]*emulator.Server{}
 		for _, s := range servers {
-			loads[s], byID[s.ID] = s.Load(), s
+			if !s.Leaves() {
+				loads[s.ID] = s.Load()
+			}
 		}
-		good, wanted := 0.0, 0.0
+		var now Second
 		for _, c := range all {
-			stands, wants := c.state()
-			if wants {
-				wanted++
-				if stands && loads[byID[r.ref.At(c.request())]] <= 1 {
-					good++
-				}
+			switch stands, wants := c.state(); {
+			case !wants:
+			case !stands:
+				now.Waiting += 1.0 / looks
+			case loads[r.ref.At(c.request())] <= 1:
+				now.Served += 1.0 / looks
+			default:
+				now.Crowded += 1.0 / looks
 			}
 		}
 		r.mu.Lock()
-		r.good, r.wanted = r.good+good, r.wanted+wanted
+		at := int(time.Since(r.begun) / time.Second)
+		for len(r.seconds) <= at {
+			r.seconds = append(r.seconds, Second{})
+		}
+		s := &r.seconds[at]
+		s.Served, s.Crowded, s.Waiting, s.Loads = s.Served+now.Served, s.Crowded+now.Crowded, s.Waiting+now.Waiting, loads
 		r.clients = slices.DeleteFunc(r.clients, func(c *client) bool { return c.done() })
 		r.mu.Unlock()
 	}
@@ -493,8 +511,13 @@
 	} else if r.late > lateMost {
 		res.Void = fmt.Sprintf("the rig was %v late", r.late.Round(time.Millisecond))
 	}
-	if r.wanted > 0 {
-		res.Served = math.Round(r.good/r.wanted*1e4) / 1e4
+	res.Seconds = r.seconds
+	served, wanted := 0.0, 0.0
+	for _, s := range r.seconds {
+		served, wanted = served+s.Served, wanted+s.Served+s.Crowded+s.Waiting
+	}
+	if wanted > 0 {
+		res.Served = math.Round(served/wanted*1e4) / 1e4
 	}
 	seconds := time.Duration(r.s.Length).Seconds()
 	for i := range r.nodes {
