Budgets of a kind go by one rule and come to be when asked for; idle floors are lent with one word

Need: probes, new connections, moves and customers have a budget for each server or customer; naming hundreds of them in each word does not fit a datagram, and one for each that exists is too many to hold.

Change: Rules says whole and window for a kind; accounts are made at the first ask and forgotten when nothing of them is felt. An ask says with one bit that all floors not named are lent. A rule may keep its floors, so that a node that starts has its own after one window: for calls for the list at a cold start.

--- a/budget/budget.go
+++ b/budget/budget.go
@@ -38,6 +38,14 @@
 	Window     time.Duration // at most Settings.Window
 }
 
+// Rule says the same of every budget of a kind: each comes to be when it is first asked for, and is forgotten when nothing of
+// it is felt any more. So there may be one for each server or customer, of which a node has to do with a few.
+type Rule struct {
+	Whole  int
+	Window time.Duration // at most Settings.Window
+	Keeps  bool          // floors are not lent, so a node that starts has its own after one window
+}
+
 func (s Spec) whole(now time.Duration) int {
 	share := 1.0
 	if s.For > 0 {
@@ -82,6 +90,7 @@
 	Stamp  int64  // Answer: the keeper's clock. Ask: the latest of the keeper's that came, 0 for none
 	To     uint64 // Answer: the start that asked. Ask: the keeper's start that is followed, 0 for none
 	Lends  []Amount
+	All    bool // Ask: of what goes by rules the asker lends all its floors but those in Lends
 	Wants  []Amount
 	Done   []Done // grants that are used up or given back
 	Grants []Grant
@@ -117,6 +126,8 @@
 	wantsMost   = 16 // units of one budget in one ask
 	hellosMost  = 8  // nodes that are asked at once whether they are there
 	asksKept    = 64 // asks that an answer may still come to
+
+	accountsMost = 4096 // that go by rules
 )
 
 // Budgets is one node's part of all this. It is not safe for concurrent use.
@@ -126,8 +137,10 @@
 	now  time.Duration
 	out  []Action
 	rest time.Duration // an earlier start of this node may still be felt until then
+	born time.Duration
 
 	specs map[ID]*account
+	rules map[uint8]Rule
 	order []int // nodes, by who is to keep
 
 	// As one who asks.
@@ -135,6 +148,7 @@
 	follows   int            // the node that is asked, -1 for none
 	bound     uint64         // the start that promises go to, until
 	until     time.Duration
+	all       time.Duration // all floors that go by rules are lent until then
 	beat      time.Duration // the next
 	hello     int
 	seq       uint64
@@ -169,10 +183,14 @@
 	detectorTrusted
 	repeatsCounted
 	promisesToTwo
+	allForgotten
+	noRestOfKept
 )
 
 type account struct {
 	Spec
+	ruled   bool
+	keeps   bool  // floors are not lent
 	next    *Spec // a greater whole, from then on
 	from    time.Duration
 	spent   []time.Duration // of the own part, in the window
@@ -216,6 +234,7 @@
 	seq   uint64
 	until time.Duration
 	lends map[ID]int
+	all   bool
 }
 
 type granted struct {
@@ -249,7 +268,7 @@
 // New makes a node's part at its start. The boot tells this start from all others of the same node.
 func New(set Settings, boot uint64, now time.Duration) *Budgets {
 	set.Drift = cmp.Or(set.Drift, 0.001)
-	b := &Budgets{set: set, boot: max(boot, 1), now: now, specs: map[ID]*account{}, heard: map[int]keeper{}, follows: -1,
+	b := &Budgets{set: set, boot: max(boot, 1), now: now, born: now, specs: map[ID]*account{}, rules: map[uint8]Rule{}, heard: map[int]keeper{}, follows: -1,
 		asks: map[uint64]ask{}, followers: map[int]*follower{}}
 	b.rest = now + set.Bound()
 	b.until = b.rest
@@ -280,6 +299,50 @@
 	}
 }
 
+// Rules takes in what goes for all budgets of a kind. It is told once, before any of them is asked for.
+func (b *Budgets) Rules(kind uint8, r Rule) { b.rules[kind] = r }
+
+// ruled makes a budget that goes by a rule, where there is one and room.
+func (b *Budgets) ruled(id ID) *account {
+	r, ok := b.rules[id.Kind]
+	if ok && len(b.specs) >= accountsMost {
+		b.forget()
+	}
+	if !ok || len(b.specs) >= accountsMost {
+		return nil
+	}
+	a := &account{Spec: Spec{ID: id, Least: r.Whole, Window: min(r.Window, b.set.Window)}, ruled: true, keeps: r.Keeps}
+	if b.now < b.all && !r.Keeps && b.wrong != allForgotten {
+		_, own, _ := b.floors(a)
+		a.lent = []lent{{own, b.all}}
+	}
+	b.specs[id] = a
+	return a
+}
+
+// forget drops those that go by rules and of which nothing is felt: ruled would make them as they are.
+func (b *Budgets) forget() {
+	for id, a := range b.specs {
+		if a.ruled && b.account(id).idle() {
+			delete(b.specs, id)
+		}
+	}
+}
+
+// lend notes a promise.
+func (a *account) lend(n int, until time.Duration) {
+	a.lent = append(a.lent, lent{n, until})
+	if last := len(a.lent) - 1; last > 0 && a.lent[last-1].n == n { // the longer one holds
+		a.lent[last-1].until = max(a.lent[last-1].until, until)
+		a.lent = a.lent[:last]
+	}
+}
+
+// idle tells that nothing was spent or wanted of late, and nothing is granted.
+func (a *account) idle() bool {
+	return len(a.spent)+len(a.wanted)+len(a.grants) == 0 && !a.waits
+}
+
 // Drop forgets a budget. What was spent of it is forgotten too, so it must not come again under its ID within its window.
 func (b *Budgets) Drop(id ID) { delete(b.specs, id) }
 
@@ -302,7 +365,9 @@
 func (b *Budgets) account(id ID) *account {
 	a := b.specs[id]
 	if a == nil {
-		return nil
+		if a = b.ruled(id); a == nil {
+			return nil
+		}
 	}
 	if a.next != nil && b.now >= a.from {
 		a.Spec, a.next = *a.next, nil
@@ -324,12 +389,15 @@
 
 // floors gives the whole, this node's own part of it, and all nodes' own parts together. Parts are whole units: which nodes
 // have one more is by a hash of the budget, so that small ones are not all at the same nodes.
-func (b *Budgets) floors(a *account) (whole, own, all int) {
+func (b *Budgets) floors(a *account) (whole, own, all int) { return b.floorsOf(b.set.Index, a) }
+
+// floorsOf gives them for any node.
+func (b *Budgets) floorsOf(node int, a *account) (whole, own, all int) {
 	whole = a.whole(b.now)
 	all = int(math.Ceil(b.set.Floor * float64(whole)))
 	turn := xxhash.Sum64([]byte{a.ID.Kind, byte(a.ID.Of), byte(a.ID.Of >> 8), byte(a.ID.Of >> 16), byte(a.ID.Since), byte(a.ID.Since >> 8),
 		byte(a.ID.Since >> 16)})
-	at := (b.set.Index + int(turn%uint64(b.set.Nodes))) % b.set.Nodes
+	at := (node + int(turn%uint64(b.set.Nodes))) % b.set.Nodes
 	own = all / b.set.Nodes
 	if at < all%b.set.Nodes {
 		own++
@@ -339,7 +407,11 @@
 
 // own is what this node may spend of its own part now.
 func (b *Budgets) own(a *account) int {
-	if (b.now < b.rest && b.wrong != noRestAfterStart) || b.now < b.alone {
+	rest := b.rest
+	if a.keeps {
+		rest = b.born + b.set.stretch(a.Window)
+	}
+	if b.now < rest && b.wrong != noRestAfterStart && !(a.keeps && b.wrong == noRestOfKept) || b.now < b.alone {
 		return 0
 	}
 	_, own, _ := b.floors(a)
@@ -541,13 +613,23 @@
 		w.To = k.boot
 		b.bound, b.until = k.boot, max(b.until, end)
 	}
+	b.forget()
+	busy, most := 0, EntriesMost
+	for _, a := range b.specs {
+		if a.ruled && !a.keeps && !b.account(a.ID).idle() {
+			busy++
+		}
+	}
+	if w.All = w.To != 0 && busy <= EntriesMost/2; w.All {
+		most -= busy // they are to be named too
+	}
 	for _, id := range b.Known() {
 		a := b.account(id)
 		if a.short > 0 && a.waits && len(w.Wants) < EntriesMost {
 			w.Wants = append(w.Wants, Amount{ID: id, N: min(a.short, wantsMost)})
 			a.short, a.asked = 0, b.seq+1
 		}
-		if w.To == 0 || len(w.Lends) >= EntriesMost {
+		if w.To == 0 || a.keeps || a.ruled && !w.All || !a.ruled && len(w.Lends) >= most {
 			continue
 		}
 		_, own, _ := b.floors(a)
@@ -559,15 +641,16 @@
 		if !b.leaving && b.wrong != windowGivenAway {
 			lend = min(lend, own-len(a.wanted))
 		}
-		if lend > 0 {
-			w.Lends = append(w.Lends, Amount{ID: id, N: lend})
-			a.lent = append(a.lent, lent{lend, end})
-			if n := len(a.lent); n > 1 && a.lent[n-2].n == lend { // the longer one holds
-				a.lent[n-2].until = max(a.lent[n-2].until, end)
-				a.lent = a.lent[:n-1]
-			}
+		if a.ruled && a.idle() { // goes with all
+			a.lend(own, end)
+		} else if lend > 0 || a.ruled {
+			w.Lends = append(w.Lends, Amount{ID: id, N: max(lend, 0)})
+			a.lend(max(lend, 0), end)
 		}
 	}
+	if w.All {
+		b.all = max(b.all, end)
+	}
 	if b.leaving {
 		for _, id := range b.Known() {
 			a := b.specs[id]
@@ -683,7 +766,7 @@
 		f.seq = w.Seq
 	}
 	if counts := time.Duration(w.Stamp) + b.set.counts(); w.To == b.boot && !twin && f.boot == w.Boot && counts > b.now {
-		f.until, f.lends = counts, map[ID]int{}
+		f.until, f.lends, f.all = counts, map[ID]int{}, w.All
 		for _, l := range w.Lends {
 			f.lends[l.ID] = max(l.N, 0)
 		}
@@ -738,10 +821,15 @@
 	})
 	whole, _, all := b.floors(a)
 	pool, count := 0, 0
-	for _, f := range b.followers {
-		if f.until >= b.now+b.set.horizon() {
-			pool, count = pool+f.lends[id], count+1
+	for i, f := range b.followers {
+		if f.until < b.now+b.set.horizon() {
+			continue
+		}
+		lends, named := f.lends[id]
+		if f.all && !named && a.ruled && !a.keeps {
+			_, lends, _ = b.floorsOf(i, a)
 		}
+		pool, count = pool+lends, count+1
 	}
 	if pool = min(pool, all); 2*count > b.set.Nodes {
 		pool += whole - all
--- a/budget/model_test.go
+++ b/budget/model_test.go
@@ -24,12 +24,13 @@
 	cut    int // this node reaches nobody; -1 for none
 	faults int // that may still happen
 	trace  []string
+	rule   *Rule // the budget goes by it
 }
 
 var modelID = ID{Kind: 1}
 
-func newModel(n, whole int, wrong flaw) *model {
-	m := &model{cut: -1, wakes: make([]time.Duration, n), paused: make([]bool, n)}
+func newModel(n, whole int, rule *Rule, wrong flaw) *model {
+	m := &model{cut: -1, rule: rule, wakes: make([]time.Duration, n), paused: make([]bool, n)}
 	for i := range n {
 		m.nodes = append(m.nodes, nil)
 		m.start(i, n, whole, wrong)
@@ -41,7 +42,11 @@
 	m.boots++
 	b := New(Settings{Nodes: n, Index: i, Floor: 0.5, Window: tick, Term: tick, Beat: tick, Drift: 1e-9}, m.boots, m.clock(i))
 	b.wrong = wrong
-	b.Define(m.clock(i), Spec{ID: modelID, Least: whole, Window: tick})
+	if m.rule != nil {
+		b.Rules(modelID.Kind, *m.rule)
+	} else {
+		b.Define(m.clock(i), Spec{ID: modelID, Least: whole, Window: tick})
+	}
 	m.nodes[i], m.paused[i], m.wakes[i] = b, false, m.now
 }
 
@@ -96,7 +101,7 @@
 	}
 	for i, b := range m.nodes {
 		at := func(t time.Duration) time.Duration { return max(t-m.clock(i), -9*tick) / time.Millisecond }
-		fmt.Fprint(&s, name(b.boot), m.paused[i], at(b.rest), at(b.beat), b.follows, name(b.bound), at(b.until), at(b.alone), b.hello%24, len(b.done), "|")
+		fmt.Fprint(&s, name(b.boot), m.paused[i], at(b.rest), at(b.beat), b.follows, name(b.bound), at(b.until), at(b.alone), at(b.all), at(b.born), b.hello%24, len(b.done), "|")
 		for _, j := range slices.Sorted(maps.Keys(b.heard)) {
 			k := b.heard[j]
 			fmt.Fprint(&s, j, name(k.boot), at(k.at), (time.Duration(k.stamp)-m.clock(j))/time.Millisecond, k.most, ";")
@@ -127,7 +132,7 @@
 		}
 		for _, j := range slices.Sorted(maps.Keys(b.followers)) {
 			f := b.followers[j]
-			fmt.Fprint(&s, "f", j, name(f.boot), seqs(f.boot, f.seq), at(f.until), f.lends[modelID], name(f.rival), f.twin)
+			fmt.Fprint(&s, "f", j, name(f.boot), seqs(f.boot, f.seq), at(f.until), f.lends[modelID], len(f.lends), f.all, name(f.rival), f.twin)
 		}
 		for _, g := range b.grants {
 			if at(g.until) > 0 {
@@ -139,7 +144,7 @@
 	for _, l := range m.mail {
 		w := l.word
 		fmt.Fprint(&s, l.from, l.to, w.Answer, name(w.Boot), seqs(w.Boot, w.Seq), seqs(w.To, w.Seq), (time.Duration(w.Stamp)-m.now)/time.Millisecond,
-			name(w.To), w.Lends, w.Wants, len(w.Done), len(w.Grants), w.Most, w.Twin, ";")
+			name(w.To), w.Lends, w.All, w.Wants, len(w.Done), len(w.Grants), w.Most, w.Twin, ";")
 	}
 	for _, t := range m.spends {
 		if t > m.now-tick {
@@ -237,8 +242,8 @@
 
 // check explores breadth first what can happen to a fleet that is well within some ticks and with so many faults (of a node, or
 // of all words in a tick), and gives the first way to more than the whole.
-func check(n, whole, depth, faults int, wrong flaw) (trace []string, states int) {
-	m := newModel(n, whole, wrong)
+func check(n, whole, depth, faults int, rule *Rule, wrong flaw) (trace []string, states int) {
+	m := newModel(n, whole, rule, wrong)
 	m.faults = faults
 	for range 12 {
 		m.step(0, 0, n+1, whole, wrong)
@@ -276,13 +281,17 @@
 
 // Every state that two, three and four nodes can reach within some ticks of restarts, pauses, cuts, held and repeated words.
 func TestEveryReachableStateKeepsTheWhole(t *testing.T) {
-	for _, c := range []struct{ n, whole, depth, faults int }{{2, 2, 4, 2}, {3, 2, 3, 2}, {4, 2, 2, 2}} {
+	rule, kept := &Rule{Whole: 2, Window: tick}, &Rule{Whole: 2, Window: tick, Keeps: true}
+	for _, c := range []struct {
+		n, whole, depth, faults int
+		rule                    *Rule
+	}{{2, 2, 4, 2, nil}, {3, 2, 3, 2, nil}, {4, 2, 2, 2, nil}, {2, 2, 4, 2, rule}, {3, 2, 3, 2, rule}, {2, 2, 4, 2, kept}, {3, 2, 3, 2, kept}} {
 		begun := time.Now()
-		trace, states := check(c.n, c.whole, c.depth, c.faults, 0)
+		trace, states := check(c.n, c.whole, c.depth, c.faults, c.rule, 0)
 		if trace != nil {
-			t.Errorf("%d nodes, whole %d: over it by %q", c.n, c.whole, trace)
+			t.Errorf("%d nodes, whole %d: over it by %q, rule %+v", c.n, c.whole, trace, c.rule)
 		}
-		t.Logf("%d nodes, %d ticks: %d states, %v", c.n, c.depth, states, time.Since(begun).Round(time.Millisecond))
+		t.Logf("%d nodes, %d ticks, rule %+v: %d states, %v", c.n, c.depth, c.rule, states, time.Since(begun).Round(time.Millisecond))
 		if states < 1000 {
 			t.Errorf("%d nodes: only %d states", c.n, states)
 		}
@@ -298,7 +307,7 @@
 		"no rest after a start": {2, 1, 1, noRestAfterStart},
 		"the detector trusted":  {3, 3, 1, detectorTrusted},
 	} {
-		if trace, states := check(c.n, 2, c.depth, c.faults, c.wrong); trace == nil {
+		if trace, states := check(c.n, 2, c.depth, c.faults, nil, c.wrong); trace == nil {
 			t.Errorf("%s: not caught in %d states", name, states)
 		}
 	}
--- a/budget/world_test.go
+++ b/budget/world_test.go
@@ -16,7 +16,8 @@
 	now    time.Duration // true time
 	nodes  []*peer
 	mail   []letter
-	spends []time.Duration // by true time
+	spends [][]time.Duration // of each budget, by true time
+	rule   *Rule             // the budget goes by it
 	by     map[int]int
 	spec   Spec
 	boots  uint64
@@ -42,8 +43,8 @@
 	word     Word
 }
 
-func newWorld(seed uint64, n int, floor float64, whole int, wrong flaw) *world {
-	w := &world{rng: rand.New(rand.NewPCG(seed, 7)), by: map[int]int{}, wrong: wrong,
+func newWorld(seed uint64, n int, floor float64, whole int, wrong flaw, rule *Rule) *world {
+	w := &world{rng: rand.New(rand.NewPCG(seed, 7)), by: map[int]int{}, wrong: wrong, rule: rule, spends: make([][]time.Duration, 1),
 		set:  Settings{Nodes: n, Floor: floor, Window: 2 * time.Second, Term: time.Second, Beat: 400 * time.Millisecond, Drift: 0.0002},
 		spec: Spec{ID: ID{Kind: 1, Of: 7}, Least: whole, Window: 2 * time.Second}}
 	for i := range n {
@@ -63,7 +64,11 @@
 	set.Index = i
 	p.b, p.dead, p.wake, p.paused = New(set, w.boots, w.clock(p)), false, w.now, 0
 	p.b.wrong = w.wrong
-	p.b.Define(w.clock(p), w.spec)
+	if w.rule != nil {
+		p.b.Rules(w.spec.ID.Kind, *w.rule)
+	} else {
+		p.b.Define(w.clock(p), w.spec)
+	}
 }
 
 func (w *world) do(i int, out []Action) {
@@ -86,17 +91,19 @@
 	}
 }
 
-// spend has a node try once.
+// spend has a node try once, at any of the budgets.
 func (w *world) spend(i int) {
-	p := w.nodes[i]
+	p, of := w.nodes[i], w.rng.IntN(len(w.spends))
+	id := w.spec.ID
+	id.Of += uint64(of)
 	if p.dead || w.now < p.paused {
 		return
 	}
 	now := w.clock(p)
-	if p.b.Spend(now, w.spec.ID) {
-		w.spends = append(w.spends, w.now)
+	if p.b.Spend(now, id) {
+		w.spends[of] = append(w.spends[of], w.now)
 		w.by[i]++
-	} else if p.b.Want(now, w.spec.ID) {
+	} else if p.b.Want(now, id) {
 		w.do(i, p.b.Tick(now))
 	}
 }
@@ -122,18 +129,27 @@
 	}
 }
 
-// over gives the most that was spent in a window.
+// over gives the most that was spent of a budget in a window.
 func (w *world) over() (most int) {
-	first := 0
-	for i, at := range w.spends {
-		for at-w.spends[first] >= w.spec.Window {
-			first++
+	for _, spends := range w.spends {
+		first := 0
+		for i, at := range spends {
+			for at-spends[first] >= w.spec.Window {
+				first++
+			}
+			most = max(most, i+1-first)
 		}
-		most = max(most, i+1-first)
 	}
 	return most
 }
 
+func (w *world) spent() (n int) {
+	for _, spends := range w.spends {
+		n += len(spends)
+	}
+	return n
+}
+
 // trouble lets the adversary do something.
 func (w *world) trouble() {
 	i := w.rng.IntN(len(w.nodes))
@@ -189,7 +205,14 @@
 func adversary(seed uint64, wrong flaw) (w *world, text string) {
 	rng := rand.New(rand.NewPCG(seed, 3))
 	n, floor, whole := 2+rng.IntN(7), []float64{0, 0.3, 0.5, 1}[rng.IntN(4)], 1+rng.IntN(12)
-	w = newWorld(seed, n, floor, whole, wrong)
+	var rule *Rule
+	if kind := rng.IntN(3); kind > 0 {
+		rule = &Rule{Whole: whole, Window: 2 * time.Second, Keeps: kind == 2}
+	}
+	w = newWorld(seed, n, floor, whole, wrong, rule)
+	if rule != nil { // more than a word names
+		w.spends = make([][]time.Duration, []int{1, 4, 3 * EntriesMost}[rng.IntN(3)])
+	}
 	w.play(60 * time.Second)
 	return w, fmt.Sprintf("seed %d: %d nodes, floor %v, whole %d, most in a window %d", seed, n, floor, whole, w.over())
 }
@@ -197,13 +220,13 @@
 // Never more than the whole in any window, whatever the adversary does.
 func TestNoAdversaryGetsMoreThanTheWhole(t *testing.T) {
 	spent := 0
-	for seed := range uint64(150) {
+	for seed := range uint64(300) {
 		w, text := adversary(seed, 0)
-		if spent += len(w.spends); w.over() > w.spec.Least {
+		if spent += w.spent(); w.over() > w.spec.Least {
 			t.Fatal(text)
 		}
 	}
-	if spent < 150*40 {
+	if spent < 300*40 {
 		t.Errorf("%d spent in all days: the adversary proves nothing", spent)
 	}
 }
@@ -212,10 +235,11 @@
 func TestWrongVariantsAreCaught(t *testing.T) {
 	for name, wrong := range map[string]flaw{"no rest after a start": noRestAfterStart, "a term from the receipt": termFromReceipt,
 		"a term by the wall clock": termByWallClock, "a window's spends given away": windowGivenAway,
-		"the detector trusted": detectorTrusted, "repeated grants counted twice": repeatsCounted, "promises to two": promisesToTwo} {
+		"the detector trusted": detectorTrusted, "repeated grants counted twice": repeatsCounted, "promises to two": promisesToTwo,
+		"what was lent with all forgotten": allForgotten, "no rest of what is kept": noRestOfKept} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			for seed := range uint64(600) {
+			for seed := range uint64(900) {
 				if w, _ := adversary(seed, wrong); w.over() > w.spec.Least {
 					return
 				}
@@ -232,23 +256,27 @@
 		n      int
 		floor  float64
 		whole  int
+		rule   *Rule
 		change func(w *world) (share float64, within time.Duration)
 	}{
-		{"all well", 8, 0.5, 10, func(w *world) (float64, time.Duration) { return 0.9, 0 }},
-		{"a budget of one over 300 nodes", 300, 0.5, 1, func(w *world) (float64, time.Duration) { return 0.9, 0 }},
-		{"all is floors", 8, 1, 10, func(w *world) (float64, time.Duration) { return 0.9, 0 }},
-		{"the keeper crashes", 8, 0.5, 20, func(w *world) (float64, time.Duration) {
+		{"all well", 8, 0.5, 10, nil, func(w *world) (float64, time.Duration) { return 0.9, 0 }},
+		{"a budget of one over 300 nodes", 300, 0.5, 1, nil, func(w *world) (float64, time.Duration) { return 0.9, 0 }},
+		{"by a rule", 8, 0.5, 10, &Rule{Whole: 10, Window: 2 * time.Second}, func(w *world) (float64, time.Duration) { return 0.9, 0 }},
+		{"by a rule, floors are kept", 8, 0.5, 10, &Rule{Whole: 10, Window: 2 * time.Second, Keeps: true},
+			func(w *world) (float64, time.Duration) { return 0.5, 0 }}, // what is nobody's, and its own part
+		{"all is floors", 8, 1, 10, nil, func(w *world) (float64, time.Duration) { return 0.9, 0 }},
+		{"the keeper crashes", 8, 0.5, 20, nil, func(w *world) (float64, time.Duration) {
 			w.nodes[w.nodes[1].b.follows].dead = true
 			return 0.85, 5 * time.Second // all but its own part
 		}},
-		{"the keeper leaves in order", 8, 0.5, 20, func(w *world) (float64, time.Duration) {
+		{"the keeper leaves in order", 8, 0.5, 20, nil, func(w *world) (float64, time.Duration) {
 			k := w.nodes[1].b.follows
 			w.do(k, w.nodes[k].b.Leave(w.clock(w.nodes[k])))
 			w.step(10 * time.Millisecond)
 			w.nodes[k].dead = true
 			return 0.85, 4 * time.Second // its last grants are past by then
 		}},
-		{"another leaves in order", 8, 0.5, 20, func(w *world) (float64, time.Duration) {
+		{"another leaves in order", 8, 0.5, 20, nil, func(w *world) (float64, time.Duration) {
 			k := 3
 			if w.nodes[1].b.follows == k {
 				k = 4
@@ -258,7 +286,7 @@
 			w.nodes[k].dead = true
 			return 0.85, time.Second
 		}},
-		{"a split heals", 8, 0.5, 20, func(w *world) (float64, time.Duration) {
+		{"a split heals", 8, 0.5, 20, nil, func(w *world) (float64, time.Duration) {
 			w.cut = func(from, to int) bool { return (from < 4) != (to < 4) }
 			for range 1000 {
 				w.step(20 * time.Millisecond)
@@ -266,7 +294,7 @@
 			w.cut = nil
 			return 0.9, 10 * time.Second
 		}},
-		{"all restart", 8, 0.5, 20, func(w *world) (float64, time.Duration) {
+		{"all restart", 8, 0.5, 20, nil, func(w *world) (float64, time.Duration) {
 			for i := range w.nodes {
 				w.start(i)
 			}
@@ -274,15 +302,15 @@
 		}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			w := newWorld(5, c.n, c.floor, c.whole, 0)
+			w := newWorld(5, c.n, c.floor, c.whole, 0, c.rule)
 			run := func(d time.Duration) int {
-				before := len(w.spends)
+				before := w.spent()
 				for end := w.now + d; w.now < end; {
 					w.step(5 * time.Millisecond)
 					w.spend(1)
 					w.spend(1)
 				}
-				return len(w.spends) - before
+				return w.spent() - before
 			}
 			for range 1500 {
 				w.step(5 * time.Millisecond)
