List calls, probes, new connections, relief moves and customers' rates are divided among the nodes

Need: each was bounded by a static division or by chance at each node; all nodes together had no bound.

Change: keys budgets.list_calls_per_s, probes_per_s, connects_per_s, moves_per_s, opens_per_s, each off by default. Floors of all but retries and moves are kept, so a start has its own after one window. Probes and calls are on their way in time or not at all. The referee counts seconds of anything bounded at the receivers.

--- a/budget/budget.go
+++ b/budget/budget.go
@@ -26,6 +26,11 @@
 	Since int64
 }
 
+// Compare orders them.
+func (x ID) Compare(y ID) int {
+	return cmp.Or(cmp.Compare(x.Kind, y.Kind), cmp.Compare(x.Of, y.Of), cmp.Compare(x.Since, y.Since))
+}
+
 // Spec says how much all nodes together may spend of a budget in any window: Least, and the whole units of Full times the
 // share; one at the least. The share rises evenly from From to 1 within For of Start; a Spec that replaces another of its ID counts at once where
 // its whole is less, and after Settings.Bound where it is more.
@@ -64,8 +69,11 @@
 	Drift        float64       // by which any two clocks run apart at most; 0 means 0.001
 }
 
-// horizon is how long a grant may still be felt: its term and the window after its last use.
-func (s Settings) horizon() time.Duration { return s.stretch(s.Term + s.Window) }
+// horizon is how long any grant may still be felt: its term and the window after its last use.
+func (s Settings) horizon() time.Duration { return s.felt(s.Window) }
+
+// felt is the same of one budget, with its own window.
+func (s Settings) felt(window time.Duration) time.Duration { return s.stretch(s.Term + window) }
 
 // Bound is how long a promise binds who gave it: the horizon and three beats. A node that loses its keeper has back what it
 // lent after it, and so has one that has started.
@@ -355,9 +363,7 @@
 	for id := range b.specs {
 		ids = append(ids, id)
 	}
-	slices.SortFunc(ids, func(x, y ID) int {
-		return cmp.Or(cmp.Compare(x.Kind, y.Kind), cmp.Compare(x.Of, y.Of), cmp.Compare(x.Since, y.Since))
-	})
+	slices.SortFunc(ids, ID.Compare)
 	return ids
 }
 
@@ -786,7 +792,7 @@
 		}
 		b.number++
 		b.Count.Given += int64(n)
-		b.grants = append(b.grants, &granted{b.number, want.ID, from, w.Boot, n, b.now + b.set.horizon()})
+		b.grants = append(b.grants, &granted{b.number, want.ID, from, w.Boot, n, b.now + b.set.felt(b.specs[want.ID].Window)})
 		a.Grants = append(a.Grants, Grant{ID: want.ID, N: n, No: b.number})
 	}
 	count := 0
@@ -804,7 +810,9 @@
 	for _, g := range b.grants {
 		if g.no == d.No && g.node == from && g.boot == boot {
 			g.n = min(max(d.Used, 0), g.n)
-			g.until = min(g.until, b.now+b.set.stretch(b.set.Window))
+			if a := b.account(g.id); a != nil {
+				g.until = min(g.until, b.now+b.set.stretch(a.Window))
+			}
 		}
 	}
 }
--- a/internal/backend/probe.go
+++ b/internal/backend/probe.go
@@ -15,22 +15,23 @@
 // a new one costs the server work.
 type prober struct {
 	addr string
-	asks chan struct{}
+	asks chan time.Time
 }
 
-// Probe asks a server for its load and returns at once.
-func (c *Client) Probe(id balance.ServerID, addr string) {
+// Probe asks a server for its load and returns at once. Where by is not the zero time the question is on its way by then, or
+// is not asked, which is told as an answer without a report.
+func (c *Client) Probe(id balance.ServerID, addr string, by time.Time) {
 	c.Count.Probes.Add(1)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	p := c.probes[id]
 	if p == nil || p.addr != addr {
-		p = &prober{addr: addr, asks: make(chan struct{}, 1)}
+		p = &prober{addr: addr, asks: make(chan time.Time, 1)}
 		c.probes[id] = p
 		go c.probing(id, p)
 	}
 	select {
-	case p.asks <- struct{}{}:
+	case p.asks <- by:
 	default: // one waits already, and its answer serves both
 	}
 }
@@ -45,6 +46,7 @@
 	}
 	idle := time.NewTimer(c.cfg.Idle)
 	for {
+		var by time.Time
 		idle.Reset(c.cfg.Idle)
 		select {
 		case <-idle.C:
@@ -59,7 +61,7 @@
 			c.mu.Unlock()
 			drop()
 			return
-		case <-p.asks:
+		case by = <-p.asks:
 		}
 		begun := time.Now()
 		ctx, cancel := context.WithDeadline(context.Background(), begun.Add(c.cfg.Probe))
@@ -72,6 +74,10 @@
 					break
 				}
 			}
+			if !by.IsZero() && time.Now().After(by) { // guards against a process that was stopped for a while
+				result.Outcome = balance.OK
+				break
+			}
 			var err error
 			result.Outcome, result.Report, err = c.probe(ctx, conn)
 			if err == nil {
--- a/internal/backend/probe_test.go
+++ b/internal/backend/probe_test.go
@@ -47,7 +47,7 @@
 
 func (a *asker) ask() balance.Probed {
 	a.t.Helper()
-	a.Probe(7, a.addr)
+	a.Probe(7, a.addr, time.Time{})
 	select {
 	case p := <-a.results:
 		if p.Server != 7 {
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -91,16 +91,37 @@
 
 // New makes a client. A watch that says nothing for the silence is broken.
 func New(dial, silence time.Duration) *Client {
+	d := net.Dialer{Timeout: dial}
+	up := func(ctx context.Context, network, addr string) (net.Conn, error) {
+		conn, err := d.DialContext(ctx, network, addr)
+		if err == nil && late(ctx) {
+			conn.Close()
+			return nil, errLate
+		}
+		return conn, err
+	}
 	return &Client{silence: silence, http: &http.Client{
-		Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: dial}).DialContext, DisableCompression: true}}}
+		Transport: &http.Transport{DialContext: up, DisableCompression: true}}}
 }
 
+// byKey is under what a call's context has the time by which it is on its way.
+type byKey struct{}
+
+func late(ctx context.Context) bool {
+	by, _ := ctx.Value(byKey{}).(time.Time)
+	return !by.IsZero() && time.Now().After(by)
+}
+
+// errLate guards against a process that was stopped for a while between its decision to call and the call.
+var errLate = errors.New("the call would be late")
+
 // Watch passes on what changes after a version, as the discovery at addr tells it, until the watch breaks or
 // ctx ends. It returns why. Guards against a discovery that lags behind its own word, as one of several may, and would
 // bring back servers that are gone: an older version ends the watch. A whole list that is older again the next time is
-// taken, since then discovery has begun to count anew.
-func (c *Client) Watch(ctx context.Context, addr string, since int64, change func(*List)) error {
-	ctx, cancel := context.WithCancelCause(ctx)
+// taken, since then discovery has begun to count anew. Where by is not the zero time the call is on its way by then, or is
+// not made.
+func (c *Client) Watch(ctx context.Context, addr string, since int64, by time.Time, change func(*List)) error {
+	ctx, cancel := context.WithCancelCause(context.WithValue(ctx, byKey{}, by))
 	defer cancel(nil)
 	var silent *time.Timer
 	var looked atomic.Bool
@@ -138,6 +159,9 @@
 }
 
 func (c *Client) watch(ctx context.Context, addr string, since int64, alive func(), change func(*List) error) error {
+	if late(ctx) { // also where a connection is there already
+		return errLate
+	}
 	c.Count.Calls.Add(1)
 	target := url.URL{Scheme: "http", Host: addr, Path: "/v1/endpoints",
 		RawQuery: url.Values{"follow": {"1"}, "since": {strconv.FormatInt(since, 10)}}.Encode()}
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -21,7 +21,7 @@
 }
 
 func (a asking) Watch(ctx context.Context, since int64, change func(*List)) error {
-	return a.Client.Watch(ctx, a.addr, since, change)
+	return a.Client.Watch(ctx, a.addr, since, time.Time{}, change)
 }
 
 // serve is a discovery that answers by a function.
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -16,7 +16,7 @@
 )
 
 // Version of the words. One of another version is counted and dropped.
-const Version = 1
+const Version = 2
 
 // Bounds: of a word, so that it fits a datagram on any network without being cut in pieces; of the words that wait to be sent.
 const (
--- a/lab/referee/referee.go
+++ b/lab/referee/referee.go
@@ -16,7 +16,7 @@
 	Grace  time.Duration // sends to a server that drains may go on so long after the node was told
 	Slack  time.Duration // by which what happens at two places may seem in another order; the rig's own lateness is in it
 
-	Retries int // further attempts of requests at all servers in any second; 0 means no bound
+	Rates map[string]int // most in any second by kind; "retries_per_s" are further attempts of requests; 0 means no bound
 
 	// What a cold server bears in a window, by its age at the window's end, from all nodes that were told of its start.
 	Window time.Duration
@@ -26,12 +26,12 @@
 
 // Broken counts broken rules.
 type Broken struct {
-	Unanswered int `json:"unanswered"`   // no final answer in time
-	After      int `json:"after"`        // something after the final answer
-	Twice      int `json:"twice"`        // an attempt while one was out
-	Late       int `json:"late_sends"`   // to a server that drains or is gone, after the grace
-	Over       int `json:"over_whole"`   // windows in which a cold server was sent more than the whole
-	Retries    int `json:"over_retries"` // windows in which there were more further attempts than the whole
+	Unanswered int `json:"unanswered"` // no final answer in time
+	After      int `json:"after"`      // something after the final answer
+	Twice      int `json:"twice"`      // an attempt while one was out
+	Late       int `json:"late_sends"` // to a server that drains or is gone, after the grace
+	Over       int `json:"over_whole"` // windows in which a cold server was sent more than the whole
+	Rates      int `json:"over_rates"` // windows in which there was more of something bounded than the whole
 }
 
 // Any tells whether a rule was broken.
@@ -51,7 +51,8 @@
 	told     map[key]time.Time // a node was told that this server drains or is gone
 	knows    map[key]time.Time // a node was told of this server's start
 	sends    []send
-	further  []time.Time
+	rated    map[rated][]span
+	further  int
 
 	// Requests whose node was disturbed, answered in time; attempts at cold servers by nodes that knew; further attempts of requests.
 	Excused, Answered, Cold, Further int
@@ -62,10 +63,14 @@
 	server string
 }
 
+// rated names something of which there is to be no more than so much in any second.
+type rated struct{ kind, of string }
+
 type span struct{ from, to time.Time }
 
 type request struct {
 	node     int
+	customer string
 	at, due  time.Time
 	answered time.Time
 }
@@ -94,7 +99,7 @@
 // New makes a referee.
 func New(rules Rules) *Referee {
 	return &Referee{rules: rules, excused: map[int][]span{}, asked: map[string]*request{}, attempts: map[string]*attempt{},
-		told: map[key]time.Time{}, knows: map[key]time.Time{}}
+		told: map[key]time.Time{}, knows: map[key]time.Time{}, rated: map[rated][]span{}}
 }
 
 const histories = 40
@@ -125,10 +130,10 @@
 }
 
 // Asked tells that a client's first line was taken by a node.
-func (r *Referee) Asked(id string, node int, at, due time.Time) {
+func (r *Referee) Asked(id string, node int, customer string, at, due time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.asked[id] = &request{node: node, at: at, due: due}
+	r.asked[id] = &request{node: node, customer: customer, at: at, due: due}
 }
 
 // Answer tells that a client heard a final answer.
@@ -193,8 +198,11 @@
 	if a := r.attempts[id]; a != nil && !a.ended {
 		r.twice = append(r.twice, suspect{id, a, entered, server})
 	}
-	if r.attempts[id] != nil {
-		r.further = append(r.further, entered)
+	if q := r.asked[id]; r.attempts[id] == nil && q != nil {
+		r.rate("opens_per_s", q.customer, q.at, entered)
+	} else if r.attempts[id] != nil {
+		r.further++
+		r.rate("retries_per_s", "", entered, entered)
 	}
 	r.attempts[id] = &attempt{server: server}
 	if !started.IsZero() && entered.Before(started.Add(r.rules.Cold)) && r.knows[key{node, server}].Equal(started.Truncate(time.Millisecond)) {
@@ -220,7 +228,7 @@
 func (r *Referee) Verdict(now time.Time) (Broken, []string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.Excused, r.Answered, r.Cold, r.Further = 0, 0, len(r.sends), len(r.further)
+	r.Excused, r.Answered, r.Cold, r.Further = 0, 0, len(r.sends), r.further
 	for id, q := range r.asked {
 		late := q.due.Add(r.rules.Answer + r.rules.Slack)
 		switch {
@@ -241,17 +249,40 @@
 		}
 	}
 	r.windows()
-	slices.SortFunc(r.further, time.Time.Compare)
-	first := 0
-	for i, at := range r.further {
-		for at.Sub(r.further[first]) >= time.Second-r.rules.Slack {
-			first++
+	for what, spans := range r.rated {
+		r.seconds(what, spans)
+	}
+	return r.broken, r.history
+}
+
+// Rated tells of something that was let happen between two moments, by a decision of which only that is known.
+func (r *Referee) Rated(kind, of string, from, to time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.rate(kind, of, from, to)
+}
+
+func (r *Referee) rate(kind, of string, from, to time.Time) {
+	if r.rules.Rates[kind] > 0 {
+		r.rated[rated{kind, of}] = append(r.rated[rated{kind, of}], span{from, to})
+	}
+}
+
+// seconds looks at every second that ends with something: what surely happened within it is no more than the whole.
+func (r *Referee) seconds(what rated, spans []span) {
+	whole := r.rules.Rates[what.kind]
+	slices.SortFunc(spans, func(x, y span) int { return x.to.Compare(y.to) })
+	for i, last := range spans {
+		n := 0
+		for j := i; j >= 0 && last.to.Sub(spans[j].to) < time.Second-r.rules.Slack; j-- {
+			if last.to.Sub(spans[j].from) < time.Second-r.rules.Slack {
+				n++
+			}
 		}
-		if n := i + 1 - first; r.rules.Retries > 0 && n > r.rules.Retries {
-			r.broke(&r.broken.Retries, at, "%d further attempts in a second, %d are the whole", n, r.rules.Retries)
+		if n > whole {
+			r.broke(&r.broken.Rates, last.to, "%d in a second of %s %s, %d are the whole", n, what.kind, what.of, whole)
 		}
 	}
-	return r.broken, r.history
 }
 
 // windows looks at every window that ends with a send.
--- a/lab/referee/referee_test.go
+++ b/lab/referee/referee_test.go
@@ -14,7 +14,7 @@
 		want Broken
 	}{
 		"sound": {func(r *Referee) {
-			r.Asked("a", 0, at(0), at(1000))
+			r.Asked("a", 0, "c", at(0), at(1000))
 			r.Sent(0, "s", "a", at(1), time.Time{})
 			r.Ended("s", "a")
 			r.Sent(0, "t", "a", at(20), time.Time{})
@@ -22,13 +22,13 @@
 			r.Told(0, "s", true, time.Time{}, at(40))
 			r.Sent(0, "s", "b", at(500), time.Time{})
 		}, Broken{}},
-		"no answer":       {func(r *Referee) { r.Asked("a", 0, at(0), at(1000)) }, Broken{Unanswered: 1}},
-		"a late answer":   {func(r *Referee) { r.Asked("a", 0, at(0), at(1000)); r.Answer("a", at(1500)) }, Broken{Unanswered: 1}},
-		"closed":          {func(r *Referee) { r.Asked("a", 0, at(0), at(1000)); r.Closed("a", at(10)) }, Broken{Unanswered: 1}},
-		"its node killed": {func(r *Referee) { r.Asked("a", 0, at(0), at(1000)); r.Excuse(0, at(5), at(6)) }, Broken{}},
-		"another killed":  {func(r *Referee) { r.Asked("a", 0, at(0), at(1000)); r.Excuse(1, at(5), at(6)) }, Broken{Unanswered: 1}},
-		"killed before":   {func(r *Referee) { r.Asked("a", 0, at(10), at(1000)); r.Excuse(0, at(5), at(6)) }, Broken{Unanswered: 1}},
-		"a second answer": {func(r *Referee) { r.Asked("a", 0, at(0), at(1000)); r.Answer("a", at(1)); r.Answer("a", at(2)) }, Broken{After: 1}},
+		"no answer":       {func(r *Referee) { r.Asked("a", 0, "c", at(0), at(1000)) }, Broken{Unanswered: 1}},
+		"a late answer":   {func(r *Referee) { r.Asked("a", 0, "c", at(0), at(1000)); r.Answer("a", at(1500)) }, Broken{Unanswered: 1}},
+		"closed":          {func(r *Referee) { r.Asked("a", 0, "c", at(0), at(1000)); r.Closed("a", at(10)) }, Broken{Unanswered: 1}},
+		"its node killed": {func(r *Referee) { r.Asked("a", 0, "c", at(0), at(1000)); r.Excuse(0, at(5), at(6)) }, Broken{}},
+		"another killed":  {func(r *Referee) { r.Asked("a", 0, "c", at(0), at(1000)); r.Excuse(1, at(5), at(6)) }, Broken{Unanswered: 1}},
+		"killed before":   {func(r *Referee) { r.Asked("a", 0, "c", at(10), at(1000)); r.Excuse(0, at(5), at(6)) }, Broken{Unanswered: 1}},
+		"a second answer": {func(r *Referee) { r.Asked("a", 0, "c", at(0), at(1000)); r.Answer("a", at(1)); r.Answer("a", at(2)) }, Broken{After: 1}},
 		"one made up":     {func(r *Referee) { r.Answer("a", at(1)) }, Broken{After: 1}},
 		"two at once": {func(r *Referee) {
 			r.Sent(0, "s", "a", at(1), time.Time{})
@@ -42,7 +42,20 @@
 				r.Ended("s", id)
 				r.Sent(0, "t", id, at(400*i+10), time.Time{})
 			}
-		}, Broken{Retries: 3}},
+		}, Broken{Rates: 3}},
+		"opens over the whole": {
+			func(r *Referee) {
+				for i := range 3 { // the first may have been let in long before; the others surely within the second
+					r.Rated("opens_per_s", "a", at(400*i), at(500+200*i))
+					r.Rated("opens_per_s", "b", at(1000*i), at(1000*i))
+				}
+			}, Broken{}},
+		"opens over the whole, surely": {
+			func(r *Referee) {
+				for i := range 4 {
+					r.Rated("opens_per_s", "a", at(100*i), at(100*i+50))
+				}
+			}, Broken{Rates: 2}},
 		"to one that drains": {func(r *Referee) {
 			r.Told(0, "s", true, time.Time{}, at(0))
 			r.Sent(0, "s", "a", at(700), time.Time{})
@@ -66,7 +79,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			r := New(Rules{Answer: 70 * time.Millisecond, Grace: 500 * time.Millisecond, Slack: 100 * time.Millisecond,
-				Window: 2100 * time.Millisecond, Cold: time.Minute, Retries: 2, Bears: func(time.Duration) float64 { return 5 }})
+				Window: 2100 * time.Millisecond, Cold: time.Minute, Rates: map[string]int{"retries_per_s": 2, "opens_per_s": 2}, Bears: func(time.Duration) float64 { return 5 }})
 			c.play(r)
 			if got, history := r.Verdict(time.Now()); got != c.want {
 				t.Errorf("%+v, want %+v: %q", got, c.want, history)
--- a/lab/rig/client.go
+++ b/lab/rig/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"fmt"
 	"io"
 	"math"
@@ -20,6 +21,8 @@
 	key   string
 	until time.Time
 
+	customer string // "" where it is its own
+
 	mu     sync.Mutex
 	id     string // of its last request
 	stands bool
@@ -70,6 +73,9 @@
 	r.mu.Lock()
 	life := time.Duration(r.rng.ExpFloat64() * float64(r.s.Clients.Life))
 	c := &client{r: r, key: key, until: time.Now().Add(life)}
+	if n := r.s.Clients.Customers; n > 0 {
+		c.customer = fmt.Sprintf("g%d", r.rng.IntN(n))
+	}
 	r.clients = append(r.clients, c)
 	r.mu.Unlock()
 	defer func() {
@@ -148,6 +154,9 @@
 	c.mu.Unlock()
 	deadline := time.Duration(r.s.Clients.Deadline)
 	line := fmt.Sprintf("OPEN %s %s c=c,d=%d", id, c.key, deadline.Milliseconds())
+	if c.customer != "" {
+		line += ",g=" + c.customer
+	}
 	if again > 0 {
 		line += ",again=1"
 	}
@@ -157,7 +166,7 @@
 		return 0, false
 	}
 	r.count("requests")
-	r.ref.Asked(id, n.index, asked, asked.Add(deadline))
+	r.ref.Asked(id, n.index, cmp.Or(c.customer, c.key), asked, asked.Add(deadline))
 	in := bufio.NewReader(conn)
 	conn.SetReadDeadline(asked.Add(deadline + time.Second))
 	answer, err := in.ReadString('\n')
@@ -175,7 +184,7 @@
 	case "UP":
 		r.count("up")
 		c.set(true)
-		return 0, c.stand(conn, in, id)
+		return 0, c.stand(n, conn, in, id)
 	case "BUSY":
 		r.count("refused")
 		ms, _ := strconv.Atoi(rest)
@@ -207,8 +216,23 @@
 	}
 }
 
+// relieved notes a client that a node moved for no other reason than the server's relief.
+func (r *rig) relieved(n *node, id string) {
+	r.mu.Lock()
+	quiet, at := n.disturbed.IsZero(), r.ref.At(id)
+	for _, s := range r.servers {
+		quiet = quiet && (s.ID != at || !s.Leaves())
+	}
+	r.mu.Unlock()
+	if quiet {
+		r.count("moved for relief")
+		now := time.Now()
+		r.ref.Rated("moves_per_s", at, now, now)
+	}
+}
+
 // stand holds a connection until the client's life ends or the other side ends it.
-func (c *client) stand(conn net.Conn, in *bufio.Reader, id string) (end bool) {
+func (c *client) stand(n *node, conn net.Conn, in *bufio.Reader, id string) (end bool) {
 	conn.SetReadDeadline(c.until)
 	for {
 		line, err := in.ReadString('\n')
@@ -224,6 +248,7 @@
 			return false
 		case strings.HasPrefix(line, "MOVE"):
 			c.r.count("moved")
+			c.r.relieved(n, id)
 			return false
 		case strings.HasPrefix(line, "UP "), strings.HasPrefix(line, "BUSY"):
 			c.r.ref.Answer(id, time.Now())
--- a/lab/rig/rig.go
+++ b/lab/rig/rig.go
@@ -126,7 +126,7 @@
 	v := s.Server
 	connections := r.connections()
 	r.ref = referee.New(referee.Rules{Answer: 70 * time.Millisecond, Grace: time.Duration(v.Grace), Slack: 100 * time.Millisecond,
-		Retries: s.Budgets.Retries, Window: time.Duration(v.FallWindow), Cold: time.Duration(v.ColdFor),
+		Rates: s.Budgets.rates(), Window: time.Duration(v.FallWindow), Cold: time.Duration(v.ColdFor),
 		Bears: func(age time.Duration) float64 { // the mean share of the window, and one more
 			mean := max(age.Seconds()-time.Duration(v.FallWindow).Seconds()/2, 0) / time.Duration(v.ColdFor).Seconds()
 			share := min(v.ColdFrom+(1-v.ColdFrom)*mean, 1)
@@ -278,6 +278,7 @@
 
 func (r *rig) called(c emulator.Call) {
 	r.count("list calls")
+	r.ref.Rated("list_calls_per_s", "", c.At, c.At)
 	if c.Failed {
 		r.count("list calls failed")
 	}
@@ -287,6 +288,7 @@
 	switch x.What {
 	case emulator.Sent:
 		r.count("attempts")
+		r.ref.Rated("connects_per_s", x.Server.ID, x.Entered, x.Entered)
 		r.ref.Sent(x.Node, x.Server.ID, x.Request, x.Entered, x.Server.Started)
 		if !x.Server.Started.IsZero() {
 			r.count("attempts at servers that started")
@@ -295,6 +297,7 @@
 		r.ref.Ended(x.Server.ID, x.Request)
 	case emulator.Probed:
 		r.count("probes")
+		r.ref.Rated("probes_per_s", x.Server.ID, x.Entered, x.Entered)
 	case emulator.Accepted:
 		r.count("connections at servers")
 	}
@@ -335,7 +338,10 @@
 			addrs = append(addrs, r.words.Addr(i))
 		}
 		cfg["peers"] = map[string]any{"listen": "127.0.0.1:0", "nodes": addrs}
-		cfg["budgets"] = map[string]any{"lease": true, "floor": r.s.Budgets.Floor, "retries_per_s": r.s.Budgets.Retries}
+		cfg["budgets"] = map[string]any{"lease": true, "floor": r.s.Budgets.Floor}
+		for key, n := range r.s.Budgets.rates() {
+			cfg["budgets"].(map[string]any)[key] = n
+		}
 	}
 	return cfg
 }
--- a/lab/rig/rig_test.go
+++ b/lab/rig/rig_test.go
@@ -182,3 +182,28 @@
 		t.Errorf("%d further attempts, %v given up: nothing is proved", r.Totals["further attempts"], r.Counters["budget_retries_refused"])
 	}
 }
+
+// Each thing of which there is to be so much in a second stays within it while clients want far more, half of the nodes are killed,
+// words are lost and the list goes down; and each bound is met, or it would prove nothing.
+func TestRatesOfAllNodesAreBounded(t *testing.T) {
+	r := play(t, load(t, "rates"), 1)
+	for _, what := range []string{"list_calls", "probes", "connects", "opens"} {
+		if r.Counters["budget_"+what+"_refused"] == 0 {
+			t.Errorf("no %s were given up", what)
+		}
+	}
+	if r.Totals["up"] < 50 || r.Counters["budget_leased"] == 0 {
+		t.Errorf("%d up, %v of grants", r.Totals["up"], r.Counters["budget_leased"])
+	}
+}
+
+// Clients are moved off full servers for their relief, and no more in a second than all nodes may.
+func TestMovesOfAllNodesAreBounded(t *testing.T) {
+	s := load(t, "uneven")
+	s.Nodes, s.Clients.Standing, s.Budgets.Moves = 12, 300, 1
+	s.Length = Dur(11 * time.Second)
+	r := play(t, s, 1)
+	if r.Totals["moved for relief"] == 0 || r.Counters["budget_moves_refused"] == 0 {
+		t.Errorf("%d moved, %v not: nothing is proved", r.Totals["moved for relief"], r.Counters["budget_moves_refused"])
+	}
+}
--- a/lab/rig/scenario.go
+++ b/lab/rig/scenario.go
@@ -32,6 +32,7 @@
 // Clients says who comes. A client that is refused or cut off comes again after a time between the two of rejoin.
 type Clients struct {
 	Standing  int     `toml:"standing"`
+	Customers int     `toml:"customers"` // whose connections they are, in turn; 0 means that each is its own
 	PerSecond float64 `toml:"per_second"`
 	Life      Dur     `toml:"life"`
 	Deadline  Dur     `toml:"deadline"`
@@ -61,7 +62,18 @@
 	Lease bool    `toml:"lease"` // among one another; else each has its fixed part
 	Floor float64 `toml:"floor"` // part of the whole that is fixed parts
 
-	Retries int `toml:"retries_per_s"` // further attempts of requests, of all nodes in any second; 0 means no bound
+	Retries int `toml:"retries_per_s"`    // further attempts of requests, of all nodes in any second; 0 means no bound, here and below
+	Calls   int `toml:"list_calls_per_s"` // for the list
+	Probes  int `toml:"probes_per_s"`     // of each server
+	Sends   int `toml:"connects_per_s"`   // new connections to each server
+	Moves   int `toml:"moves_per_s"`      // clients moved off each server for its relief
+	Opens   int `toml:"opens_per_s"`      // new connections of each customer
+}
+
+// rates are the bounds by their keys.
+func (b Budgets) rates() map[string]int {
+	return map[string]int{"retries_per_s": b.Retries, "list_calls_per_s": b.Calls, "probes_per_s": b.Probes, "connects_per_s": b.Sends,
+		"moves_per_s": b.Moves, "opens_per_s": b.Opens}
 }
 
 // Event is something that goes wrong.
@@ -110,6 +122,7 @@
 		{"nodes", s.Nodes >= 2 && s.Nodes <= 300, "2 to 300"},
 		{"servers", s.Servers > 0 && s.Servers <= 300, "1 to 300"},
 		{"clients.standing", c.Standing >= 0 && c.Standing <= 4000, "0 to 4000"},
+		{"clients.customers", c.Customers >= 0, "0 or more"},
 		{"clients.per_second", c.PerSecond >= 0 && c.PerSecond <= 2000, "0 to 2000"},
 		{"clients.life", c.Life > 0, "over 0"},
 		{"clients.deadline", c.Deadline >= Dur(100*time.Millisecond), "0.1s or more"},
@@ -125,12 +138,16 @@
 		{"list.patience", s.List.Patience >= 0, "0 or more"},
 		{"list.lag", s.List.Lag >= 0, "0 or more"},
 		{"budgets.floor", s.Budgets.Floor >= 0 && s.Budgets.Floor <= 1, "0 to 1: the fixed parts are no more than the whole"},
-		{"budgets.retries_per_s", s.Budgets.Retries >= 0 && (s.Budgets.Lease || s.Budgets.Retries == 0), "0 or more, and 0 without lease"},
 	} {
 		if !f.good {
 			return fmt.Errorf("%s: must be %s", f.key, f.want)
 		}
 	}
+	for key, n := range s.Budgets.rates() {
+		if n < 0 || n > 0 && !s.Budgets.Lease {
+			return fmt.Errorf("budgets.%s: must be 0 or more, and 0 without lease", key)
+		}
+	}
 	for i, e := range s.Events {
 		odds := max(e.Lose, e.Twice, e.Late)
 		switch {
--- a/node/config.go
+++ b/node/config.go
@@ -43,12 +43,17 @@
 
 // Budgets says how the nodes share what all of them together may do.
 type Budgets struct {
-	Lease   bool    `json:"lease"`         // among one another; else each has its fixed part
-	Floor   float64 `json:"floor"`         // part of each whole that is fixed parts, which a node has whoever is there
-	Retries int     `json:"retries_per_s"` // further attempts of requests, of all nodes in any second; 0 means no bound
-	Term    int64   `json:"term_ms"`       // what is granted must be used within it
-	Beat    int64   `json:"beat_ms"`       // between a node's words
-	Drift   int64   `json:"drift_ppm"`     // by which any two steady clocks run apart at most
+	Lease   bool    `json:"lease"`            // among one another; else each has its fixed part
+	Floor   float64 `json:"floor"`            // part of each whole that is fixed parts, which a node has whoever is there
+	Retries int     `json:"retries_per_s"`    // further attempts of requests, of all nodes in any second; 0 means no bound, here and below
+	Calls   int     `json:"list_calls_per_s"` // for the list of servers
+	Probes  int     `json:"probes_per_s"`     // of each server
+	Sends   int     `json:"connects_per_s"`   // new connections to each server
+	Moves   int     `json:"moves_per_s"`      // clients moved off each server for its relief
+	Opens   int     `json:"opens_per_s"`      // new connections of each customer: a group, or a key where none is named
+	Term    int64   `json:"term_ms"`          // what is granted must be used within it
+	Beat    int64   `json:"beat_ms"`          // between a node's words
+	Drift   int64   `json:"drift_ppm"`        // by which any two steady clocks run apart at most
 }
 
 // Lab is for the laboratory only.
@@ -248,13 +253,14 @@
 			fault("config: peers: this site bars talk between nodes (settings.ceilings.peers)")
 		}
 	}
-	if b.Retries < 0 || b.Retries > 1_000_000 {
-		fault("config: budgets.retries_per_s: %d is not 0 to 1000000", b.Retries)
+	for _, r := range b.rates() {
+		if r.whole < 0 || r.whole > 1_000_000 {
+			fault("config: budgets.%s: %d is not 0 to 1000000", r.key, r.whole)
+		} else if r.whole > 0 && !b.Lease {
+			fault("config: budgets.%s: needs budgets.lease, since no node alone can keep a bound of all", r.key)
+		}
 	}
 	if !b.Lease {
-		if b.Retries > 0 {
-			fault("config: budgets.retries_per_s: needs budgets.lease, since no node alone can keep a bound of all")
-		}
 		return faults
 	}
 	if len(c.Peers.Nodes) == 0 {
--- a/node/leases.go
+++ b/node/leases.go
@@ -2,6 +2,10 @@
 
 import (
 	"container/heap"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -16,25 +20,51 @@
 // sendMargin is added to the time that a connection may take to come up.
 const sendMargin = 50 * time.Millisecond
 
-// Kinds of budgets: what a cold server bears, and further attempts of requests.
+// Kinds of budgets: what a cold server bears, and those of a rate.
 const (
-	coldBudget  = 1
-	retryBudget = 2
+	coldBudget = 1 + iota
+	retryBudget
+	callBudget
+	probeBudget
+	sendBudget
+	moveBudget
+	openBudget
+	budgetKinds
 )
 
+// rate is a budget of so much in any second.
+type rate struct {
+	kind  uint8
+	key   string
+	whole int
+}
+
+func (b *Budgets) rates() []rate {
+	return []rate{{retryBudget, "retries_per_s", b.Retries}, {callBudget, "list_calls_per_s", b.Calls}, {probeBudget, "probes_per_s", b.Probes},
+		{sendBudget, "connects_per_s", b.Sends}, {moveBudget, "moves_per_s", b.Moves}, {openBudget, "opens_per_s", b.Opens}}
+}
+
 // seenMost bounds the servers that are remembered; past it all are forgotten, and a start counts as a new server's.
 const seenMost = 8192
 
-// retryWindow is the one of further attempts.
-const retryWindow = time.Second
+// rateWindow is the one of all that is a rate.
+const rateWindow = time.Second
+
+// Those who wait for one budget, and how long for the other nodes' answer: an attempt has to be on its way soon after it.
+const (
+	waitingMost = 256
+	answerWait  = 100 * time.Millisecond
+)
 
 // leases shares out with the other nodes what cold servers may be sent. It belongs to the loop's goroutine.
 type leases struct {
 	set     balance.Settings
 	budgets *budget.Budgets
 	conn    *peers.Conn
+	tell    func(to int, w budget.Word)
 	clock   func() time.Duration           // steady: each spend looks at it anew, as a process may have been stopped meanwhile
 	within  time.Duration                  // an attempt is on its way so long after its decision at the latest; windows are longer by it
+	call    time.Duration                  // and so long a call for the list
 	ids     map[balance.ServerID]budget.ID // of servers that are cold
 	starts  map[balance.ServerID]time.Duration
 	seen    map[balance.ServerID]int64  // the start under which a server was first listed
@@ -43,36 +73,130 @@
 	wake    time.Duration               // when a timer is due
 	said    budget.State
 
-	retries bool // further attempts are bounded
+	on      [budgetKinds]bool       // the rates that have a bound
+	keys    [budgetKinds]string     // their names
+	waiting map[budget.ID][]waiting // for an answer of the other nodes
 
 	count struct { // as of lately
-		own, leased, short, given, lapsed, stale, twins, keepers, followers, overdrawn atomic.Int64
+		own, leased, short, given, lapsed, stale, twins, keepers, followers atomic.Int64
+		refused                                                             [budgetKinds]atomic.Int64
 	}
 }
 
+// waiting is someone who wants one unit.
+type waiting struct {
+	until time.Duration
+	do    func(ok bool)
+}
+
 func newLeases(cfg *Config, set *balance.Settings, boot uint64) *leases {
 	within := settings.Microseconds(cfg.Settings.Ceilings.DialTimeout) + sendMargin
+	call := settings.Microseconds(cfg.Settings.Ceilings.DialTimeout)*listDials + sendMargin
+	longest := max(set.FallWindow, rateWindow) + within
+	if cfg.Budgets.Calls > 0 {
+		longest = max(longest, rateWindow+call)
+	}
 	b := budget.Settings{Nodes: max(set.Nodes, 1), Index: set.Index, Floor: cfg.Budgets.Floor,
-		Window: max(set.FallWindow, retryWindow) + within, Term: ms(cfg.Budgets.Term), Beat: ms(cfg.Budgets.Beat),
+		Window: longest, Term: ms(cfg.Budgets.Term), Beat: ms(cfg.Budgets.Beat),
 		Drift: float64(cfg.Budgets.Drift) / 1e6}
-	s := &leases{set: *set, within: within, past: map[budget.ID]time.Duration{}, seen: map[balance.ServerID]int64{},
+	s := &leases{set: *set, within: within, call: call, waiting: map[budget.ID][]waiting{}, past: map[budget.ID]time.Duration{}, seen: map[balance.ServerID]int64{},
 		ids: map[balance.ServerID]budget.ID{}, starts: map[balance.ServerID]time.Duration{}, budgets: budget.New(b, boot, 0)}
-	if s.retries = cfg.Budgets.Retries > 0; s.retries {
-		s.budgets.Define(0, budget.Spec{ID: budget.ID{Kind: retryBudget}, Least: cfg.Budgets.Retries, Window: retryWindow + within})
+	for _, r := range cfg.Budgets.rates() {
+		if s.on[r.kind], s.keys[r.kind] = r.whole > 0, r.key; r.whole == 0 {
+			continue
+		}
+		rule := budget.Rule{Whole: r.whole, Window: rateWindow + within}
+		switch r.kind { // without these a node serves nobody: when all start anew each is to have its own soon
+		case callBudget:
+			rule.Window, rule.Keeps = rateWindow+call, true
+		case probeBudget, sendBudget, openBudget:
+			rule.Keeps = true
+		}
+		s.budgets.Rules(r.kind, rule)
 	}
 	return s
 }
 
-// retry takes one further attempt out of what all nodes may make. Where there is none the request is given up at once, as a
-// wait for one would come on top of what it has waited already; but some are asked for, for those that come next.
-func (s *leases) retry() bool {
-	id, now := budget.ID{Kind: retryBudget}, s.clock()
-	if !s.retries || s.budgets.Spend(now, id) {
-		return true
+// afford takes one unit of a budget of a rate, and has do called with whether there was one: at once, or once the other nodes have
+// answered, within a while. Without a while the request in hand does without, but some are asked for, for those that come next.
+// It must not be called while the decisions are being handled, unless do tells them of nothing but by tell.
+func (l *loop) afford(kind uint8, of uint64, wait time.Duration, do func(ok bool)) {
+	s := l.leases
+	if s == nil || !s.on[kind] {
+		do(true)
+		return
+	}
+	id, now := budget.ID{Kind: kind, Of: of}, s.clock()
+	if s.budgets.Spend(now, id) {
+		do(true)
+		return
+	}
+	comes := len(s.waiting[id]) < waitingMost && s.budgets.Want(now, id)
+	s.wants = s.wants || comes
+	if !comes || wait <= 0 {
+		s.count.refused[kind].Add(1)
+		do(false)
+		return
+	}
+	s.waiting[id] = append(s.waiting[id], waiting{now + wait, do})
+	heap.Push(&l.timers, timer{at: l.now() + wait, leases: true})
+}
+
+// affordAtOnce is afford for who does without where there is none.
+func (l *loop) affordAtOnce(kind uint8, of uint64) (ok bool) {
+	l.afford(kind, of, 0, func(yes bool) { ok = yes })
+	return ok
+}
+
+// serve has those who wait for a budget go on as far as there is some; all others go without once it is settled, and who has
+// waited long enough.
+func (l *loop) serve(id budget.ID, settled bool) {
+	s := l.leases
+	one := func(w waiting) {
+		ok := s.budgets.Spend(s.clock(), id)
+		if !ok {
+			s.count.refused[id.Kind].Add(1)
+		}
+		w.do(ok) // others may come to wait meanwhile, or be served
+	}
+	if settled {
+		all := s.waiting[id]
+		delete(s.waiting, id)
+		for _, w := range all {
+			one(w)
+		}
+		return
+	}
+	for len(s.waiting[id]) > 0 && (s.budgets.Left(s.clock(), id) > 0 || s.clock() >= s.waiting[id][0].until) {
+		w := s.waiting[id][0]
+		if s.waiting[id] = s.waiting[id][1:]; len(s.waiting[id]) == 0 {
+			delete(s.waiting, id)
+		}
+		one(w)
+	}
+}
+
+// by is when what is sent out of a budget has to be on its way; the zero time where it has no bound.
+func (s *leases) by(kind uint8) time.Time {
+	if s == nil || !s.on[kind] {
+		return time.Time{}
+	} else if kind == callBudget {
+		return time.Now().Add(s.call)
+	}
+	return time.Now().Add(s.within)
+}
+
+// comeBack is what a client of a customer with too many new connections is told: within a window or so there is room, for all
+// not at once. 0 where no advice is followed.
+func (s *leases) comeBack() time.Duration {
+	return min(rateWindow/2+rand.N(rateWindow), s.set.MaxRetryAfter)
+}
+
+// flush sends what is wanted.
+func (l *loop) flush() {
+	if l.leases != nil && l.leases.wants {
+		l.share()
 	}
-	s.wants = s.budgets.Want(now, id) || s.wants
-	s.count.overdrawn.Add(1)
-	return false
 }
 
 // Left is part of balance.Parts.
@@ -192,10 +316,11 @@
 // shared does what the budgets say.
 func (l *loop) shared(actions []budget.Action) {
 	var settled []balance.ServerID
+	var rates []budget.ID
 	for _, a := range actions {
 		switch a := a.(type) {
 		case budget.Tell:
-			l.leases.conn.Tell(a.To, peers.Budget, a.Word)
+			l.leases.tell(a.To, a.Word)
 		case budget.Wake:
 			if at := l.now() + a.After; l.leases.wake <= l.now() || at < l.leases.wake {
 				l.leases.wake = at
@@ -204,9 +329,17 @@
 		case budget.Settled:
 			if a.ID.Kind == coldBudget {
 				settled = append(settled, balance.ServerID(a.ID.Of))
+			} else {
+				rates = append(rates, a.ID)
 			}
 		}
 	}
+	for _, id := range rates {
+		l.serve(id, true)
+	}
+	for _, id := range slices.SortedFunc(maps.Keys(l.leases.waiting), budget.ID.Compare) { // grants that came before all is settled
+		l.serve(id, false)
+	}
 	for _, id := range settled { // who waits for it is looked at again
 		l.handle(balance.Probed{Server: id, Outcome: balance.OK})
 	}
@@ -253,7 +386,11 @@
 	add("budget_twins", c.twins.Load())
 	add("budget_keepers", c.keepers.Load())
 	add("budget_followers", c.followers.Load())
-	add("budget_retries_refused", c.overdrawn.Load())
+	for kind, key := range s.keys {
+		if s.on[kind] {
+			add("budget_"+strings.TrimSuffix(key, "_per_s")+"_refused", c.refused[kind].Load())
+		}
+	}
 	add("peer_words_sent", p.Sent.Load())
 	add("peer_bytes_sent", p.Bytes.Load())
 	add("peer_words", p.Received.Load())
--- a/node/leases_test.go
+++ b/node/leases_test.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"brassmux/balance"
+	"brassmux/budget"
 	"brassmux/internal/discovery"
 )
 
@@ -81,6 +82,8 @@
 		"budgets.beat_ms":        func(c *Config) { c.Budgets.Beat = -1 },
 		"budgets.drift_ppm":      func(c *Config) { c.Budgets.Drift = 50_001 },
 		"retries_per_s: -1":      func(c *Config) { c.Budgets.Retries = -1 },
+		"opens_per_s: 1000001":   func(c *Config) { c.Budgets.Opens = 1_000_001 },
+		"moves_per_s: needs":     func(c *Config) { c.Budgets.Moves, c.Budgets.Lease = 5, false },
 		"retries_per_s: needs":   func(c *Config) { c.Budgets.Retries, c.Budgets.Lease = 5, false },
 	} {
 		c := leased(t)
@@ -94,3 +97,78 @@
 		}
 	}
 }
+
+// Who waits for the other nodes' answer hears once: with what came, or without when it is settled or has waited long enough.
+func TestWhoWaitsForABudgetHearsOnce(t *testing.T) {
+	c := leased(t)
+	c.Budgets.Opens, c.Budgets.Floor = 3, 0.0001 // one is a node's own, the others are nobody's
+	now, told := time.Duration(0), make(chan func(), 1000)
+	var loops [2]*loop
+	for i := range loops {
+		d := c
+		d.Settings.Index = i
+		l := newLoop(t.Context(), &d, zap.NewNop())
+		l.leases.clock = func() time.Duration { return now }
+		l.leases.tell = func(to int, w budget.Word) {
+			told <- func() { loops[to].shared(loops[to].leases.budgets.Heard(now, i, w)) }
+		}
+		loops[i] = l
+	}
+	carry := func() {
+		for len(told) > 0 {
+			(<-told)()
+		}
+	}
+	for range 100 { // until the two have met
+		now += 100 * time.Millisecond
+		loops[0].share()
+		loops[1].share()
+		carry()
+	}
+	yes, no := 0, 0
+	want := func(l *loop, n int) {
+		for range n {
+			l.afford(openBudget, 7, answerWait, func(ok bool) {
+				if ok {
+					yes++
+				} else {
+					no++
+				}
+			})
+		}
+	}
+	want(loops[0], 5)
+	want(loops[1], 1)
+	if yes+no == 6 {
+		t.Fatal("nobody waits")
+	}
+	loops[0].share()
+	loops[1].share()
+	carry()
+	if yes != 3 || no != 3 {
+		t.Fatalf("of six %d had one and %d had none, three is the whole", yes, no)
+	}
+	for range 100 {
+		now += 100 * time.Millisecond
+		loops[0].share()
+		loops[1].share()
+		carry()
+	}
+	yes, no = 0, 0
+	want(loops[0], 5)
+	loops[0].share()
+	for len(told) > 0 {
+		<-told // lost
+	}
+	if yes+no == 5 {
+		t.Fatal("nobody waits")
+	}
+	now += answerWait
+	loops[0].lease()
+	if yes > 3 || yes+no != 5 || len(loops[0].leases.waiting) != 0 {
+		t.Errorf("%d had one, %d none, %d still wait after their time", yes, no, len(loops[0].leases.waiting))
+	}
+	if got := loops[0].leases.count.refused[openBudget].Load(); got == 0 {
+		t.Error("nobody was counted")
+	}
+}
--- a/node/loop.go
+++ b/node/loop.go
@@ -3,11 +3,13 @@
 import (
 	"container/heap"
 	"context"
+	"math/rand/v2"
 	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"brassmux/balance"
@@ -17,6 +19,9 @@
 	"brassmux/internal/settings"
 )
 
+// listDials is how many times longer a connection to the discovery may take to come up, as it may be further away.
+const listDials = 5
+
 // queue bounds the events that wait for the loop. Who has one more waits, but never the loop.
 const queue = 1024
 
@@ -36,6 +41,8 @@
 	drain    time.Duration // a server that drains has it to send its clients away itself
 	aim      time.Duration // messages over a third of it are told
 	watching bool
+	calls    int                // for the list, or turns to make one
+	emptying bool               // what is handled empties a server or this node
 	unwatch  context.CancelFunc // ends the watch
 	asked    string             // the address of the discovery
 	version  int64
@@ -59,10 +66,10 @@
 func newLoop(ctx context.Context, cfg *Config, log *zap.Logger) *loop {
 	seed, _ := cfg.seed()
 	set := cfg.Settings.Settings()
-	set.Talks = false                                                    // no way to other nodes is built
-	set.TellsLate = false                                                // no server sends such notes on sockets, and an echo may come at once whatever the load
-	dial := settings.Microseconds(cfg.Settings.Ceilings.DialTimeout) * 5 // discovery may be further away
-	wall := time.Now().Add(ms(cfg.Lab.ClockOff))                         // it moves what time.Since gives too: see now and steady
+	set.Talks = false     // no way to other nodes is built
+	set.TellsLate = false // no server sends such notes on sockets, and an echo may come at once whatever the load
+	dial := settings.Microseconds(cfg.Settings.Ceilings.DialTimeout) * listDials
+	wall := time.Now().Add(ms(cfg.Lab.ClockOff)) // it moves what time.Since gives too: see now and steady
 	var leases *leases
 	if cfg.Budgets.Lease {
 		leases = newLeases(cfg, &set, uint64(wall.UnixNano())^seed)
@@ -108,6 +115,7 @@
 	if l.pushed { // changes are to come unasked
 		l.subscribe()
 	}
+	l.flush()
 	l.lease()
 	clock := time.NewTimer(0)
 	var look <-chan time.Time
@@ -171,6 +179,7 @@
 	if l.shadow != nil {
 		l.shadow.saw(l.now(), ev)
 	}
+	_, l.emptying = ev.(balance.Leaving)
 	for _, a := range l.decide.Handle(l.now(), ev) {
 		if l.shadow != nil {
 			l.shadow.did(a)
@@ -180,9 +189,7 @@
 		}
 		l.do(a)
 	}
-	if l.leases != nil && l.leases.wants {
-		l.share()
-	}
+	l.flush()
 }
 
 func (l *loop) do(a balance.Action) {
@@ -190,36 +197,46 @@
 	case balance.Attempt:
 		if x := l.open[a.ID]; x != nil {
 			attempt := exchange.Attempt{Number: x.Tries, Server: a.Server, Addr: l.servers[a.Server].Addr}
-			if s := l.leases; s != nil && attempt.Number > 0 && !s.retry() {
-				x.Tries++
-				go l.Closed(x, attempt, balance.Moot, 0, nil) // not from here, as it tells the loop
+			x.Tries++
+			moot := func() { go l.Closed(x, attempt, balance.Moot, 0, nil) } // not from here, as it tells the loop
+			// Where it has no room a further attempt is given up at once: to wait comes on top of what it has waited already.
+			if attempt.Number > 0 && !l.affordAtOnce(retryBudget, 0) {
+				moot()
 				return
-			} else if s != nil && (attempt.Number > 0 && s.retries || s.cold(a.Server)) {
-				attempt.By = time.Now().Add(s.within)
 			}
-			l.back.Attempt(x, attempt, a.Timeout)
-			x.Tries++
+			decided := time.Now()
+			l.afford(sendBudget, uint64(a.Server), answerWait, func(ok bool) {
+				if !ok {
+					moot()
+					return
+				}
+				if s := l.leases; s != nil && (attempt.Number > 0 && s.on[retryBudget] || s.cold(a.Server)) {
+					attempt.By = decided.Add(s.within)
+				} else if s != nil && s.on[sendBudget] {
+					attempt.By = time.Now().Add(s.within)
+				}
+				l.back.Attempt(x, attempt, a.Timeout)
+			})
 		}
 	case balance.Refuse:
-		if x := l.forget(a.ID); x != nil {
-			line := "BUSY"
-			if ms := a.RetryIn.Milliseconds(); ms > 0 {
-				line += " " + strconv.FormatInt(ms, 10)
-			}
-			l.count.refused.Add(1)
-			x.Answer(exchange.Refused, line)
-		}
+		l.refuse(a.ID, a.RetryIn)
 	case balance.Fail:
 		if x := l.forget(a.ID); x != nil {
 			l.count.failed.Add(1)
 			x.Answer(exchange.Failed, "ERR not served")
 		}
 	case balance.Move:
-		if x := l.open[a.ID]; x != nil && x.Move() {
+		if x := l.open[a.ID]; x != nil && (l.emptying || l.affordAtOnce(moveBudget, uint64(x.Server()))) && x.Move() {
 			l.count.moved.Add(1)
 		}
 	case balance.Probe:
-		l.back.Probe(a.Server, l.servers[a.Server].Addr)
+		l.afford(probeBudget, uint64(a.Server), answerWait, func(ok bool) {
+			if !ok { // who waits for it goes on without
+				go l.probed(balance.Probed{Server: a.Server, Outcome: balance.OK})
+				return
+			}
+			l.back.Probe(a.Server, l.servers[a.Server].Addr, l.leases.by(probeBudget))
+		})
 	case balance.SetTimer:
 		heap.Push(&l.timers, timer{at: l.now() + a.After, token: a.Token})
 	case balance.Subscribe:
@@ -229,6 +246,17 @@
 	}
 }
 
+func (l *loop) refuse(id balance.RequestID, retryIn time.Duration) {
+	if x := l.forget(id); x != nil {
+		line := "BUSY"
+		if ms := retryIn.Milliseconds(); ms > 0 {
+			line += " " + strconv.FormatInt(ms, 10)
+		}
+		l.count.refused.Add(1)
+		x.Answer(exchange.Refused, line)
+	}
+}
+
 func (l *loop) forget(id balance.RequestID) *exchange.Exchange {
 	x := l.open[id]
 	delete(l.open, id)
@@ -244,10 +272,25 @@
 			l.standAgain(x)
 			return
 		}
-		l.handle(l.request(x))
+		l.afford(openBudget, customer(x.Head), answerWait, func(ok bool) {
+			if !ok {
+				l.refuse(x.ID, l.leases.comeBack())
+			} else if l.open[x.ID] != nil { // else it has left meanwhile
+				l.handle(l.request(x))
+			}
+		})
+		l.flush()
 	})
 }
 
+// customer is whose connection it is to be.
+func customer(h *exchange.Head) uint64 {
+	if len(h.Group) > 0 {
+		return xxhash.Sum64(h.Group)
+	}
+	return xxhash.Sum64(h.Key)
+}
+
 // enter gives an exchange its number here.
 func (l *loop) enter(x *exchange.Exchange) {
 	l.next++
@@ -269,7 +312,14 @@
 func (l *loop) standAgain(x *exchange.Exchange) {
 	id := balance.ServerID(settings.NamedServer(string(x.Head.At)))
 	if addr := l.servers[id].Addr; addr != "" {
-		l.back.Attempt(x, exchange.Attempt{Server: id, Addr: addr}, 0)
+		l.afford(sendBudget, uint64(id), answerWait, func(ok bool) {
+			if ok {
+				l.back.Attempt(x, exchange.Attempt{Server: id, Addr: addr, By: l.leases.by(sendBudget)}, 0)
+			} else {
+				l.notBack(x, balance.Moot)
+			}
+		})
+		l.flush()
 		return
 	}
 	l.returns = append(l.returns, x)
@@ -389,7 +439,35 @@
 		return
 	}
 	l.watching = true
-	addr, since := l.asked, l.version
+	l.calls++
+	turn := l.calls
+	l.afford(callBudget, 0, callWait, func(ok bool) {
+		if turn != l.calls {
+			return // another discovery is asked meanwhile
+		} else if ok {
+			l.watch()
+			return
+		}
+		time.AfterFunc(callPause/2+rand.N(callPause), func() {
+			l.tell(func() {
+				if turn == l.calls {
+					l.watching = false
+					l.subscribe()
+					l.flush()
+				}
+			})
+		})
+	})
+}
+
+// A call that all nodes have no room for waits for their answer for callWait, and is tried again after callPause on the mean.
+const (
+	callWait  = time.Second
+	callPause = 500 * time.Millisecond
+)
+
+func (l *loop) watch() {
+	addr, since, by := l.asked, l.version, l.leases.by(callBudget)
 	ctx, unwatch := context.WithCancel(l.ctx)
 	l.unwatch = unwatch
 	tell := func(do func()) {
@@ -400,7 +478,7 @@
 		})
 	}
 	go func() {
-		err := l.list.Watch(ctx, addr, since, func(list *discovery.List) { tell(func() { l.listed(list) }) })
+		err := l.list.Watch(ctx, addr, since, by, func(list *discovery.List) { tell(func() { l.listed(list) }) })
 		tell(func() {
 			unwatch()
 			l.log.Warn("the watch on the server list broke", zap.String("discovery", addr), zap.Error(err))
@@ -421,6 +499,7 @@
 	l.asked, l.version, l.watching = addr, 0, false
 	l.handle(balance.Members{Kind: balance.ListChanges}) // what failed at the old one slows no retry at this one
 	l.subscribe()
+	l.flush()
 }
 
 func (l *loop) listed(list *discovery.List) {
--- a/node/node.go
+++ b/node/node.go
@@ -17,6 +17,7 @@
 	"go.uber.org/zap"
 
 	"brassmux/balance"
+	"brassmux/budget"
 	"brassmux/internal/admin"
 	"brassmux/internal/backend"
 	"brassmux/internal/exchange"
@@ -78,6 +79,7 @@
 			}
 			return nil, fmt.Errorf("config: peers.listen: %w", err)
 		}
+		n.loop.leases.tell = func(to int, w budget.Word) { n.loop.leases.conn.Tell(to, peers.Budget, w) }
 	}
 	n.front = frontend.New(frontend.Config{FirstLine: ms(cfg.Times.FirstLine), Most: requests, Door: door,
 		Class: func(name []byte) *exchange.Tally { return n.loop.classes[string(name)] }, Welcome: n.life.welcome,
