Customers' open connections are a budget of all nodes: leases that are renewed, or moved in time

Need: such a level does not come back with time, so grants of a rate do not fit it; each node alone cannot bound it.

Change: package budget has levels: floors are kept, what is over them is on leases that an answer of the keeper most follow renews; in the last third of one that is not renewed the node moves its clients. A keeper learns what is held from the nodes and lends more only after a lease. Key budgets.open_per_customer, off by default; scenario open; the referee counts at the servers.

--- a/budget/budget.go
+++ b/budget/budget.go
@@ -49,6 +49,7 @@
 	Whole  int
 	Window time.Duration // at most Settings.Window
 	Keeps  bool          // floors are not lent, so a node that starts has its own after one window
+	Lease  time.Duration // over 0: a level (level.go), with leases of so much; Window is how long an end may take to be felt
 }
 
 func (s Spec) whole(now time.Duration) int {
@@ -98,7 +99,10 @@
 	Stamp  int64  // Answer: the keeper's clock. Ask: the latest of the keeper's that came, 0 for none
 	To     uint64 // Answer: the start that asked. Ask: the keeper's start that is followed, 0 for none
 	Lends  []Amount
-	All    bool // Ask: of what goes by rules the asker lends all its floors but those in Lends
+	All    bool     // Ask: of what goes by rules the asker lends all its floors but those in Lends
+	Holds  []Amount // Ask: of levels, on leases
+	Got    uint64   // Ask: the latest answer that came
+	Renews bool     // Answer: to what was held
 	Wants  []Amount
 	Done   []Done // grants that are used up or given back
 	Grants []Grant
@@ -147,9 +151,10 @@
 	rest time.Duration // an earlier start of this node may still be felt until then
 	born time.Duration
 
-	specs map[ID]*account
-	rules map[uint8]Rule
-	order []int // nodes, by who is to keep
+	specs  map[ID]*account
+	rules  map[uint8]Rule
+	levels bool  // some are of levels
+	order  []int // nodes, by who is to keep
 
 	// As one who asks.
 	heard     map[int]keeper // what keepers said last
@@ -168,6 +173,10 @@
 	followers map[int]*follower // as keeper
 	grants    []*granted
 	number    uint64
+	got       uint64 // the latest answer that came
+	loans     map[loanKey]*loan
+	mostSince time.Duration // more than half have followed without a break until
+	mostUntil time.Duration
 
 	Count Counts
 }
@@ -193,12 +202,16 @@
 	promisesToTwo
 	allForgotten
 	noRestOfKept
+	lateLoans
+	loansAtOnce
 )
 
 type account struct {
 	Spec
 	ruled   bool
-	keeps   bool  // floors are not lent
+	keeps   bool // floors are not lent
+	stands  bool // a level
+	level   level
 	next    *Spec // a greater whole, from then on
 	from    time.Duration
 	spent   []time.Duration // of the own part, in the window
@@ -231,8 +244,9 @@
 }
 
 type ask struct {
-	at time.Duration
-	to int
+	at    time.Duration
+	to    int
+	holds []Amount
 }
 
 type follower struct {
@@ -277,7 +291,7 @@
 func New(set Settings, boot uint64, now time.Duration) *Budgets {
 	set.Drift = cmp.Or(set.Drift, 0.001)
 	b := &Budgets{set: set, boot: max(boot, 1), now: now, born: now, specs: map[ID]*account{}, rules: map[uint8]Rule{}, heard: map[int]keeper{}, follows: -1,
-		asks: map[uint64]ask{}, followers: map[int]*follower{}}
+		asks: map[uint64]ask{}, followers: map[int]*follower{}, loans: map[loanKey]*loan{}}
 	b.rest = now + set.Bound()
 	b.until = b.rest
 	for i := range set.Nodes {
@@ -308,7 +322,10 @@
 }
 
 // Rules takes in what goes for all budgets of a kind. It is told once, before any of them is asked for.
-func (b *Budgets) Rules(kind uint8, r Rule) { b.rules[kind] = r }
+func (b *Budgets) Rules(kind uint8, r Rule) {
+	b.rules[kind] = r
+	b.levels = b.levels || r.Lease > 0
+}
 
 // ruled makes a budget that goes by a rule, where there is one and room.
 func (b *Budgets) ruled(id ID) *account {
@@ -319,8 +336,9 @@
 	if !ok || len(b.specs) >= accountsMost {
 		return nil
 	}
-	a := &account{Spec: Spec{ID: id, Least: r.Whole, Window: min(r.Window, b.set.Window)}, ruled: true, keeps: r.Keeps}
-	if b.now < b.all && !r.Keeps && b.wrong != allForgotten {
+	a := &account{Spec: Spec{ID: id, Least: r.Whole, Window: min(r.Window, b.set.Window)}, ruled: true,
+		keeps: r.Keeps || r.Lease > 0, stands: r.Lease > 0}
+	if b.now < b.all && !a.keeps && b.wrong != allForgotten {
 		_, own, _ := b.floors(a)
 		a.lent = []lent{{own, b.all}}
 	}
@@ -348,7 +366,8 @@
 
 // idle tells that nothing was spent or wanted of late, and nothing is granted.
 func (a *account) idle() bool {
-	return len(a.spent)+len(a.wanted)+len(a.grants) == 0 && !a.waits
+	l := &a.level
+	return len(a.spent)+len(a.wanted)+len(a.grants)+l.held+l.leased+l.late+l.spare+l.named == 0 && !a.waits
 }
 
 // Drop forgets a budget. What was spent of it is forgotten too, so it must not come again under its ID within its window.
@@ -378,6 +397,7 @@
 	if a.next != nil && b.now >= a.from {
 		a.Spec, a.next = *a.next, nil
 	}
+	b.lapse(a)
 	past := func(at time.Duration) bool { return at <= b.now-b.set.stretch(a.Window) }
 	a.spent = slices.DeleteFunc(a.spent, past)
 	a.wanted = slices.DeleteFunc(a.wanted, func(at time.Duration) bool { return at <= b.now-2*a.Window })
@@ -425,7 +445,7 @@
 	for _, l := range a.lent {
 		most = max(most, l.n)
 	}
-	return own - most - len(a.spent)
+	return own - most - len(a.spent) - a.level.held - a.level.late
 }
 
 func (a *account) granted() (n int) {
@@ -442,7 +462,7 @@
 	if a == nil {
 		return 0
 	}
-	if n := max(b.own(a), 0) + a.granted(); n > 0 {
+	if n := max(b.own(a), 0) + a.granted() + a.level.spare; n > 0 {
 		return n
 	}
 	if k, ok := b.heard[b.follows]; !ok || b.now >= k.at+b.set.silent() || b.leaving || a.refused > 0 && b.now < a.refused+b.set.Beat/5 {
@@ -480,6 +500,8 @@
 	switch {
 	case a == nil:
 		return false
+	case a.stands:
+		return b.take(a)
 	case b.own(a) > 0:
 		a.spent = append(a.spent, b.now)
 		a.note(b.now)
@@ -506,6 +528,7 @@
 	if b.now >= b.beat || wants && b.follows >= 0 {
 		b.ask()
 	}
+	b.over()
 	b.out = append(b.out, Wake{After: max(b.beat-b.now, time.Millisecond)})
 	return b.out
 }
@@ -533,11 +556,11 @@
 // Heard takes in a word from the node with a number.
 func (b *Budgets) Heard(now time.Duration, from int, w Word) []Action {
 	b.begin(now)
-	b.take(from, w)
+	b.hear(from, w)
 	return b.out
 }
 
-func (b *Budgets) take(from int, w Word) {
+func (b *Budgets) hear(from int, w Word) {
 	switch {
 	case from < 0 || from >= b.set.Nodes || w.Boot == 0:
 		b.Count.Unknown++
@@ -551,7 +574,7 @@
 func (b *Budgets) tell(to int, w Word) {
 	w.Boot = b.boot
 	if to == b.set.Index {
-		b.take(to, w)
+		b.hear(to, w)
 		return
 	}
 	b.Count.Words++
@@ -612,7 +635,10 @@
 		return
 	}
 	k := b.heard[b.follows]
-	w := Word{Stamp: k.stamp, Leaves: b.leaving}
+	w := Word{Stamp: k.stamp, Leaves: b.leaving, Got: b.got}
+	if !b.leaving { // else what stands ends in the next seconds, and its leases run out
+		w.Holds = b.holds()
+	}
 	end := k.at + b.set.Bound() // whatever the keeper counts, it counts from when it said the stamp, which is before
 	free := b.now >= b.until || b.bound == k.boot || b.wrong == promisesToTwo
 	if free && b.now >= b.rest && b.now >= b.alone && end > b.now {
@@ -675,7 +701,7 @@
 func (b *Budgets) send(to int, w Word) {
 	b.seq++
 	w.Seq = b.seq
-	b.asks[b.seq] = ask{b.now, to}
+	b.asks[b.seq] = ask{b.now, to, w.Holds}
 	delete(b.asks, b.seq-asksKept)
 	b.tell(to, w)
 }
@@ -703,6 +729,7 @@
 	if b.follows < 0 {
 		b.choose()
 	}
+	b.renewed(q, w)
 	end := q.at + b.set.Term // since the ask, which was before the grant
 	if b.wrong == termFromReceipt {
 		end = b.now + b.set.Term
@@ -711,6 +738,9 @@
 	}
 	for _, g := range w.Grants {
 		a := b.specs[g.ID]
+		if a != nil && a.stands {
+			continue
+		}
 		if a == nil || g.N <= 0 || end <= b.now {
 			b.done = append(b.done, Done{No: g.No})
 			continue
@@ -724,7 +754,7 @@
 	for _, id := range b.Known() {
 		a := b.specs[id]
 		if a.waits && a.short == 0 && w.Seq >= a.asked {
-			if a.waits = false; a.granted() == 0 {
+			if a.waits = false; a.granted()+a.level.spare == 0 {
 				a.refused = b.now
 			}
 			b.out = append(b.out, Settled{id})
@@ -785,7 +815,18 @@
 		b.tell(from, a)
 		return
 	}
+	most := b.majority()
+	if f.boot == w.Boot {
+		b.reported(from, w)
+		a.Renews = most
+	}
 	for _, want := range w.Wants {
+		if l := b.account(want.ID); l != nil && l.stands {
+			if n := b.loan(from, w, want, l, most && f.boot == w.Boot); n > 0 {
+				a.Grants = append(a.Grants, Grant{ID: want.ID, N: n})
+			}
+			continue
+		}
 		n := min(want.N, wantsMost, b.free(want.ID))
 		if n <= 0 {
 			continue
@@ -795,13 +836,7 @@
 		b.grants = append(b.grants, &granted{b.number, want.ID, from, w.Boot, n, b.now + b.set.felt(b.specs[want.ID].Window)})
 		a.Grants = append(a.Grants, Grant{ID: want.ID, N: n, No: b.number})
 	}
-	count := 0
-	for _, f := range b.followers {
-		if f.until >= b.now+b.set.horizon() {
-			count++
-		}
-	}
-	a.Most = 2*count > b.set.Nodes
+	a.Most = most
 	b.tell(from, a)
 }
 
@@ -817,6 +852,13 @@
 	}
 }
 
+// clean forgets what is felt no more.
+func (b *Budgets) clean() {
+	b.grants = slices.DeleteFunc(b.grants, func(g *granted) bool {
+		return g.until <= b.now || b.wrong == detectorTrusted && b.followers[g.node] != nil && b.followers[g.node].until < b.now+b.set.horizon()
+	})
+}
+
 // free is what a keeper may give of a budget: what is lent to it for at least as long as a grant may be felt, and where more than half
 // of the nodes follow it for as long, what is nobody's own part; less what it has given that may still be felt.
 func (b *Budgets) free(id ID) int {
@@ -824,9 +866,7 @@
 	if a == nil {
 		return 0
 	}
-	b.grants = slices.DeleteFunc(b.grants, func(g *granted) bool {
-		return g.until <= b.now || b.wrong == detectorTrusted && b.followers[g.node] != nil && b.followers[g.node].until < b.now+b.set.horizon()
-	})
+	b.clean()
 	whole, _, all := b.floors(a)
 	pool, count := 0, 0
 	for i, f := range b.followers {
--- /dev/null
+++ b/budget/level.go
@@ -0,0 +1,282 @@
+package budget
+
+import (
+	"slices"
+	"time"
+)
+
+// A level is a budget of what stands: a unit is taken by Spend and given back by Release, and all that stand at once are no more
+// than the whole. Floors are kept. A unit over the floor is leased by the keeper that more than half follow, and renewed as long as
+// that keeper answers; when it is not, the node is told to end what stands on it (Over) well before the lease runs out.
+//
+// A keeper that follows another learns from the nodes what they hold. It renews that at once, and gives out more only
+// when every lease of the one before has run out.
+
+// overPart is the last part of a lease in which what stands on it is to be ended. Who is stopped for longer may be late.
+const overPart = 3
+
+// level is what a node holds of a budget over its floor.
+type level struct {
+	held   int           // stand on the floor
+	leased int           // stand on leases
+	late   int           // still stand though their leases have run out
+	spare  int           // leased, and not in use
+	named  int           // the keeper takes this node to have on leases
+	until  time.Duration // of all leases
+}
+
+// loan is what a keeper has lent of a level to one start of a node.
+type loan struct {
+	n       int
+	pending []pendingLoan // given in answers that the node has not said to have
+	until   time.Duration
+}
+
+type pendingLoan struct {
+	seq uint64
+	n   int
+}
+
+type loanKey struct {
+	id   ID
+	node int
+	boot uint64
+}
+
+// Over tells that so many units of a level that stand are to be ended.
+type Over struct {
+	ID ID
+	N  int
+}
+
+func (Over) action() {}
+
+func (l *loan) all() int {
+	n := l.n
+	for _, p := range l.pending {
+		n += p.n
+	}
+	return n
+}
+
+// lapse forgets leases that have run out, and uses none near its end.
+func (b *Budgets) lapse(a *account) {
+	if l := &a.level; b.now >= l.until {
+		l.leased, l.spare, l.late = 0, 0, l.late+l.leased
+	} else if b.ends(a) {
+		l.spare = 0
+	}
+}
+
+// ends tells that what stands on leases is to be ended.
+func (b *Budgets) ends(a *account) bool { return b.now >= a.level.until-b.leaseOf(a)/overPart }
+
+// Release gives back one unit of a level that has ended.
+func (b *Budgets) Release(now time.Duration, id ID) {
+	b.now = max(b.now, now)
+	a := b.account(id)
+	switch {
+	case a == nil || !a.stands:
+	case a.level.late > 0:
+		a.level.late--
+	case a.level.leased > 0: // what others may have comes back first
+		a.level.leased--
+	case a.level.held > 0:
+		a.level.held--
+		a.spent = append(a.spent, b.now) // others feel it a little longer
+	}
+}
+
+// Hold takes in one that stands already, whatever there is: one that stood before this start.
+func (b *Budgets) Hold(now time.Duration, id ID) {
+	b.now = max(b.now, now)
+	if a := b.account(id); a != nil && a.stands {
+		a.level.held++
+	}
+}
+
+// take is Spend of a level.
+func (b *Budgets) take(a *account) bool {
+	l := &a.level
+	switch {
+	case b.own(a) > 0:
+		l.held++
+		b.Count.Own++
+	case l.spare > 0:
+		l.spare--
+		l.leased++
+		b.Count.Leased++
+	default:
+		return false
+	}
+	return true
+}
+
+func (b *Budgets) leaseOf(a *account) time.Duration { return b.rules[a.ID.Kind].Lease }
+
+// over tells what is to be ended.
+func (b *Budgets) over() {
+	if !b.levels {
+		return
+	}
+	for _, id := range b.Known() {
+		a := b.account(id)
+		if !a.stands {
+			continue
+		}
+		l := &a.level
+		n := l.late
+		if l.leased > 0 && b.ends(a) {
+			n += l.leased
+		}
+		if _, own, _ := b.floors(a); l.held > own {
+			n += l.held - own
+		}
+		if n > 0 {
+			b.out = append(b.out, Over{id, n})
+		}
+	}
+}
+
+// holds names what this node has on leases, or the keeper takes it to have, those first that run out first. What it has no use for
+// goes back thereby.
+func (b *Budgets) holds() (list []Amount) {
+	if !b.levels {
+		return nil
+	}
+	var all []*account
+	for _, id := range b.Known() {
+		if a := b.account(id); a.stands && a.level.leased+a.level.spare+a.level.named > 0 {
+			all = append(all, a)
+		}
+	}
+	slices.SortStableFunc(all, func(x, y *account) int { return int(x.level.until - y.level.until) })
+	for _, a := range all[:min(len(all), EntriesMost)] {
+		if !a.waits {
+			a.level.spare = 0
+		}
+		list = append(list, Amount{ID: a.ID, N: a.level.leased + a.level.spare})
+	}
+	return list
+}
+
+// renewed takes in an answer to an ask that named what is held, and what came of levels with it.
+func (b *Budgets) renewed(q ask, w Word) {
+	for _, h := range q.holds {
+		a := b.account(h.ID)
+		if a == nil || w.Seq <= b.got {
+			continue
+		}
+		l := &a.level
+		l.named = h.N
+		if has := l.leased + l.spare; w.Renews && has > 0 && h.N >= has {
+			l.until = max(l.until, q.at+b.leaseOf(a))
+		}
+	}
+	for _, g := range w.Grants {
+		a := b.specs[g.ID]
+		if a == nil || !a.stands || w.Seq <= b.got && b.wrong != lateLoans {
+			continue // the keeper was told that this one did not come
+		}
+		end, l := q.at+b.leaseOf(a), &a.level
+		if l.leased+l.spare > 0 {
+			end = min(end, l.until)
+		}
+		if end > b.now {
+			l.spare, l.until, a.refused = l.spare+max(g.N, 0), end, 0
+			l.named += g.N
+		}
+	}
+	b.got = max(b.got, w.Seq)
+}
+
+// The side that keeps.
+
+// majority tells whether more than half follow for as long as a grant may be felt, and notes since when more than half have followed
+// without a break: until it breaks no other node keeps for more than half.
+func (b *Budgets) majority() bool {
+	var ends []time.Duration
+	for _, f := range b.followers {
+		ends = append(ends, f.until)
+	}
+	slices.Sort(ends)
+	last := len(ends) - 1 - b.set.Nodes/2
+	if last < 0 {
+		return false
+	}
+	if long := ends[last] >= b.now+b.set.horizon(); b.now >= b.mostUntil && !long {
+		return false
+	} else if b.now >= b.mostUntil {
+		b.mostSince = b.now
+	}
+	b.mostUntil = ends[last]
+	return ends[last] >= b.now+b.set.horizon()
+}
+
+// lentOut is what of a level is lent or may still stand.
+func (b *Budgets) lentOut(id ID) (n int) {
+	for k, l := range b.loans {
+		if l.until <= b.now {
+			delete(b.loans, k)
+		} else if k.id == id {
+			n += l.all()
+		}
+	}
+	return n
+}
+
+// may gives how much of a level may be lent anew.
+func (b *Budgets) may(a *account, most bool) int {
+	if !most || b.now < b.mostSince+b.set.stretch(b.leaseOf(a)+a.Window) && b.wrong != loansAtOnce {
+		return 0
+	}
+	whole, _, all := b.floors(a)
+	b.clean()
+	for _, g := range b.grants { // ended lately
+		if g.id == a.ID {
+			whole -= g.n
+		}
+	}
+	return whole - all - b.lentOut(a.ID)
+}
+
+// reported takes in what a node says to hold of levels.
+func (b *Budgets) reported(from int, w Word) {
+	for _, h := range w.Holds {
+		a := b.account(h.ID)
+		if a == nil || !a.stands || h.N < 0 {
+			continue
+		}
+		k := loanKey{h.ID, from, w.Boot}
+		l := b.loans[k]
+		if l == nil {
+			l = &loan{}
+		}
+		was := l.all()
+		l.n, l.pending = h.N, slices.DeleteFunc(l.pending, func(p pendingLoan) bool { return p.seq <= w.Got })
+		if ended := was - l.all(); ended > 0 { // the node let go of it before it said so
+			b.grants = append(b.grants, &granted{0, h.ID, from, w.Boot, ended, b.now + b.set.stretch(a.Window)})
+		}
+		if l.all() > 0 {
+			l.until = b.now + b.set.stretch(b.leaseOf(a)+a.Window)
+			b.loans[k] = l
+		} else {
+			delete(b.loans, k)
+		}
+	}
+}
+
+// lend lends of a level in the answer to an ask.
+func (b *Budgets) loan(from int, w Word, want Amount, a *account, most bool) (n int) {
+	if n = min(want.N, wantsMost, b.may(a, most)); n <= 0 {
+		return 0
+	}
+	k := loanKey{want.ID, from, w.Boot}
+	if b.loans[k] == nil {
+		b.loans[k] = &loan{}
+	}
+	l := b.loans[k]
+	l.pending = append(l.pending, pendingLoan{w.Seq, n})
+	l.until = b.now + b.set.stretch(b.leaseOf(a)+a.Window)
+	return n
+}
--- a/budget/model_test.go
+++ b/budget/model_test.go
@@ -72,6 +72,7 @@
 			g.lends = maps.Clone(f.lends)
 			d.followers[i] = &g
 		}
+		d.loans = maps.Clone(b.loans) // no level is played here
 		for _, g := range b.grants {
 			h := *g
 			d.grants = append(d.grants, &h)
--- a/lab/rig/rig.go
+++ b/lab/rig/rig.go
@@ -342,6 +342,7 @@
 		for key, n := range r.s.Budgets.rates() {
 			cfg["budgets"].(map[string]any)[key] = n
 		}
+		cfg["budgets"].(map[string]any)["open_lease_ms"] = time.Duration(r.s.Budgets.OpenLease).Milliseconds()
 	}
 	return cfg
 }
@@ -511,6 +512,9 @@
 	res.Broken, res.History = r.ref.Verdict(time.Now())
 	res.Totals["answered in time"], res.Totals["excused"] = r.ref.Answered, r.ref.Excused
 	res.Totals["attempts at cold servers"], res.Totals["further attempts"] = r.ref.Cold, r.ref.Further
+	if r.s.Budgets.Open > 0 {
+		res.Totals["most open of a customer"] = r.ref.MostOpen
+	}
 	res.Lateness = float64(r.late.Microseconds()) / 1000
 	if r.failed != "" {
 		res.Void = r.failed
--- a/lab/rig/rig_test.go
+++ b/lab/rig/rig_test.go
@@ -207,3 +207,12 @@
 		t.Errorf("%d moved, %v not: nothing is proved", r.Totals["moved for relief"], r.Counters["budget_moves_refused"])
 	}
 }
+
+// Of a customer's connections no more than the whole stand at once: more than the nodes' own parts while most follow one, and
+// those are moved when a split has nobody renew them.
+func TestOpenConnectionsOfACustomerAreBounded(t *testing.T) {
+	r := play(t, load(t, "open"), 1)
+	if most := r.Totals["most open of a customer"]; most <= 12 || r.Counters["budget_leased"] == 0 || r.Totals["moved"] == 0 {
+		t.Errorf("at most %d open, %v on leases, %d moved: nothing is proved", most, r.Counters["budget_leased"], r.Totals["moved"])
+	}
+}
--- a/lab/rig/scenario.go
+++ b/lab/rig/scenario.go
@@ -68,12 +68,15 @@
 	Sends   int `toml:"connects_per_s"`   // new connections to each server
 	Moves   int `toml:"moves_per_s"`      // clients moved off each server for its relief
 	Opens   int `toml:"opens_per_s"`      // new connections of each customer
+
+	Open      int `toml:"open_per_customer"` // at once; 0 means no bound
+	OpenLease Dur `toml:"open_lease"`        // of what is over a node's own part of that; 0 means the program's default
 }
 
 // rates are the bounds by their keys.
 func (b Budgets) rates() map[string]int {
 	return map[string]int{"retries_per_s": b.Retries, "list_calls_per_s": b.Calls, "probes_per_s": b.Probes, "connects_per_s": b.Sends,
-		"moves_per_s": b.Moves, "opens_per_s": b.Opens}
+		"moves_per_s": b.Moves, "opens_per_s": b.Opens, "open_per_customer": b.Open}
 }
 
 // Event is something that goes wrong.
--- a/node/config.go
+++ b/node/config.go
@@ -43,17 +43,19 @@
 
 // Budgets says how the nodes share what all of them together may do.
 type Budgets struct {
-	Lease   bool    `json:"lease"`            // among one another; else each has its fixed part
-	Floor   float64 `json:"floor"`            // part of each whole that is fixed parts, which a node has whoever is there
-	Retries int     `json:"retries_per_s"`    // further attempts of requests, of all nodes in any second; 0 means no bound, here and below
-	Calls   int     `json:"list_calls_per_s"` // for the list of servers
-	Probes  int     `json:"probes_per_s"`     // of each server
-	Sends   int     `json:"connects_per_s"`   // new connections to each server
-	Moves   int     `json:"moves_per_s"`      // clients moved off each server for its relief
-	Opens   int     `json:"opens_per_s"`      // new connections of each customer: a group, or a key where none is named
-	Term    int64   `json:"term_ms"`          // what is granted must be used within it
-	Beat    int64   `json:"beat_ms"`          // between a node's words
-	Drift   int64   `json:"drift_ppm"`        // by which any two steady clocks run apart at most
+	Lease     bool    `json:"lease"`             // among one another; else each has its fixed part
+	Floor     float64 `json:"floor"`             // part of each whole that is fixed parts, which a node has whoever is there
+	Retries   int     `json:"retries_per_s"`     // further attempts of requests, of all nodes in any second; 0 means no bound, here and below
+	Calls     int     `json:"list_calls_per_s"`  // for the list of servers
+	Probes    int     `json:"probes_per_s"`      // of each server
+	Sends     int     `json:"connects_per_s"`    // new connections to each server
+	Moves     int     `json:"moves_per_s"`       // clients moved off each server for its relief
+	Opens     int     `json:"opens_per_s"`       // new connections of each customer: a group, or a key where none is named
+	Open      int     `json:"open_per_customer"` // connections of each customer at once
+	OpenLease int64   `json:"open_lease_ms"`     // one that stands over a node's own part is renewed within it, or moved
+	Term      int64   `json:"term_ms"`           // what is granted must be used within it
+	Beat      int64   `json:"beat_ms"`           // between a node's words
+	Drift     int64   `json:"drift_ppm"`         // by which any two steady clocks run apart at most
 }
 
 // Lab is for the laboratory only.
@@ -230,6 +232,7 @@
 		value               *int64
 		preset, least, most int64
 	}{
+		{"open_lease_ms", &b.OpenLease, 30_000, 5_000, 600_000},
 		{"term_ms", &b.Term, 1000, 50, 10_000}, {"beat_ms", &b.Beat, 400, 20, 10_000}, {"drift_ppm", &b.Drift, 1000, 1, 50_000},
 	} {
 		if *d.value == 0 {
--- a/node/leases.go
+++ b/node/leases.go
@@ -13,6 +13,7 @@
 
 	"brassmux/balance"
 	"brassmux/budget"
+	"brassmux/internal/exchange"
 	"brassmux/internal/peers"
 	"brassmux/internal/settings"
 )
@@ -29,10 +30,11 @@
 	sendBudget
 	moveBudget
 	openBudget
+	standBudget // a level
 	budgetKinds
 )
 
-// rate is a budget of so much in any second.
+// rate is a budget of so much in any second, or at once.
 type rate struct {
 	kind  uint8
 	key   string
@@ -41,7 +43,8 @@
 
 func (b *Budgets) rates() []rate {
 	return []rate{{retryBudget, "retries_per_s", b.Retries}, {callBudget, "list_calls_per_s", b.Calls}, {probeBudget, "probes_per_s", b.Probes},
-		{sendBudget, "connects_per_s", b.Sends}, {moveBudget, "moves_per_s", b.Moves}, {openBudget, "opens_per_s", b.Opens}}
+		{sendBudget, "connects_per_s", b.Sends}, {moveBudget, "moves_per_s", b.Moves}, {openBudget, "opens_per_s", b.Opens},
+		{standBudget, "open_per_customer", b.Open}}
 }
 
 // seenMost bounds the servers that are remembered; past it all are forgotten, and a start counts as a new server's.
@@ -73,9 +76,10 @@
 	wake    time.Duration               // when a timer is due
 	said    budget.State
 
-	on      [budgetKinds]bool       // the rates that have a bound
-	keys    [budgetKinds]string     // their names
-	waiting map[budget.ID][]waiting // for an answer of the other nodes
+	on      [budgetKinds]bool               // the rates that have a bound
+	keys    [budgetKinds]string             // their names
+	waiting map[budget.ID][]waiting         // for an answer of the other nodes
+	stands  map[balance.RequestID]budget.ID // whose customer's connections count
 
 	count struct { // as of lately
 		own, leased, short, given, lapsed, stale, twins, keepers, followers atomic.Int64
@@ -99,7 +103,7 @@
 	b := budget.Settings{Nodes: max(set.Nodes, 1), Index: set.Index, Floor: cfg.Budgets.Floor,
 		Window: longest, Term: ms(cfg.Budgets.Term), Beat: ms(cfg.Budgets.Beat),
 		Drift: float64(cfg.Budgets.Drift) / 1e6}
-	s := &leases{set: *set, within: within, call: call, waiting: map[budget.ID][]waiting{}, past: map[budget.ID]time.Duration{}, seen: map[balance.ServerID]int64{},
+	s := &leases{set: *set, within: within, call: call, waiting: map[budget.ID][]waiting{}, stands: map[balance.RequestID]budget.ID{}, past: map[budget.ID]time.Duration{}, seen: map[balance.ServerID]int64{},
 		ids: map[balance.ServerID]budget.ID{}, starts: map[balance.ServerID]time.Duration{}, budgets: budget.New(b, boot, 0)}
 	for _, r := range cfg.Budgets.rates() {
 		if s.on[r.kind], s.keys[r.kind] = r.whole > 0, r.key; r.whole == 0 {
@@ -111,6 +115,8 @@
 			rule.Window, rule.Keeps = rateWindow+call, true
 		case probeBudget, sendBudget, openBudget:
 			rule.Keeps = true
+		case standBudget: // an end is felt once the client, who has a while for it, has closed
+			rule.Window, rule.Lease = ms(cfg.Times.Linger)+within, ms(cfg.Budgets.OpenLease)
 		}
 		s.budgets.Rules(r.kind, rule)
 	}
@@ -142,6 +148,46 @@
 	heap.Push(&l.timers, timer{at: l.now() + wait, leases: true})
 }
 
+// counts has a request count as one of its customer's connections until it is forgotten. Unless there is a unit for it already it
+// stood before, and counts whatever there is.
+func (l *loop) counts(x *exchange.Exchange, taken bool) {
+	s := l.leases
+	if s == nil || !s.on[standBudget] {
+		return
+	}
+	id := budget.ID{Kind: standBudget, Of: customer(x.Head)}
+	if !taken {
+		s.budgets.Hold(s.clock(), id)
+	}
+	s.stands[x.ID] = id
+}
+
+// ended has it count no more.
+func (s *leases) ended(request balance.RequestID) {
+	if s == nil {
+		return
+	} else if id, ok := s.stands[request]; ok {
+		s.budgets.Release(s.clock(), id)
+		delete(s.stands, request)
+	}
+}
+
+// over moves clients of a customer of whom there are too many: others' leases are not to be waited for.
+func (l *loop) over(o budget.Over) {
+	var all []balance.RequestID
+	for request, id := range l.leases.stands {
+		if id == o.ID {
+			all = append(all, request)
+		}
+	}
+	slices.Sort(all)
+	for _, request := range all[max(len(all)-o.N, 0):] {
+		if x := l.open[request]; x != nil && x.Move() {
+			l.count.moved.Add(1)
+		}
+	}
+}
+
 // affordAtOnce is afford for who does without where there is none.
 func (l *loop) affordAtOnce(kind uint8, of uint64) (ok bool) {
 	l.afford(kind, of, 0, func(yes bool) { ok = yes })
@@ -317,6 +363,7 @@
 func (l *loop) shared(actions []budget.Action) {
 	var settled []balance.ServerID
 	var rates []budget.ID
+	var over []budget.Over
 	for _, a := range actions {
 		switch a := a.(type) {
 		case budget.Tell:
@@ -326,6 +373,8 @@
 				l.leases.wake = at
 				heap.Push(&l.timers, timer{at: at, leases: true})
 			}
+		case budget.Over:
+			over = append(over, a)
 		case budget.Settled:
 			if a.ID.Kind == coldBudget {
 				settled = append(settled, balance.ServerID(a.ID.Of))
@@ -334,6 +383,9 @@
 			}
 		}
 	}
+	for _, o := range over {
+		l.over(o)
+	}
 	for _, id := range rates {
 		l.serve(id, true)
 	}
--- a/node/leases_test.go
+++ b/node/leases_test.go
@@ -83,6 +83,8 @@
 		"budgets.drift_ppm":      func(c *Config) { c.Budgets.Drift = 50_001 },
 		"retries_per_s: -1":      func(c *Config) { c.Budgets.Retries = -1 },
 		"opens_per_s: 1000001":   func(c *Config) { c.Budgets.Opens = 1_000_001 },
+		"open_per_customer: -2":  func(c *Config) { c.Budgets.Open = -2 },
+		"budgets.open_lease_ms":  func(c *Config) { c.Budgets.OpenLease = 4999 },
 		"moves_per_s: needs":     func(c *Config) { c.Budgets.Moves, c.Budgets.Lease = 5, false },
 		"retries_per_s: needs":   func(c *Config) { c.Budgets.Retries, c.Budgets.Lease = 5, false },
 	} {
--- a/node/loop.go
+++ b/node/loop.go
@@ -260,6 +260,7 @@
 func (l *loop) forget(id balance.RequestID) *exchange.Exchange {
 	x := l.open[id]
 	delete(l.open, id)
+	l.leases.ended(id)
 	return x
 }
 
@@ -269,15 +270,28 @@
 		l.enter(x)
 		if len(x.Head.At) > 0 {
 			l.count.opened.Add(1)
+			l.counts(x, false)
 			l.standAgain(x)
 			return
 		}
+		refuse := func() { l.refuse(x.ID, l.leases.comeBack()) }
 		l.afford(openBudget, customer(x.Head), answerWait, func(ok bool) {
 			if !ok {
-				l.refuse(x.ID, l.leases.comeBack())
-			} else if l.open[x.ID] != nil { // else it has left meanwhile
-				l.handle(l.request(x))
+				refuse()
+				return
 			}
+			l.afford(standBudget, customer(x.Head), answerWait, func(ok bool) {
+				if !ok {
+					refuse()
+					return
+				}
+				l.counts(x, true)
+				if l.open[x.ID] == nil { // it has left meanwhile
+					l.leases.ended(x.ID)
+					return
+				}
+				l.handle(l.request(x))
+			})
 		})
 		l.flush()
 	})
