A holder says how long ago a grant was used, so it is free again a window after its use

Change: Done bears the time since the last use, stretched by the drift; the word was sent after it, so nothing is given early.

--- a/budget/budget.go
+++ b/budget/budget.go
@@ -126,11 +126,12 @@
 	No uint64
 }
 
-// Done tells how many units of a grant were used; the others come back.
+// Done tells how many units of a grant were used, the last of them so long before it was sent at the least; the others come back.
 type Done struct {
 	_    struct{} `cbor:",toarray"`
 	No   uint64
 	Used int
+	Ago  int64
 }
 
 const (
@@ -233,6 +234,7 @@
 	no    uint64
 	n     int
 	used  int
+	last  time.Duration // when one was used
 	until time.Duration
 }
 
@@ -407,7 +409,7 @@
 			return false
 		}
 		b.Count.Lapsed += int64(h.n - h.used)
-		b.done = append(b.done, Done{No: h.no, Used: h.used})
+		b.done = append(b.done, h.done())
 		return true
 	})
 	return a
@@ -510,7 +512,7 @@
 	}
 	for i := range a.grants {
 		if h := &a.grants[i]; h.used < h.n {
-			h.used++
+			h.used, h.last = h.used+1, b.now
 			b.Count.Leased++
 			return true
 		}
@@ -687,17 +689,23 @@
 		for _, id := range b.Known() {
 			a := b.specs[id]
 			for _, h := range a.grants {
-				b.done = append(b.done, Done{No: h.no, Used: h.used})
+				b.done = append(b.done, h.done())
 			}
 			a.grants = nil
 		}
 	}
 	n := min(len(b.done), EntriesMost)
 	w.Done = slices.Clone(b.done[:n])
+	for i := range w.Done { // a moment until here
+		w.Done[i].Ago = int64(b.now) - w.Done[i].Ago
+	}
 	b.done = b.done[n:]
 	b.send(b.follows, w)
 }
 
+// done is told of a grant, with the moment of its last use.
+func (h held) done() Done { return Done{No: h.no, Used: h.used, Ago: int64(h.last)} }
+
 func (b *Budgets) send(to int, w Word) {
 	b.seq++
 	w.Seq = b.seq
@@ -846,7 +854,8 @@
 		if g.no == d.No && g.node == from && g.boot == boot {
 			g.n = min(max(d.Used, 0), g.n)
 			if a := b.account(g.id); a != nil {
-				g.until = min(g.until, b.now+b.set.stretch(a.Window))
+				ago := max(time.Duration(d.Ago), 0) // it was used before the word was sent, which was before now
+				g.until = min(g.until, b.now+b.set.stretch(a.Window)-time.Duration(float64(ago)*(1-4*b.set.Drift)))
 			}
 		}
 	}
