--- a/lab/referee/referee.go
+++ b/lab/referee/referee.go
@@ -58,7 +58,8 @@
 
 	// Requests whose node was disturbed, answered in time; attempts at cold servers by nodes that knew; further attempts of requests.
 	// The most connections of one customer at once, where that is bounded.
-	Excused, Answered, Cold, Further, MostOpen int
+	// Requests that came to servers and that nobody here asked: another rig runs beside this one, and has got its ports.
+	Excused, Answered, Cold, Further, MostOpen, Foreign int
 }
 
 type key struct {
@@ -246,7 +247,12 @@
 func (r *Referee) Verdict(now time.Time) (Broken, []string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.Excused, r.Answered, r.Cold, r.Further = 0, 0, len(r.sends), r.further
+	r.Foreign, r.Excused, r.Answered, r.Cold, r.Further = 0, 0, 0, len(r.sends), r.further
+	for id := range r.attempts {
+		if r.asked[id] == nil {
+			r.Foreign++
+		}
+	}
 	for id, q := range r.asked {
 		late := q.due.Add(r.rules.Answer + r.rules.Slack)
 		switch {
--- a/lab/referee/referee_test.go
+++ b/lab/referee/referee_test.go
@@ -5,6 +5,17 @@
 	"time"
 )
 
+// A request that nobody here asked is another rig's.
+func TestForeignRequestsAreNoticed(t *testing.T) {
+	r := New(Rules{})
+	r.Asked("a", 0, "c", time.Now(), time.Now())
+	r.Sent(0, "s", "a", time.Now(), time.Time{})
+	r.Sent(0, "s", "b", time.Now(), time.Time{})
+	if r.Verdict(time.Now()); r.Foreign != 1 {
+		t.Errorf("%d foreign", r.Foreign)
+	}
+}
+
 // For each thing that is counted a faulty node is caught, and a sound one is not.
 func TestEachFaultIsCaught(t *testing.T) {
 	start := time.Now().Add(-time.Hour).Truncate(time.Millisecond)
