--- a/internal/cli/rig.go
+++ b/internal/cli/rig.go
@@ -4,6 +4,8 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 	"strings"
 	"text/tabwriter"
 
@@ -63,6 +65,12 @@
 		for _, name := range r.Names() {
 			fmt.Fprintf(table, "  %s\t%d\n", name, r.Totals[name])
 		}
+		if l := r.Lists; l.Starts > 0 {
+			fmt.Fprintf(table, "  list after, half, 99%%, all\t%.1f, %.1f, %.1f s; %d of %d starts never\n", l.Half, l.Most, l.All, l.Never, l.Starts)
+		}
+		for _, what := range slices.Sorted(maps.Keys(r.Peaks)) {
+			fmt.Fprintf(table, "  most %s in 1 s\t%d\n", what, r.Peaks[what])
+		}
 		for i, e := range s.Events {
 			fmt.Fprintf(table, "  %s acted\t%d\n", e.Do, r.Effects[i])
 		}
--- a/lab/rig/rig.go
+++ b/lab/rig/rig.go
@@ -31,9 +31,20 @@
 	Counters map[string]float64 `json:"counters"` // the nodes' own, summed over all processes that told theirs
 	Words    Words              `json:"words"`
 	Seconds  []Second           `json:"seconds"` // the day, second by second
+	Lists    Lists              `json:"lists"`
+	Peaks    map[string]int     `json:"peaks"`   // the most in any second: of calls for the list, and at any one server
 	History  []string           `json:"history"` // of what broke a rule, the first few, and the logs of the nodes in it
 }
 
+// Lists tells how long processes of nodes were without word of the list service, in seconds from their starts.
+type Lists struct {
+	Starts int     `json:"starts"`
+	Half   float64 `json:"half"` // half of those that got it had it within
+	Most   float64 `json:"p99"`
+	All    float64 `json:"all"`
+	Never  int     `json:"never"` // none came as long as they ran
+}
+
 // Second is where clients were in one second of the day, as means of ten looks, and how full servers were.
 type Second struct {
 	Served  float64 `json:"served"`  // stood at a server within what it can do
@@ -85,6 +96,8 @@
 	failed  string
 	late    time.Duration
 	seconds []Second
+	waits   []time.Duration        // of starts, for the list
+	peaks   map[string][]time.Time // what is counted by the second
 	sum     map[string]float64
 	logs    []*process
 }
@@ -100,6 +113,7 @@
 	index     int
 	now       *process
 	second    *process  // under the same name
+	began     time.Time // this start, until it had word of the list
 	disturbed time.Time // since when the rig does something to it; the zero time for not
 }
 
@@ -121,7 +135,7 @@
 		}
 	}
 	r := &rig{s: s, o: o, starter: newStarter(), over: make(chan struct{}), links: map[linkKey]*emulator.Way{},
-		rng: rand.New(rand.NewPCG(o.Seed, 1)), totals: map[string]int{}, effects: make([]int, len(s.Events)), sum: map[string]float64{}}
+		rng: rand.New(rand.NewPCG(o.Seed, 1)), totals: map[string]int{}, peaks: map[string][]time.Time{}, effects: make([]int, len(s.Events)), sum: map[string]float64{}}
 	defer close(r.starter.jobs)
 	v := s.Server
 	connections := r.connections()
@@ -207,6 +221,43 @@
 	r.mu.Unlock()
 }
 
+// peak notes something of which the most in any second is wanted; of what has a second word the most at any one of those.
+func (r *rig) peak(what string, at time.Time) {
+	r.mu.Lock()
+	r.peaks[what] = append(r.peaks[what], at)
+	r.mu.Unlock()
+}
+
+func mostInASecond(times []time.Time) (most int) {
+	slices.SortFunc(times, time.Time.Compare)
+	first := 0
+	for i, at := range times {
+		for at.Sub(times[first]) >= time.Second {
+			first++
+		}
+		most = max(most, i+1-first)
+	}
+	return most
+}
+
+// lists sums up the waits for the list.
+func (r *rig) lists() Lists {
+	l := Lists{Starts: len(r.waits)}
+	for _, n := range r.nodes {
+		if !n.began.IsZero() {
+			l.Starts, l.Never = l.Starts+1, l.Never+1
+		}
+	}
+	if len(r.waits) > 0 {
+		slices.Sort(r.waits)
+		at := func(part float64) float64 {
+			return math.Round(r.waits[int(math.Ceil(part*float64(len(r.waits))))-1].Seconds()*1000) / 1000
+		}
+		l.Half, l.Most, l.All = at(0.5), at(0.99), at(1)
+	}
+	return l
+}
+
 func (r *rig) fail(format string, args ...any) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -267,6 +318,12 @@
 }
 
 func (r *rig) told(t emulator.Told) {
+	r.mu.Lock()
+	if n := r.nodes[t.Node]; !n.began.IsZero() {
+		r.waits = append(r.waits, t.At.Sub(n.began))
+		n.began = time.Time{}
+	}
+	r.mu.Unlock()
 	for _, e := range t.Entries {
 		started := time.Time{}
 		if e.Started > 0 {
@@ -278,6 +335,7 @@
 
 func (r *rig) called(c emulator.Call) {
 	r.count("list calls")
+	r.peak("list calls", c.At)
 	r.ref.Rated("list_calls_per_s", "", c.At, c.At)
 	if c.Failed {
 		r.count("list calls failed")
@@ -297,9 +355,11 @@
 		r.ref.Ended(x.Server.ID, x.Request)
 	case emulator.Probed:
 		r.count("probes")
+		r.peak("probes "+x.Server.ID, x.At)
 		r.ref.Rated("probes_per_s", x.Server.ID, x.Entered, x.Entered)
 	case emulator.Accepted:
 		r.count("connections at servers")
+		r.peak("connections "+x.Server.ID, x.At)
 	}
 }
 
@@ -308,7 +368,10 @@
 func (r *rig) config(n *node, clock time.Duration) map[string]any {
 	v, c := r.s.Server, r.s.Clients
 	version, known := r.list.Known(n.index)
-	var up []emulator.Entry
+	up := []emulator.Entry{}
+	if r.s.List.Unknown {
+		version, known = 0, nil
+	}
 	for _, e := range known {
 		if e.State == "up" {
 			up = append(up, e)
@@ -360,6 +423,9 @@
 func (r *rig) startNode(n *node, clock time.Duration, second bool) *process {
 	if !second {
 		r.ref.Forget(n.index)
+		r.mu.Lock()
+		n.began = time.Now()
+		r.mu.Unlock()
 	}
 	cfg := r.config(n, clock)
 	for _, e := range cfg["known"].(map[string]any)["servers"].([]emulator.Entry) {
@@ -512,6 +578,14 @@
 	res.Broken, res.History = r.ref.Verdict(time.Now())
 	res.Totals["answered in time"], res.Totals["excused"] = r.ref.Answered, r.ref.Excused
 	res.Totals["attempts at cold servers"], res.Totals["further attempts"] = r.ref.Cold, r.ref.Further
+	res.Lists, res.Peaks = r.lists(), map[string]int{}
+	for what, times := range r.peaks {
+		kind, _, one := strings.Cut(what, " s-")
+		if one {
+			kind += " at one server"
+		}
+		res.Peaks[kind] = max(res.Peaks[kind], mostInASecond(times))
+	}
 	if r.s.Budgets.Open > 0 {
 		res.Totals["most open of a customer"] = r.ref.MostOpen
 	}
--- a/lab/rig/rig_test.go
+++ b/lab/rig/rig_test.go
@@ -68,6 +68,9 @@
 	if r.Totals["up"] < 100 || r.Totals["attempts at servers that started"] == 0 || r.Totals["list calls failed"] == 0 {
 		t.Errorf("got %v", r.Totals)
 	}
+	if r.Lists.Starts < r.Nodes || r.Lists.Never > 0 || r.Lists.All < r.Lists.Half || r.Peaks["list calls"] == 0 || r.Peaks["connections at one server"] == 0 {
+		t.Errorf("lists %+v, peaks %v", r.Lists, r.Peaks)
+	}
 }
 
 // Guards against a node that outlives the rig: its configuration has no name by then, and its parent's death ends it.
--- a/lab/rig/scenario.go
+++ b/lab/rig/scenario.go
@@ -55,6 +55,7 @@
 	PerSecond float64 `toml:"per_second"` // calls that it works through
 	Patience  Dur     `toml:"patience"`   // a call that waits longer fails, and is worked on all the same
 	Lag       Dur     `toml:"lag"`
+	Unknown   bool    `toml:"unknown"` // nodes that start know no server; else the list as it is then
 }
 
 // Budgets says how the nodes share what all of them may do.
