Customers beyond number: budgets are looked through twice a beat at most, and 65,536 are remembered

Cause: each key without a group is a customer; at 1,600 new ones a second the 4,096 remembered were all in use and others were refused, and each look went through all.

Change: the bound is 65,536, and a look comes twice a beat at most.

Measured: a test with more customers than the bound: the later ones are refused, room is back when nothing is felt.

--- a/budget/budget.go
+++ b/budget/budget.go
@@ -140,7 +140,7 @@
 	hellosMost  = 8  // nodes that are asked at once whether they are there
 	asksKept    = 64 // asks that an answer may still come to
 
-	accountsMost = 4096 // that go by rules
+	accountsMost = 1 << 16 // that go by rules
 )
 
 // Budgets is one node's part of all this. It is not safe for concurrent use.
@@ -152,6 +152,8 @@
 	rest time.Duration // an earlier start of this node may still be felt until then
 	born time.Duration
 
+	forgot time.Duration // when accounts were last looked through
+
 	specs  map[ID]*account
 	rules  map[uint8]Rule
 	levels bool  // some are of levels
@@ -333,7 +335,7 @@
 func (b *Budgets) ruled(id ID) *account {
 	r, ok := b.rules[id.Kind]
 	if ok && len(b.specs) >= accountsMost {
-		b.forget()
+		b.forget() // guards against customers beyond number: those that nothing is felt of make way, the others' requests are refused
 	}
 	if !ok || len(b.specs) >= accountsMost {
 		return nil
@@ -350,6 +352,10 @@
 
 // forget drops those that go by rules and of which nothing is felt: ruled would make them as they are.
 func (b *Budgets) forget() {
+	if b.now < b.forgot+b.set.Beat/2 {
+		return
+	}
+	b.forgot = b.now
 	for id, a := range b.specs {
 		if a.ruled && b.account(id).idle() {
 			delete(b.specs, id)
--- a/budget/level.go
+++ b/budget/level.go
@@ -266,7 +266,7 @@
 	}
 }
 
-// lend lends of a level in the answer to an ask.
+// loan lends of a level in the answer to an ask.
 func (b *Budgets) loan(from int, w Word, want Amount, a *account, most bool) (n int) {
 	if n = min(want.N, wantsMost, b.may(a, most)); n <= 0 {
 		return 0
--- a/budget/world_test.go
+++ b/budget/world_test.go
@@ -330,3 +330,22 @@
 		})
 	}
 }
+
+// Guards against a node that remembers every customer that ever came: budgets of a rule are forgotten when nothing of them is felt.
+func TestBudgetsOfARuleAreForgotten(t *testing.T) {
+	b := New(Settings{Nodes: 1, Floor: 1, Window: time.Second, Term: time.Second, Beat: 400 * time.Millisecond}, 1, 0)
+	b.Rules(5, Rule{Whole: 3, Window: time.Second, Keeps: true})
+	now := 10 * time.Second
+	for i := range accountsMost + 10 {
+		now += 10 * time.Microsecond
+		if ok := b.Spend(now, ID{Kind: 5, Of: uint64(i)}); ok != (i < accountsMost) {
+			t.Fatalf("customer %d: %v", i, ok)
+		}
+	}
+	if now += 3 * time.Second; !b.Spend(now, ID{Kind: 5, Of: 1 << 40}) {
+		t.Error("no room though nothing is felt any more")
+	}
+	if len(b.specs) > 10 {
+		t.Errorf("%d are remembered", len(b.specs))
+	}
+}
