Nodes have a source address each: the rig tells links by it, and lists may name one address for all

Need: lists that nodes are to pass on to one another must name servers by addresses that all can use; the rig gave each node other ports, 6,000 listeners for 300 nodes and 20 servers.

Change: key source, the address that connections to servers and discovery come from. Relief moves wait for the other nodes' answer as the others do, since a bound of one found no unit at hand.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -19,6 +19,7 @@
 
 // Config holds what the servers' side is told.
 type Config struct {
+	Source    net.Addr      // the local end of connections; nil for any
 	Dial      time.Duration // a connection must be up within it
 	Probe     time.Duration // a probe must be answered within it
 	Idle      time.Duration // a probe's connection is kept for it
@@ -121,7 +122,7 @@
 }
 
 func (c *Client) dial(ctx context.Context, addr string) (*lines.Conn, error) {
-	d := net.Dialer{Timeout: c.cfg.Dial}
+	d := net.Dialer{Timeout: c.cfg.Dial, LocalAddr: c.cfg.Source}
 	conn, err := d.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return nil, err
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -89,9 +89,9 @@
 // lineMost bounds a line of the list: some thousand servers, and little of the smallest machine's memory.
 const lineMost = 1 << 20
 
-// New makes a client. A watch that says nothing for the silence is broken.
-func New(dial, silence time.Duration) *Client {
-	d := net.Dialer{Timeout: dial}
+// New makes a client. A watch that says nothing for the silence is broken. Calls come from the source; nil for any.
+func New(dial, silence time.Duration, source net.Addr) *Client {
+	d := net.Dialer{Timeout: dial, LocalAddr: source}
 	up := func(ctx context.Context, network, addr string) (net.Conn, error) {
 		conn, err := d.DialContext(ctx, network, addr)
 		if err == nil && late(ctx) {
--- a/node/config.go
+++ b/node/config.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"net/netip"
 	"os"
 	"slices"
 	"strconv"
@@ -20,6 +21,7 @@
 	Name      string         `json:"name"`
 	Listen    string         `json:"listen"`    // where clients connect
 	Admin     string         `json:"admin"`     // the second address, for those who run the node; "" where there is none
+	Source    string         `json:"source"`    // the IP address that connections to servers and discovery come from; "" for any
 	Discovery string         `json:"discovery"` // where the list of servers is asked for
 	Seed      string         `json:"seed"`      // for random numbers, in hexadecimal digits
 	Limits    Limits         `json:"limits"`
@@ -91,6 +93,15 @@
 	leastPlaces = 8
 )
 
+// source is the local end of connections to servers and discovery; nil for any.
+func (c *Config) source() net.Addr {
+	addr, err := netip.ParseAddr(c.Source)
+	if err != nil {
+		return nil
+	}
+	return net.TCPAddrFromAddrPort(netip.AddrPortFrom(addr, 0))
+}
+
 // places shares the descriptors out: two for each request and its server, and an eighth for connections that are
 // no requests yet, so that those keep no request out.
 func (c *Config) places() (requests, door int) {
@@ -166,6 +177,11 @@
 			fault("config: admin (or LB_ADMIN): %q is no address with a port", c.Admin)
 		}
 	}
+	if c.Source != "" {
+		if _, err := netip.ParseAddr(c.Source); err != nil {
+			fault("config: source: %q is no IP address", c.Source)
+		}
+	}
 	if _, err := c.seed(); err != nil {
 		faults = append(faults, err)
 	}
--- a/node/config_test.go
+++ b/node/config_test.go
@@ -15,6 +15,7 @@
 	for want, fault := range map[string]func(*Config){
 		"config: listen:":                            func(c *Config) { c.Listen = "here" },
 		"config: discovery:":                         func(c *Config) { c.Discovery = "" },
+		"config: source:":                            func(c *Config) { c.Source = "here" },
 		"config: admin (or LB_ADMIN):":               func(c *Config) { c.Admin = "9900" },
 		"LB_LISTEN_FD: descriptor 999":               func(c *Config) { c.ListenFD = 999 },
 		"config: seed:":                              func(c *Config) { c.Seed = "seed" },
--- a/node/loop.go
+++ b/node/loop.go
@@ -79,7 +79,7 @@
 		trace: log.Core().Enabled(zap.DebugLevel), decide: balance.New(set, seed), events: make(chan func(), queue),
 		wall: wall, pushed: set.Pushed, drain: ms(cfg.Times.Drain), aim: shortestAim(set),
 		version: cfg.Known.Version, known: cfg.Known.Members(balance.ListCached),
-		list: discovery.New(dial, ms(cfg.Times.Watch)), asked: cfg.Discovery, unwatch: func() {},
+		list: discovery.New(dial, ms(cfg.Times.Watch), cfg.source()), asked: cfg.Discovery, unwatch: func() {},
 		servers: map[balance.ServerID]discovery.Server{}, draining: map[balance.ServerID]bool{},
 		open: map[balance.RequestID]*exchange.Exchange{}, speeds: map[balance.ServerID]*speed{}}
 	if leases != nil {
@@ -226,8 +226,16 @@
 			x.Answer(exchange.Failed, "ERR not served")
 		}
 	case balance.Move:
-		if x := l.open[a.ID]; x != nil && (l.emptying || l.affordAtOnce(moveBudget, uint64(x.Server()))) && x.Move() {
-			l.count.moved.Add(1)
+		x := l.open[a.ID]
+		move := func(ok bool) {
+			if ok && x.Move() {
+				l.count.moved.Add(1)
+			}
+		}
+		if x != nil && l.emptying {
+			move(true)
+		} else if x != nil {
+			l.afford(moveBudget, uint64(x.Server()), answerWait, move)
 		}
 	case balance.Probe:
 		l.afford(probeBudget, uint64(a.Server), answerWait, func(ok bool) {
--- a/node/node.go
+++ b/node/node.go
@@ -68,7 +68,7 @@
 	n.work, n.stop = context.WithCancel(context.Background())
 	n.loop = newLoop(n.work, &n.cfg, n.log)
 	n.loop.back = backend.New(backend.Config{Dial: settings.Microseconds(cfg.Settings.Ceilings.DialTimeout),
-		Probe: ms(cfg.Times.Probe), Idle: settings.Microseconds(cfg.Settings.Ceilings.KeepAlive),
+		Source: cfg.source(), Probe: ms(cfg.Times.Probe), Idle: settings.Microseconds(cfg.Settings.Ceilings.KeepAlive),
 		LoadField: settings.LoadField}, n.loop, n.loop.probed)
 	if n.loop.leases != nil {
 		if n.loop.leases.conn, err = peers.New(peers.Config{Listen: cfg.Peers.Listen, Nodes: cfg.Peers.Nodes, Index: cfg.Settings.Index,
@@ -133,7 +133,7 @@
 	if err := cfg.check(); err != nil {
 		return err
 	}
-	for key, changed := range map[string]bool{"name": cfg.Name != n.cfg.Name, "listen": cfg.Listen != n.cfg.Listen,
+	for key, changed := range map[string]bool{"name": cfg.Name != n.cfg.Name, "listen": cfg.Listen != n.cfg.Listen, "source": cfg.Source != n.cfg.Source,
 		"peers": !reflect.DeepEqual(cfg.Peers, n.cfg.Peers), "budgets": cfg.Budgets != n.cfg.Budgets,
 		"admin": cfg.Admin != n.cfg.Admin, "limits": cfg.Limits != n.cfg.Limits, "times": cfg.Times != n.cfg.Times,
 		"settings": !reflect.DeepEqual(cfg.Settings, n.cfg.Settings)} {
