--- a/lab/rig/rig_test.go
+++ b/lab/rig/rig_test.go
@@ -150,13 +150,13 @@
 			{At: ms(8000), Do: "link", Link: "peers", Way: "both", Mode: "pass", Delay: ms(400), Nodes: all, For: ms(2000)}}},
 		{"crashes", []Event{{At: ms(4500), Do: "kill", Nodes: all, Over: ms(4000), For: ms(200), Clock: ms(30000)}}},
 		{"seven in ten killed at once", []Event{{At: ms(5500), Do: "kill", Part: 0.7, For: ms(300)}}},
-		{"pauses", []Event{{At: ms(4500), Do: "pause", Nodes: all, Over: ms(2500), For: ms(4000)}}},
+		{"pauses", []Event{{At: ms(7500), Do: "pause", Nodes: all, Over: ms(1000), For: ms(4000)}}},
 		{"restarts", []Event{{At: ms(4500), Do: "stop", Nodes: all, Over: ms(5000), For: ms(50)}}},
 		{"two with one number", []Event{{At: ms(200), Do: "twin", Nodes: []int{0, 3}, For: ms(20000)}}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			s := load(t, "budgets")
-			s.Length = ms(11500)
+			s.Length, s.Clients.PerSecond = ms(13500), 100 // so that each fault meets many sends
 			replace := s.Events[0]
 			replace.At = ms(4000)
 			s.Events = append([]Event{replace}, c.events...)
