A test of reloads waits until the loop has heard that the connection stands

Cause: the client hears UP before the loop does; where the loop was held up first, three words waited in place of the two that the test looks for, and it waited for ever.

Change: the test waits for the count of served.

--- a/node/node_test.go
+++ b/node/node_test.go
@@ -490,7 +490,7 @@
 	h, next, stale := newHost(t, "s-1"), newHost(t, "s-2"), newHost(t, "s-3")
 	n := start(t, nil, h)
 	client, server := n.stand(h)
-	n.until("the first watch", func() bool { return n.counter("list_calls") == 1 })
+	n.until("the first watch, and the word that it stands, which might come behind hold", func() bool { return n.counter("list_calls") == 1 && n.counter("served") == 1 })
 	other, hold := newLister(t, 0), make(chan struct{})
 	n.loop.tell(func() { <-hold })
 	if err := n.Reload(n.again(other)); err != nil {
