--- a/balance/api.go
+++ b/balance/api.go
@@ -127,10 +127,11 @@
 	Reset                        // the connection broke; it may have run
 	Cancelled                    // called off or left by the client; it may have run
 	Moot                         // never sent
+	Unsent                       // called off before a byte of it was sent: it never ran, and its server is not to blame
 )
 
 // NeverRan tells whether the outcome proves that the server did nothing.
-func (o Outcome) NeverRan() bool { return o == Full || o == ConnectFailed || o == Moot }
+func (o Outcome) NeverRan() bool { return o == Full || o == ConnectFailed || o == Moot || o == Unsent }
 
 // Report is a server's own account of its load; a negative load was not told.
 type Report struct {
@@ -271,6 +272,7 @@
 	ID      RequestID
 	Server  ServerID
 	Timeout time.Duration // 0 means until the client gives up
+	Within  time.Duration // it must be on its way by then, or not at all; 0 where that does not matter
 }
 
 // Refuse is a final answer: not served, and trying again does no harm.
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -92,6 +92,7 @@
 	tries    []try
 	entry    *entry
 	asks     int     // servers asked for it
+	unsent   int     // tries that sent nothing, and count for nothing
 	load     float64 // work a second; 0 until it is told
 
 	standing, answered bool // the connection is up; nothing is owed
@@ -100,6 +101,13 @@
 
 func (r *request) name() string { return cmp.Or(r.Group, r.Key) }
 
+func (r *request) first() *try { // that may have run
+	if i := slices.IndexFunc(r.tries, func(t try) bool { return t.ran }); i >= 0 {
+		return &r.tries[i]
+	}
+	return nil
+}
+
 type try struct {
 	server   *server
 	sent     time.Duration
@@ -299,9 +307,12 @@
 		b.out = append(b.out, SetTimer{time.Duration(b.rng.Float64() * float64(bookEvery)), timerBook})
 	}
 	// Guards against a herd that asks at once: an overbooked discovery that is asked too often serves nobody.
-	all := time.Duration(b.set.Nodes) * askGap
+	all, most := time.Duration(b.set.Nodes)*askGap, askPauseMost
+	if b.set.Pushed { // what each node's own agent has counts as told, asked for or not
+		all, most = 0, askPause
+	}
 	if ev.Kind == ListFailed {
-		after := b.spread(min(max(askPause, all)<<min(b.asks, 10), max(askPauseMost, 4*all)))
+		after := b.spread(min(max(askPause, all)<<min(b.asks, 10), max(most, 4*all)))
 		b.asks, b.out = b.asks+1, append(b.out, SetTimer{after, timerSubscribe})
 	} else if b.asks = 0; ev.Kind == ListCached && !b.set.Pushed {
 		after := time.Duration(b.rng.Float64() * float64(all-askGap) / 2) // an old list is urgent
@@ -331,15 +342,12 @@
 
 func (b *Balancer) turn(e Server) float64 { // guards against nodes that send a cold one none, or all at once
 	h := xxhash.Sum64(binary.LittleEndian.AppendUint64(nil, uint64(e.ID)^uint64(e.UpSince)))
-	_, part := math.Modf(float64(b.set.Index)/float64(b.set.Nodes) + float64(h>>11)/(1<<53))
-	return max(part, 0)
+	return math.Mod(float64(b.set.Index)/float64(b.set.Nodes)+float64(h>>11)/(1<<53), 1)
 }
 
 func (b *Balancer) admit(ev Request) *request {
-	left := ev.Left
-	if more := left + b.set.LeftMargin; more > left { // guards against clocks that take a request's time
-		left = max(left, min(more, cmp.Or(b.set.Classes[ev.Class].Deadline, more)))
-	}
+	more := ev.Left + b.set.LeftMargin // guards against clocks that take a request's time
+	left := max(ev.Left, min(more, cmp.Or(b.set.Classes[ev.Class].Deadline, more)))
 	r := &request{Request: ev, deadline: b.now + left}
 	if r.name() == "" {
 		r.Group = string(binary.LittleEndian.AppendUint64(nil, b.rng.Uint64())) // all its attempts agree
@@ -380,22 +388,24 @@
 	if s == nil || b.ask(r, s) {
 		return
 	}
-	timeout, left := time.Duration(0), r.deadline-b.now
-	if len(r.tries)+1 < b.set.MaxAttempts && b.set.Classes[r.Class].Effect == Safe {
-		timeout = left / 2 // a silent server must leave time
-		if aim := b.set.Classes[r.Class].Aim; b.set.Talks && aim > 0 {
-			timeout = min(timeout, aim)
+	timeout, within, class := time.Duration(0), time.Duration(0), b.set.Classes[r.Class]
+	if first := r.first(); class.Effect == Keyed && first != nil {
+		within = first.sent + class.Window - b.now // guards against connections that come up too late
+	} else if len(r.tries)-r.unsent+1 < b.set.MaxAttempts && class.Effect == Safe {
+		timeout = (r.deadline - b.now) / 2 // a silent server must leave time
+		if b.set.Talks && class.Aim > 0 {
+			timeout = min(timeout, class.Aim)
 		}
 	}
 	if b.cold(s) && (b.set.Parts == nil || !b.set.Parts.Spend(s.ID)) {
 		s.sent = append(s.sent, b.now)
 	}
 	b.start(r, s)
-	b.out = append(b.out, Attempt{ID: r.ID, Server: s.ID, Timeout: timeout})
+	b.out = append(b.out, Attempt{ID: r.ID, Server: s.ID, Timeout: timeout, Within: within})
 }
 
 func (b *Balancer) choose(r *request) (s *server, why string) {
-	if len(r.tries) >= b.set.MaxAttempts || r.deadline-b.now <= b.set.Tick && len(r.tries) > 0 {
+	if len(r.tries)-r.unsent >= b.set.MaxAttempts || r.deadline-b.now <= b.set.Tick && len(r.tries) > 0 {
 		return nil, "tries spent"
 	}
 	full := func(s *server, wave float64) bool {
@@ -554,8 +564,7 @@
 	if !r.Again || b.set.Connections == 0 {
 		return 0
 	}
-	seed := append(make([]byte, 0, 64), r.name()...)
-	h := xxhash.Sum64(binary.LittleEndian.AppendUint64(seed, ^uint64(s.ID))) // the ranking has the other
+	h := xxhash.Sum64(binary.LittleEndian.AppendUint64([]byte(r.name()), ^uint64(s.ID))) // not the ranking's
 	back := float64((b.set.Nodes-1)*b.again*(at+1)) / b.set.Connections
 	return float64(h>>11) / (1 << 53) * back / float64(1+len(s.held)-s.since) // who holds many sees
 }
@@ -585,19 +594,11 @@
 }
 
 func (b *Balancer) allowed(r *request, s *server) bool {
-	if b.cold(s) && (!b.spend(r, s) || b.relieved) {
+	class, first := b.set.Classes[r.Class], r.first()
+	tried := slices.ContainsFunc(r.tries, func(t try) bool { return t.server == s })
+	if b.cold(s) && (!b.spend(r, s) || b.relieved) || tried {
 		return false // it started so lately that it may do only part of its work
-	}
-	class := b.set.Classes[r.Class]
-	var first *try
-	for _, t := range r.tries {
-		if t.server == s {
-			return false
-		} else if t.ran && first == nil {
-			first = &t
-		}
-	}
-	if first == nil || class.Effect == Safe {
+	} else if first == nil || class.Effect == Safe {
 		return true
 	}
 	near := class.Scope == ScopeAll || class.Scope == ScopeZone && s.Zone == first.server.Zone ||
@@ -628,8 +629,7 @@
 
 func (b *Balancer) giveUp(r *request, why string) {
 	class := b.set.Classes[r.Class]
-	ran := slices.ContainsFunc(r.tries, func(t try) bool { return t.ran })
-	if ran && class.Effect != Safe && (class.Effect != Keyed || class.Scope != ScopeAll) {
+	if r.first() != nil && class.Effect != Safe && (class.Effect != Keyed || class.Scope != ScopeAll) {
 		b.out = append(b.out, Fail{ID: r.ID})
 	} else { // with spread advice, so that the refused do not come back as one wave
 		b.out = append(b.out, Refuse{ID: r.ID, RetryIn: b.spread(b.set.MaxRetryAfter * 2 / 3), Why: why})
@@ -648,15 +648,16 @@
 	t.server.since, b.open = t.server.since-1, b.open-1
 	if o == OK {
 		t.server.signs = 0
+	} else if o == Unsent {
+		r.unsent++
+	} else if o == Moot { // guards against tries without end for a client whose time is over unnoticed
+		r.deadline = b.now
 	} else if ev.SentAway || !r.standing && o == ConnectFailed {
 		b.shun(t.server) // it drains or is gone: nothing that servers share is slow
 	} else if !r.standing && (o == TimedOut || o == Error && ev.Attempt == 0) || o == Reset && b.set.Talks {
 		b.shun(t.server) // an error at a later server may be the request's own
 	}
 	b.tell(t.server, 1)
-	if o == Moot { // guards against tries without end for a client whose time was over before it seemed so
-		r.deadline = b.now
-	}
 	if r.answered || ev.Final {
 		b.answered(r)
 	} else {
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -1061,3 +1061,53 @@
 		t.Errorf("the node leaves: %v", acts)
 	}
 }
+
+// What was called off before its first byte has no part in the request: no server is to blame, and all attempts are left.
+func TestAnAttemptThatSentNothingCountsForNothing(t *testing.T) {
+	for _, class := range []string{"safe", "unsafe", "cell"} {
+		set := site()
+		set.MaxAttempts = 1
+		n := newNode(set, ready(1, 2)...)
+		id, first := n.place(class, "k")
+		second := sentTo(n.do(Closed{ID: id, Server: first, Outcome: Unsent}))
+		if second == 0 || second == first {
+			t.Errorf("%s: sent to %d after %d", class, second, first)
+		}
+		acts := n.do(Closed{ID: id, Attempt: 1, Server: second, Outcome: Unsent})
+		if answer(acts) != "refuse" { // nothing has run
+			t.Errorf("%s: got %v", class, acts)
+		}
+		if n.servers[first].aside > 0 || n.servers[second].aside > 0 {
+			t.Errorf("%s: a server is set aside", class)
+		}
+	}
+}
+
+// A repeat of a keyed request has to be on its way within the window that its first attempt began.
+func TestARepeatIsSentWithinItsWindow(t *testing.T) {
+	for class, want := range map[string]time.Duration{"safe": 0, "all": 700 * ms} {
+		n := newNode(site(), ready(1, 2)...)
+		id, acts := n.request(class, "k")
+		if first := acts[len(acts)-1].(Attempt); first.Within != 0 {
+			t.Errorf("%s: the first is bound to %v", class, first.Within)
+		}
+		n.now += 300 * ms
+		acts = n.do(Closed{ID: id, Server: sentTo(acts), Outcome: Reset})
+		if again := acts[len(acts)-1].(Attempt); again.Within != want {
+			t.Errorf("%s: it has %v", class, again.Within)
+		}
+	}
+}
+
+// Where lists are pushed, what a node's own agent has counts as told; no other node is in its way.
+func TestAPushedListIsAskedForAgainAtOnce(t *testing.T) {
+	set := site()
+	set.Nodes = 300
+	n := newNode(set, ready(1)...)
+	for range 20 {
+		acts := n.do(Members{Kind: ListFailed})
+		if again := acts[0].(SetTimer); again.After > 300*ms || again.Token != timerSubscribe {
+			t.Errorf("got %+v", again)
+		}
+	}
+}
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -11,6 +11,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+	"unicode"
+	"unicode/utf8"
 
 	"brassmux/balance"
 	"brassmux/internal/exchange"
@@ -24,6 +26,8 @@
 	Probe     time.Duration // a probe must be answered within it
 	Idle      time.Duration // a probe's connection is kept for it
 	LoadField string        // the value of a load report that is wanted
+
+	Connect func(ctx context.Context, addr string) (net.Conn, error) // a TCP connection; nil for the net package's own way
 }
 
 // Client reaches servers.
@@ -39,11 +43,15 @@
 // Counts counts what the servers' side sends, by outcome.
 type Counts struct {
 	Attempts, Written, Probes atomic.Int64    // attempts begun, and those whose first line was written whole
-	Outcomes                  [8]atomic.Int64 // of attempts that did not stand
+	Outcomes                  [9]atomic.Int64 // of attempts that did not stand
 }
 
 // New makes a client. probed takes the results of probes, from any goroutine.
 func New(cfg Config, sink exchange.Sink, probed func(balance.Probed)) *Client {
+	if cfg.Connect == nil {
+		d := net.Dialer{Timeout: cfg.Dial, LocalAddr: cfg.Source}
+		cfg.Connect = func(ctx context.Context, addr string) (net.Conn, error) { return d.DialContext(ctx, "tcp", addr) }
+	}
 	return &Client{cfg: cfg, sink: sink, probed: probed, probes: map[balance.ServerID]*prober{}}
 }
 
@@ -75,19 +83,19 @@
 	outcome balance.Outcome, report *balance.Report, stood bool) {
 	conn, err := c.dial(ctx, a.Addr)
 	if err != nil {
-		return balance.ConnectFailed, nil, false
+		return unwritten(ctx), nil, false
 	}
 	// Called off, the connection breaks under whatever waits on it.
 	stop := context.AfterFunc(ctx, func() { conn.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
-	if !a.By.IsZero() && time.Now().After(a.By) { // guards against a process that was stopped for a while between its decision and this
+	if !x.Sending() {
 		conn.Close()
-		return balance.ConnectFailed, nil, false
+		return balance.Unsent, nil, false
 	}
 	head := x.Head.With(time.Until(until))
 	if _, err := head.WriteTo(conn.TCPConn); err != nil && len(head) > 0 { // what is written leaves head
 		conn.Close()
-		return balance.ConnectFailed, nil, false // its last byte was not written, so it never ran
+		return unwritten(ctx), nil, false // its last byte was not written, so it never ran
 	}
 	c.Count.Written.Add(1)
 	line, err := conn.ReadLine()
@@ -101,8 +109,8 @@
 		}
 		return balance.Reset, nil, false
 	}
-	switch string(lines.Word(line)) {
-	case "UP":
+	switch word := string(lines.Word(line)); {
+	case word == "UP" && receipt(line):
 		if stop() && x.Stand(conn, line, c.Report) {
 			return balance.OK, nil, true
 		}
@@ -111,7 +119,7 @@
 			return balance.TimedOut, nil, false
 		}
 		return balance.Cancelled, nil, false
-	case "BUSY":
+	case word == "BUSY":
 		outcome = balance.Full
 	default:
 		outcome = balance.Error
@@ -121,9 +129,24 @@
 	return outcome, report, false
 }
 
+// unwritten is how an attempt ended whose line was not written whole. Guards against a server that is blamed for a client that
+// has left, or for a list.
+func unwritten(ctx context.Context) balance.Outcome {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return balance.Unsent
+	}
+	return balance.ConnectFailed
+}
+
+// receipt tells whether a line is UP with its receipt, whole: what is less is no answer that a server has made.
+func receipt(line []byte) bool {
+	text, whole := lines.Text(line)
+	parts := bytes.Split(text, []byte(" "))
+	return whole && len(parts) == 2 && len(parts[1]) > 0 && utf8.Valid(text) && !bytes.ContainsFunc(text, unicode.IsControl)
+}
+
 func (c *Client) dial(ctx context.Context, addr string) (*lines.Conn, error) {
-	d := net.Dialer{Timeout: c.cfg.Dial, LocalAddr: c.cfg.Source}
-	conn, err := d.DialContext(ctx, "tcp", addr)
+	conn, err := c.cfg.Connect(ctx, addr)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/backend/probe.go
+++ b/internal/backend/probe.go
@@ -66,6 +66,9 @@
 		begun := time.Now()
 		ctx, cancel := context.WithDeadline(context.Background(), begun.Add(c.cfg.Probe))
 		result := balance.Probed{Server: id}
+		if conn != nil && !conn.Quiet() { // it was closed, or what came would be taken for the answer to this question
+			drop()
+		}
 		for kept := conn != nil; ; kept = false {
 			if conn == nil {
 				var err error
--- a/internal/backend/probe_test.go
+++ b/internal/backend/probe_test.go
@@ -152,3 +152,34 @@
 		t.Errorf("none there: %+v", p)
 	}
 }
+
+// A server answers a question twice, and the second answer has come before the next question.
+func TestAnAnswerToTheQuestionBeforeIsNotTaken(t *testing.T) {
+	for name, second := range map[string]struct{ at, later string }{
+		"with the first":  {"PONG x0=0.1\r\nPONG x0=0.2\r\n", ""},
+		"after the first": {"PONG x0=0.1\r\n", "PONG x0=0.2\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			told := make(chan bool)
+			a := newAsker(t, func(n int, c net.Conn, in *bufio.Reader) {
+				if n > 0 {
+					answer(c, in, "PONG x0=0.7\r\n")
+					return
+				}
+				answer(c, in, second.at)
+				<-told
+				io.WriteString(c, second.later)
+				c.(*net.TCPConn).CloseWrite() // arrives behind it
+				told <- true
+			})
+			if p := a.ask(); p.Report == nil || p.Report.Load != 0.1 {
+				t.Fatalf("got %+v", p)
+			}
+			told <- true
+			<-told
+			if p := a.ask(); p.Report == nil || p.Report.Load != 0.7 {
+				t.Errorf("got %+v", p)
+			}
+		})
+	}
+}
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -2,12 +2,12 @@
 package discovery
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/url"
@@ -86,10 +86,10 @@
 // lookAgain is what a watch that seems silent gets to show that it is not.
 const lookAgain = 100 * time.Millisecond
 
-// lineMost bounds a line of the list: some thousand servers, and little of the smallest machine's memory.
-const lineMost = 1 << 20
+// listMost bounds a list, or the changes to it, as it is written: some thousand servers, and little of the smallest machine's memory.
+const listMost = 1 << 20
 
-// New makes a client. A watch that says nothing for the silence is broken. Calls come from the source; nil for any.
+// New makes a client. A watch that says nothing for the silence is told as silent. Calls come from the source; nil for any.
 func New(dial, silence time.Duration, source net.Addr) *Client {
 	d := net.Dialer{Timeout: dial, LocalAddr: source}
 	up := func(ctx context.Context, network, addr string) (net.Conn, error) {
@@ -116,20 +116,20 @@
 var errLate = errors.New("the call would be late")
 
 // Watch passes on what changes after a version, as the discovery at addr tells it, until the watch breaks or
-// ctx ends. It returns why. Guards against a discovery that lags behind its own word, as one of several may, and would
+// ctx ends. It returns why. Each time that it has said nothing for the silence, silent is called, from a goroutine of its own;
+// to end it is the caller's: what it has still to say counts as told until another watch has said more. Guards against a discovery that lags behind its own word, as one of several may, and would
 // bring back servers that are gone: an older version ends the watch. A whole list that is older again the next time is
 // taken, since then discovery has begun to count anew. Where by is not the zero time the call is on its way by then, or is
 // not made.
-func (c *Client) Watch(ctx context.Context, addr string, since int64, by time.Time, change func(*List)) error {
-	ctx, cancel := context.WithCancelCause(context.WithValue(ctx, byKey{}, by))
-	defer cancel(nil)
+func (c *Client) Watch(ctx context.Context, addr string, since int64, by time.Time, change func(*List), quiet func()) error {
+	ctx = context.WithValue(ctx, byKey{}, by)
 	var silent *time.Timer
 	var looked atomic.Bool
 	armed := make(chan struct{})
 	silent = time.AfterFunc(c.silence, func() {
 		// Guards against a process that was itself stopped for a while: what came meanwhile is still to be read.
 		if <-armed; looked.Swap(true) {
-			cancel(errors.New("discovery is silent"))
+			quiet()
 		} else {
 			silent.Reset(lookAgain)
 		}
@@ -151,7 +151,7 @@
 		change(l)
 		return nil
 	})
-	if cause := context.Cause(ctx); cause != nil {
+	if cause := ctx.Err(); cause != nil {
 		err = cause
 	}
 	c.Count.Failed.Add(1)
@@ -177,26 +177,47 @@
 	if resp.StatusCode != http.StatusOK {
 		return fmt.Errorf("discovery answers %s", resp.Status)
 	}
-	in := bufio.NewScanner(resp.Body)
-	in.Buffer(make([]byte, 0, 1<<16), lineMost)
-	for in.Scan() {
-		alive()
-		line := bytes.TrimSpace(in.Bytes())
-		if len(line) == 0 {
-			continue
-		}
+	in := &heard{from: resp.Body, alive: alive}
+	for lists := json.NewDecoder(in); ; in.since = 0 { // they may come indented, over several lines
 		var l List
-		if err := json.Unmarshal(line, &l); err != nil {
+		switch err := lists.Decode(&l); {
+		case err == io.EOF:
+			return errors.New("the watch ended")
+		case in.err != nil:
+			return in.err
+		case err != nil:
 			return fmt.Errorf("discovery sends no list: %w", err)
-		} else if err := l.Check(); err != nil {
+		}
+		if err := l.Check(); err != nil {
 			return fmt.Errorf("discovery sends a bad list: %w", err)
 		}
 		if err := change(&l); err != nil {
 			return err
 		}
 	}
-	if err := in.Err(); err != nil {
-		return err
+}
+
+// heard is what a watch says, lists and the empty lines between them.
+type heard struct {
+	from  io.Reader
+	alive func() // called for whatever comes
+	since int    // bytes since the last list
+	err   error  // why no more comes
+}
+
+func (h *heard) Read(p []byte) (int, error) {
+	n, err := h.from.Read(p)
+	if n > 0 {
+		h.alive()
+	}
+	if len(bytes.Trim(p[:n], "\r\n")) > 0 { // else nothing has changed
+		h.since += n
+	}
+	if h.since > listMost {
+		n, err = 0, fmt.Errorf("discovery sends a list over %d bytes", listMost)
+	}
+	if err != io.EOF {
+		h.err = err
 	}
-	return errors.New("the watch ended")
+	return n, err
 }
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -7,6 +7,7 @@
 	"errors"
 	"io"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -34,6 +35,7 @@
 	Number int
 	Server balance.ServerID
 	Addr   string    // of the server
+	Start  int64     // its last one, as the list had it
 	By     time.Time // it must be on its way by then, or not at all; the zero time where that does not matter
 }
 
@@ -52,6 +54,7 @@
 	ServerBroke  Reason = "server_broke"  // ended or broken by the server without a word
 	ServerSilent Reason = "server_silent" // nothing came back for too long: moved
 	Moved        Reason = "moved"         // moved by a decision
+	WroteAhead   Reason = "wrote_ahead"   // a client wrote more than a node keeps before it was answered
 	LineTooLong  Reason = "line_too_long" // a line on the open connection was over the bound
 )
 
@@ -73,6 +76,22 @@
 	over // answered otherwise, or ended
 )
 
+// stage is how far the attempt that is out has come.
+type stage int
+
+const (
+	idle       stage = iota // none is out
+	connecting              // nothing of the request has been sent: it can be taken back
+	sending                 // it may run
+)
+
+// aheadMost bounds what a client writes before it is answered, as it is to wait for that; drainMost what is read of one that
+// has its answer, so that its close takes nothing back.
+const (
+	aheadMost = 4 * lines.Max
+	drainMost = 64 << 10
+)
+
 // messagesMost bounds the messages whose time is taken on one connection.
 const messagesMost = 64
 
@@ -94,13 +113,17 @@
 
 	mu       sync.Mutex
 	phase    phase
-	cancel   func() // calls off the attempt that is out
+	stage    stage    // of the attempt that is out, while the phase is waiting
+	cancel   func()   // calls it off
+	ahead    [][]byte // lines that the client wrote before it was answered
+	aheadLen int
 	server   *lines.Conn
 	attempt  Attempt   // the last one
 	sent     time.Time // when it was
 	stood    time.Time
 	moving   bool
-	handing  *handing // while it is being handed over
+	lastWord time.Time // when the server said it: nothing of the node's own follows it
+	handing  *handing  // while it is being handed over
 	reason   Reason
 	out      []time.Time // when the messages without an answer were passed on, oldest first
 	heeded   time.Time   // when the server was last listened to: not while a slow client holds that up
@@ -129,8 +152,12 @@
 }
 
 // Answer gives the final answer that is not a server's. The caller does not wait for the client.
-func (x *Exchange) Answer(why Reason, line string) {
-	if cancel, first := x.settle(why); first {
+func (x *Exchange) Answer(why Reason, line string) { x.answer(why, line) }
+
+// answer is Answer, and tells whether no other was given.
+func (x *Exchange) answer(why Reason, line string) bool {
+	cancel, first := x.settle(why)
+	if first {
 		if why == Refused {
 			x.tally.Refused.Add(1)
 		} else {
@@ -145,6 +172,7 @@
 			x.client.SetReadDeadline(time.Now().Add(x.limits.Linger))
 		}()
 	}
+	return first
 }
 
 // Owed tells whether the final answer is still to come.
@@ -168,10 +196,37 @@
 	if x.phase != waiting {
 		return false
 	}
-	x.attempt, x.cancel, x.sent = a, cancel, time.Now()
+	x.attempt, x.cancel, x.sent, x.stage = a, cancel, time.Now(), connecting
+	return true
+}
+
+// Sending settles that the attempt that is out sends its first line now: from here on it may run. False means that it
+// must send nothing: the client has left, the attempt was called off or is late. All of that is decided here, under
+// x.mu, so that no end of the one falls between the look and the line.
+func (x *Exchange) Sending() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if by := x.attempt.By; x.phase != waiting || x.stage != connecting || !by.IsZero() && time.Now().After(by) {
+		return false
+	}
+	x.stage = sending
 	return true
 }
 
+// CallOff takes the attempt that is out back if it has sent nothing yet and void says so of it. Its end is told as ever.
+func (x *Exchange) CallOff(void func(Attempt) bool) {
+	x.mu.Lock()
+	hit := x.phase == waiting && x.stage == connecting && void(x.attempt)
+	cancel := x.cancel
+	if hit {
+		x.stage = idle
+	}
+	x.mu.Unlock()
+	if hit {
+		cancel()
+	}
+}
+
 // FromClient passes on what the client sends and returns when all has ended: a client that has sent its
 // last may still have something to hear. The client side calls it once, after New.
 func (x *Exchange) FromClient() {
@@ -181,7 +236,7 @@
 }
 
 func (x *Exchange) fromClient() {
-	for {
+	for drained := 0; ; {
 		line, err := x.client.ReadLine()
 		if errors.Is(err, os.ErrDeadlineExceeded) {
 			if gone, again := x.park(); gone {
@@ -190,15 +245,22 @@
 				continue
 			}
 		}
-		if err != nil {
+		if errors.Is(err, lines.ErrTooLong) && x.tooMuch() {
+			line, err = x.client.Rest(), nil
+		}
+		if err != nil || drained > drainMost {
 			x.clientEnds(err)
 			return
 		}
-		<-x.up // a client may write ahead; the line waits here for its server
+		if x.keep(line) {
+			continue
+		}
+		<-x.up // what was written ahead goes first
 		x.mu.Lock()
 		server := x.server
 		if x.phase != standing {
 			x.mu.Unlock()
+			drained += len(line)
 			continue // the answer is given: what else comes is read only to close well
 		}
 		if len(x.out) < messagesMost {
@@ -215,8 +277,57 @@
 	}
 }
 
+// keep takes a line that the client has written ahead. The side goes on reading, so that it sees the client leave: guards
+// against a request that is sent on for nobody.
+func (x *Exchange) keep(line []byte) bool {
+	x.mu.Lock()
+	waits, room := x.phase == waiting, x.aheadLen+len(line) <= aheadMost
+	if waits && room {
+		x.ahead, x.aheadLen = append(x.ahead, slices.Clone(line)), x.aheadLen+len(line)
+	}
+	x.mu.Unlock()
+	if waits && !room {
+		x.tooMuch()
+	}
+	return waits && room
+}
+
+// tooMuch answers a client that has written more ahead than is kept, and waits: it is there, and hears so. It tells whether
+// the client has an answer that is not a server's.
+func (x *Exchange) tooMuch() bool {
+	if x.answer(WroteAhead, "ERR too much before the answer") {
+		x.sink.Left(x)
+	}
+	<-x.up
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.phase == over && x.server == nil
+}
+
+// passAhead passes on what the client wrote ahead, before anything that it writes later.
+func (x *Exchange) passAhead(server *lines.Conn) {
+	x.mu.Lock()
+	ahead := x.ahead
+	x.ahead = nil
+	for range ahead[:min(len(ahead), messagesMost)] {
+		x.out = append(x.out, time.Now())
+	}
+	if len(x.out) > 0 && !x.moving && x.handing == nil {
+		x.listen()
+	}
+	x.mu.Unlock()
+	for _, line := range ahead {
+		if _, err := server.Write(line); err != nil {
+			return // the server side sees the break
+		}
+		x.toServer.Add(1)
+	}
+}
+
 // free tells that the connection is up and nothing ends it. x.mu is held.
-func (x *Exchange) free() bool { return x.phase == standing && !x.moving && x.reason == "" }
+func (x *Exchange) free() bool {
+	return x.phase == standing && !x.moving && x.reason == "" && x.lastWord.IsZero()
+}
 
 // stands is free for who does not hold x.mu.
 func (x *Exchange) stands() bool {
@@ -287,6 +398,7 @@
 		x.client.SetWriteDeadline(time.Time{})
 	}
 	x.mu.Unlock()
+	x.passAhead(server)
 	close(x.up)
 	x.sink.Accepted(x, x.attempt, x.stood.Sub(x.sent))
 	if err == nil {
@@ -319,6 +431,9 @@
 			} else if again {
 				continue
 			}
+			if x.spoken() { // guards against a server that says its last word and does not close
+				return x.serverEnds(io.EOF, outcome, why), report
+			}
 			if done, outcome := x.deadline(); done {
 				return outcome, nil
 			}
@@ -329,8 +444,10 @@
 		switch string(lines.Word(line)) {
 		case "BYE":
 			outcome, why, report = balance.OK, ServerEnded, read(line)
+			x.lastWordSaid()
 		case "MOVE":
 			outcome, why = balance.Cancelled, ServerMoved
+			x.lastWordSaid()
 		case "LOAD": // no answer to a message
 		default:
 			x.message(time.Now())
@@ -353,6 +470,23 @@
 	}
 }
 
+// lastWordSaid has nothing of the node's own follow what the server has just said: a move comes too late. Its end has to
+// follow soon.
+func (x *Exchange) lastWordSaid() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.lastWord = time.Now()
+	if x.handing == nil {
+		x.listen()
+	}
+}
+
+func (x *Exchange) spoken() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return !x.lastWord.IsZero()
+}
+
 // message notes that the oldest message out is answered.
 func (x *Exchange) message(now time.Time) {
 	x.mu.Lock()
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -1,7 +1,10 @@
 package exchange
 
 import (
+	"bufio"
+	"io"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -64,3 +67,88 @@
 		t.Error("it is held up")
 	}
 }
+
+// sink does something when a connection stands: before what its server sends is looked at.
+type sink struct {
+	deaf
+	accepted func()
+}
+
+func (s sink) Accepted(*Exchange, Attempt, time.Duration) { s.accepted() }
+
+// The server's last word has come and waits to be passed on as the client is to be moved.
+func TestNothingFollowsTheServersLastWord(t *testing.T) {
+	for _, word := range []string{"BYE\r\n", "MOVE\r\n"} {
+		for name, before := range map[string]bool{"the move first": true, "the word first": false} {
+			t.Run(word[:len(word)-2]+", "+name, func(t *testing.T) {
+				client, asker := pair(t)
+				server, far := pair(t)
+				io.WriteString(far, "UP r\r\n"+word) // and does not close
+				line, err := server.ReadLine()
+				if err != nil {
+					t.Fatal(err)
+				}
+				var x *Exchange
+				x = New(&Head{Wait: time.Minute}, client, &Tally{}, sink{accepted: func() {
+					if before {
+						x.Move()
+					}
+				}}, Limits{Linger: 100 * time.Millisecond, Silence: time.Minute, Notice: time.Minute}, zap.NewNop())
+				go x.FromClient()
+				go x.Stand(server, line, noReport)
+				asker.SetDeadline(time.Now().Add(10 * time.Second))
+				in := bufio.NewReader(asker)
+				for _, want := range []string{"UP r\r\n", word} {
+					if got, err := in.ReadString('\n'); got != want {
+						t.Fatalf("got %q, %v", got, err)
+					}
+				}
+				if !before && x.Move() {
+					t.Error("it was moved after its end")
+				}
+				if rest, err := io.ReadAll(in); len(rest) > 0 || err != nil {
+					t.Errorf("%q, %v followed", rest, err)
+				}
+			})
+		}
+	}
+}
+
+// Whether an attempt may still send is decided in one place, once.
+func TestAnAttemptMaySendUntilItIsTakenBack(t *testing.T) {
+	all, none := func(Attempt) bool { return true }, func(Attempt) bool { return false }
+	for name, c := range map[string]struct {
+		by     time.Duration
+		before func(x *Exchange)
+		may    bool
+	}{
+		"nothing has happened":      {0, func(*Exchange) {}, true},
+		"another is taken back":     {0, func(x *Exchange) { x.CallOff(none) }, true},
+		"it is taken back":          {0, func(x *Exchange) { x.CallOff(all) }, false},
+		"its client has left":       {0, func(x *Exchange) { x.settle(ClientLeft) }, false},
+		"it is answered":            {0, func(x *Exchange) { x.Answer(Refused, "BUSY") }, false},
+		"there is time":             {time.Minute, func(*Exchange) {}, true},
+		"its time is over":          {-time.Nanosecond, func(*Exchange) {}, false},
+		"it is sent":                {0, func(x *Exchange) { x.Sending() }, false},
+		"it is sent and taken back": {0, func(x *Exchange) { x.Sending(); x.CallOff(all) }, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			client, _ := pair(t)
+			x := New(&Head{Wait: time.Minute}, client, &Tally{}, deaf{}, Limits{}, zap.NewNop())
+			a, calledOff := Attempt{Server: 1}, 0
+			if c.by != 0 {
+				a.By = time.Now().Add(c.by)
+			}
+			if !x.Attempting(a, func() { calledOff++ }) {
+				t.Fatal("it may not begin")
+			}
+			c.before(x)
+			if may := x.Sending(); may != c.may {
+				t.Errorf("it may send: %v", may)
+			}
+			if strings.HasPrefix(name, "it is sent") && calledOff > 0 {
+				t.Error("what is sent was called off by the list")
+			}
+		})
+	}
+}
--- a/internal/exchange/handover.go
+++ b/internal/exchange/handover.go
@@ -65,7 +65,7 @@
 	h.taken, x.handing = taken, nil
 	if taken {
 		x.because(HandedOver)
-	} else if !x.moving && x.reason == "" {
+	} else if !x.moving && x.reason == "" { // also after a last word, whose end is awaited
 		x.client.SetReadDeadline(time.Time{})
 		x.listen()
 	}
@@ -73,10 +73,12 @@
 	return taken
 }
 
-// listen sets how long the server is listened to before a message out is told as late. x.mu is held.
+// listen sets how long the server is listened to before a message out is told as late, or its end is overdue. x.mu is held.
 func (x *Exchange) listen() {
 	var next time.Time
-	if len(x.out) > 0 {
+	if !x.lastWord.IsZero() {
+		next = x.lastWord.Add(x.limits.Linger)
+	} else if len(x.out) > 0 {
 		next = x.out[0].Add(x.limits.Notice)
 	}
 	x.server.SetReadDeadline(next)
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -9,6 +9,7 @@
 	"os"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -49,14 +50,16 @@
 	ids   *ids
 	wait  sync.WaitGroup
 	mu    sync.Mutex
-	fresh []*lines.Conn // those at the door, in the order in which they came, but for the hurried ones
+	fresh []*lines.Conn             // those at the door, in the order in which they came, but for the hurried ones
+	first time.Duration             // what the next one's first line may take
+	last  atomic.Pointer[time.Time] // until then those come still that the machine has accepted; nil while all do
 	Count Counts
 }
 
 // New makes a server; take is called for each request and must not block for long.
 func New(cfg Config, log *zap.Logger, sink exchange.Sink, take func(*exchange.Exchange)) *Server {
 	return &Server{cfg: cfg, log: log, sink: sink, take: take, room: make(chan struct{}, cfg.Most),
-		door: make(chan struct{}, cfg.Door), ids: newIDs()}
+		door: make(chan struct{}, cfg.Door), ids: newIDs(), first: cfg.FirstLine}
 }
 
 // hurried is what a connection at the door has left when others wait for its place. A client's first line
@@ -69,12 +72,41 @@
 // acceptPause is how long accepting rests when it fails, as when descriptors run out.
 const acceptPause = 10 * time.Millisecond
 
-// Serve accepts clients until the listener is closed.
+// lastMost is what the machine's accepted connections are taken in within, after the last: who goes on coming comes too late.
+const lastMost = 200 * time.Millisecond
+
+// quiet is how long nothing must come for the machine to hold no more connections that it has accepted, twice in a row: a process
+// that is held up looks at its clock before it looks for a connection.
+const quiet = 10 * time.Millisecond
+
+// Last has Serve take the connections that the machine has accepted already, close the listener and return: guards against
+// requests that are taken and lost with it.
+func (s *Server) Last(l *net.TCPListener) {
+	until := time.Now().Add(lastMost)
+	s.last.Store(&until)
+	l.SetDeadline(time.Unix(1, 0)) // Serve may be waiting for one
+}
+
+// Serve accepts clients until the listener is closed, or until after Last no more come.
 func (s *Server) Serve(ctx context.Context, l *net.TCPListener) {
+	lulls := 0
 	for failing := false; ; {
+		if until := s.last.Load(); until != nil {
+			if time.Now().After(*until) {
+				l.Close()
+				return
+			}
+			l.SetDeadline(time.Now().Add(quiet))
+		}
 		c, err := l.AcceptTCP()
 		if errors.Is(err, net.ErrClosed) {
 			return
+		} else if errors.Is(err, os.ErrDeadlineExceeded) {
+			if lulls++; lulls > 2 { // the first is Last's own
+				l.Close()
+				return
+			}
+			continue
 		} else if err != nil {
 			s.Count.AcceptErrors.Add(1)
 			if !failing { // one line for each time that it starts
@@ -87,7 +119,7 @@
 			}
 			continue
 		}
-		failing = false
+		failing, lulls = false, 0
 		s.Count.Accepted.Add(1)
 		select {
 		case s.door <- struct{}{}:
@@ -117,7 +149,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.fresh = append(s.fresh, c)
-	c.SetReadDeadline(time.Now().Add(s.cfg.FirstLine))
+	c.SetReadDeadline(time.Now().Add(s.first))
 }
 
 // leave gives the place of a connection at the door to the next.
@@ -136,10 +168,11 @@
 // Wait returns when all connections have ended.
 func (s *Server) Wait() { s.wait.Wait() }
 
-// HangUp gives connections at the door that much time.
+// HangUp gives connections at the door that much time, and those that come to it later.
 func (s *Server) HangUp(within time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.first = within
 	for _, c := range s.fresh {
 		c.SetReadDeadline(time.Now().Add(within))
 	}
@@ -158,7 +191,7 @@
 	c.SetReadDeadline(time.Time{})
 	s.Count.Requests.Add(1)
 	x := exchange.New(head, c, tally, s.sink, s.cfg.Exchange, s.log)
-	s.take(x)
+	go s.take(x) // it may have to wait, and a client that leaves meanwhile is to be seen at once
 	x.FromClient()
 }
 
--- a/internal/lines/lines.go
+++ b/internal/lines/lines.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/textproto"
+	"syscall"
 	"time"
 )
 
@@ -60,6 +61,22 @@
 // Ahead tells whether more has come than the lines that were read.
 func (c *Conn) Ahead() bool { return c.text.R.Buffered() > 0 }
 
+// Quiet tells whether nothing has come that was not read, nor an end. No read deadline is set afterwards.
+func (c *Conn) Quiet() bool {
+	c.SetReadDeadline(time.Time{})
+	raw, err := c.SyscallConn()
+	if c.Ahead() || err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool { // what it reads is lost, as the connection is of no use then
+		_, err := syscall.Read(int(fd), make([]byte, 1))
+		quiet = err == syscall.EAGAIN
+		return true // it does not wait
+	})
+	return quiet && err == nil
+}
+
 // Unread gives a copy of what was read off the connection and belongs to no line yet.
 func (c *Conn) Unread() []byte {
 	rest, _ := c.text.R.Peek(c.text.R.Buffered())
--- a/node/config.go
+++ b/node/config.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -34,6 +35,8 @@
 	Lab       Lab            `json:"lab"`
 	ListenFD  int            `json:"-"` // an inherited socket that listens for clients; 0 where there is none
 
+	connect func(ctx context.Context, addr string) (net.Conn, error) // to servers, where a test has its own way
+
 	HandoverIn string `json:"-"` // the folder where two processes of this node meet in an upgrade; "" where none do
 }
 
--- a/node/loop.go
+++ b/node/loop.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"context"
+	"errors"
 	"math/rand/v2"
 	"slices"
 	"strconv"
@@ -27,38 +28,41 @@
 
 // loop owns the decisions: one goroutine tells them what happens and does what they say.
 type loop struct {
-	log      *zap.Logger
-	trace    bool // each event and action is logged
-	decide   *balance.Balancer
-	back     *backend.Client
-	list     *discovery.Client
-	events   chan func()     // run by the loop's goroutine
-	ctx      context.Context // ends with the loop
-	wall     time.Time       // the moment that times count from is Unix time 0; this one carries the steady clock
-	clockOff time.Duration
-	leases   *leases // what may be sent to cold servers, where nodes share it out; nil where each has its fixed part
-	pushed   bool
-	drain    time.Duration // a server that drains has it to send its clients away itself
-	aim      time.Duration // messages over a third of it are told
-	watching bool
-	calls    int                // for the list, or turns to make one
-	emptying bool               // what is handled empties a server or this node
-	unwatch  context.CancelFunc // ends the watch
-	asked    string             // the address of the discovery
-	version  int64
-	known    balance.Members
-	servers  map[balance.ServerID]discovery.Server // as the list has them
-	draining map[balance.ServerID]bool
-	open     map[balance.RequestID]*exchange.Exchange
-	next     balance.RequestID
-	returns  []*exchange.Exchange // stood before, at a server that no list has named yet
-	speeds   map[balance.ServerID]*speed
-	timers   timers
-	shadow   *shadow // decides by other settings, to be counted; nil where none are watched
-	figures  bool    // someone may ask for figures
-	classes  map[string]*exchange.Tally
-	hosts    struct{ known, excluded atomic.Int64 } // as lately counted
-	count    struct {
+	log          *zap.Logger
+	trace        bool // each event and action is logged
+	decide       *balance.Balancer
+	back         *backend.Client
+	list         *discovery.Client
+	events       chan func()     // run by the loop's goroutine
+	ctx          context.Context // ends with the loop
+	wall         time.Time       // the moment that times count from is Unix time 0; this one carries the steady clock
+	clockOff     time.Duration
+	leases       *leases // what may be sent to cold servers, where nodes share it out; nil where each has its fixed part
+	pushed       bool
+	onlyDraining bool          // a server that no list names may still take clients
+	drain        time.Duration // a server that drains has it to send its clients away itself
+	aim          time.Duration // messages over a third of it are told
+	watching     bool
+	calls        int    // for the list, or turns to make one
+	emptying     bool   // what is handled empties a server or this node
+	ending       bool   // nothing is sent on any more
+	heard        *watch // the last one that was opened
+	heardBefore  *watch // the one before it, until the last one has told a list
+	asked        string // the address of the discovery
+	version      int64
+	known        balance.Members
+	servers      map[balance.ServerID]discovery.Server // as the list has them
+	draining     map[balance.ServerID]bool
+	open         map[balance.RequestID]*exchange.Exchange
+	next         balance.RequestID
+	returns      []*exchange.Exchange // stood before, at a server that no list has named yet
+	speeds       map[balance.ServerID]*speed
+	timers       timers
+	shadow       *shadow // decides by other settings, to be counted; nil where none are watched
+	figures      bool    // someone may ask for figures
+	classes      map[string]*exchange.Tally
+	hosts        struct{ known, excluded atomic.Int64 } // as lately counted
+	count        struct {
 		opened, served, refused, failed, left, moved, messages, late, dropped atomic.Int64
 	}
 }
@@ -77,9 +81,9 @@
 	}
 	l := &loop{ctx: ctx, leases: leases, clockOff: ms(cfg.Lab.ClockOff), log: log,
 		trace: log.Core().Enabled(zap.DebugLevel), decide: balance.New(set, seed), events: make(chan func(), queue),
-		wall: wall, pushed: set.Pushed, drain: ms(cfg.Times.Drain), aim: shortestAim(set),
+		wall: wall, pushed: set.Pushed, onlyDraining: set.OnlyDraining, drain: ms(cfg.Times.Drain), aim: shortestAim(set),
 		version: cfg.Known.Version, known: cfg.Known.Members(balance.ListCached),
-		list: discovery.New(dial, ms(cfg.Times.Watch), cfg.source()), asked: cfg.Discovery, unwatch: func() {},
+		list: discovery.New(dial, ms(cfg.Times.Watch), cfg.source()), asked: cfg.Discovery,
 		servers: map[balance.ServerID]discovery.Server{}, draining: map[balance.ServerID]bool{},
 		open: map[balance.RequestID]*exchange.Exchange{}, speeds: map[balance.ServerID]*speed{}}
 	if leases != nil {
@@ -196,25 +200,36 @@
 	switch a := a.(type) {
 	case balance.Attempt:
 		if x := l.open[a.ID]; x != nil {
-			attempt := exchange.Attempt{Number: x.Tries, Server: a.Server, Addr: l.servers[a.Server].Addr}
+			e := l.servers[a.Server]
+			attempt := exchange.Attempt{Number: x.Tries, Server: a.Server, Addr: e.Addr, Start: e.Started}
 			x.Tries++
-			moot := func() { go l.Closed(x, attempt, balance.Moot, 0, nil) } // not from here, as it tells the loop
+			end := func(o balance.Outcome) { go l.Closed(x, attempt, o, 0, nil) } // not from here, as it tells the loop
 			// Where it has no room a further attempt is given up at once: to wait comes on top of what it has waited already.
 			if attempt.Number > 0 && !l.affordAtOnce(retryBudget, 0) {
-				moot()
+				end(balance.Moot)
 				return
 			}
 			decided := time.Now()
+			if a.Within > 0 {
+				attempt.By = decided.Add(a.Within)
+			}
 			l.afford(sendBudget, uint64(a.Server), answerWait, func(ok bool) {
 				if !ok {
-					moot()
+					end(balance.Moot)
+					return
+				} else if l.void(attempt) { // the list has changed while it waited
+					end(balance.Unsent)
 					return
 				}
+				by := attempt.By
 				if s := l.leases; s != nil && (attempt.Number > 0 && s.on[retryBudget] || s.cold(a.Server)) {
 					attempt.By = decided.Add(s.within)
 				} else if s != nil && s.on[sendBudget] {
 					attempt.By = time.Now().Add(s.within)
 				}
+				if !by.IsZero() && by.Before(attempt.By) {
+					attempt.By = by
+				}
 				l.back.Attempt(x, attempt, a.Timeout)
 			})
 		}
@@ -275,7 +290,14 @@
 // take hands a new exchange to the decisions.
 func (l *loop) take(x *exchange.Exchange) {
 	l.tell(func() {
+		if !x.Owed() { // it has left already, or was turned away
+			return
+		}
 		l.enter(x)
+		if l.ending {
+			l.giveUp(x)
+			return
+		}
 		if len(x.Head.At) > 0 {
 			l.count.opened.Add(1)
 			l.counts(x, false)
@@ -332,11 +354,14 @@
 // standAgain takes a connection that stood before back to its server. That needs no decision, but an address:
 // while no list has named the server, it waits. The decisions hear of it once it is up.
 func (l *loop) standAgain(x *exchange.Exchange) {
+	if !x.Owed() { // it has left meanwhile
+		return
+	}
 	id := balance.ServerID(settings.NamedServer(string(x.Head.At)))
 	if addr := l.servers[id].Addr; addr != "" {
 		l.afford(sendBudget, uint64(id), answerWait, func(ok bool) {
 			if ok {
-				l.back.Attempt(x, exchange.Attempt{Server: id, Addr: addr, By: l.leases.by(sendBudget)}, 0)
+				l.back.Attempt(x, exchange.Attempt{Server: id, Addr: addr, Start: l.servers[id].Started, By: l.leases.by(sendBudget)}, 0)
 			} else {
 				l.notBack(x, balance.Moot)
 			}
@@ -348,6 +373,23 @@
 	time.AfterFunc(time.Until(x.Deadline), func() { l.tell(func() { l.noReturn(x) }) })
 }
 
+// end has every request that still waits fail, now and from now on: the process is to end.
+func (l *loop) end() {
+	l.ending = true
+	for _, x := range l.open {
+		if x.Owed() {
+			l.giveUp(x)
+		}
+	}
+}
+
+func (l *loop) giveUp(x *exchange.Exchange) {
+	l.forget(x.ID)
+	l.count.failed.Add(1)
+	x.Answer(exchange.Failed, "ERR stopping")
+	l.handle(balance.Left{ID: x.ID})
+}
+
 // noReturn fails a connection whose server no list has named in its time.
 func (l *loop) noReturn(x *exchange.Exchange) {
 	if i := slices.Index(l.returns, x); i >= 0 {
@@ -362,6 +404,9 @@
 func (l *loop) Left(x *exchange.Exchange) {
 	l.tell(func() {
 		l.count.left.Add(1)
+		if x.ID == 0 { // not even taken in
+			return
+		}
 		l.forget(x.ID) // where no attempt is out, no Closed comes
 		if i := slices.Index(l.returns, x); i >= 0 {
 			l.returns = slices.Delete(l.returns, i, i+1)
@@ -488,28 +533,82 @@
 	callPause = 500 * time.Millisecond
 )
 
+// watch is one call for the list and its changes.
+type watch struct {
+	addr   string
+	since  int64
+	failed bool // its end or silence has been told
+	end    context.CancelFunc
+}
+
+func (w *watch) stop() {
+	if w != nil {
+		w.end()
+	}
+}
+
+// watch opens a watch. The one before it, where that has told a list, is heard on until this one has: guards against what was
+// written to it and not read yet as this one is opened, since it fell silent or another discovery is asked now. All
+// that counts as told.
 func (l *loop) watch() {
-	addr, since, by := l.asked, l.version, l.leases.by(callBudget)
-	ctx, unwatch := context.WithCancel(l.ctx)
-	l.unwatch = unwatch
+	ctx, end := context.WithCancel(l.ctx)
+	w, by := &watch{addr: l.asked, since: l.version, end: end}, l.leases.by(callBudget)
+	if l.heardBefore == nil {
+		l.heardBefore = l.heard
+	} else {
+		l.heard.stop() // it has told none
+	}
+	l.heard = w
 	tell := func(do func()) {
 		l.tell(func() {
-			if ctx.Err() == nil { // else these are the last words of a watch that another has replaced
+			if w == l.heard || w == l.heardBefore { // else another has replaced it
 				do()
 			}
 		})
 	}
 	go func() {
-		err := l.list.Watch(ctx, addr, since, by, func(list *discovery.List) { tell(func() { l.listed(list) }) })
+		err := l.list.Watch(ctx, w.addr, w.since, by, func(list *discovery.List) { tell(func() { l.told(w, list) }) },
+			func() { tell(func() { l.unheard(w, errSilent) }) })
+		end()
 		tell(func() {
-			unwatch()
-			l.log.Warn("the watch on the server list broke", zap.String("discovery", addr), zap.Error(err))
-			l.watching = false
-			l.handle(balance.Members{Kind: balance.ListFailed})
+			l.unheard(w, err)
+			if w == l.heardBefore {
+				l.heardBefore = nil
+			}
 		})
 	}()
 }
 
+var errSilent = errors.New("discovery is silent")
+
+// told takes what a watch says. Guards against two watches on one discovery of which the newer was asked first and says
+// what the older has said already: that would bring back a server that drains.
+func (l *loop) told(w *watch, list *discovery.List) {
+	if w == l.heard {
+		l.heardBefore.stop()
+		l.heardBefore = nil
+	}
+	if w.addr != l.asked { // it may count its versions otherwise, and be old: it can only take servers away any more
+		list.Full = false
+		list.Servers = slices.DeleteFunc(list.Servers, func(s discovery.Server) bool { return s.State == "up" })
+	} else if list.Version < l.version && w.since < l.version {
+		return
+	} else {
+		l.version = list.Version
+	}
+	l.listed(list)
+}
+
+// unheard has another watch opened after a while, once for each that ends or falls silent.
+func (l *loop) unheard(w *watch, err error) {
+	if w.failed || w != l.heard {
+		return
+	}
+	l.log.Warn("the watch on the server list broke", zap.String("discovery", w.addr), zap.Error(err))
+	w.failed, l.watching = true, false
+	l.handle(balance.Members{Kind: balance.ListFailed})
+}
+
 // rediscover follows the list of another discovery, at once: the decisions' own retry may be seconds away.
 // Another discovery may count its versions otherwise, so all of its list is asked for.
 func (l *loop) rediscover(addr string) {
@@ -517,7 +616,6 @@
 		return
 	}
 	l.log.Info("another discovery is asked", zap.String("discovery", addr))
-	l.unwatch()
 	l.asked, l.version, l.watching = addr, 0, false
 	l.handle(balance.Members{Kind: balance.ListChanges}) // what failed at the old one slows no retry at this one
 	l.subscribe()
@@ -525,7 +623,6 @@
 }
 
 func (l *loop) listed(list *discovery.List) {
-	l.version = list.Version
 	if list.Full {
 		clear(l.servers)
 		clear(l.draining)
@@ -537,6 +634,7 @@
 		kind = balance.ListFull
 	}
 	l.handle(list.Members(kind))
+	l.recheck()
 	for _, s := range list.Servers {
 		if s.State == "draining" {
 			l.leaving(balance.ServerID(s.ID))
@@ -549,6 +647,28 @@
 	}
 }
 
+// void tells whether a server is no more what it was when an attempt at it was decided: it drains or is gone, has another
+// address, at which another may be, or has started anew. A list without a server is no word that it takes nobody where
+// only draining binds.
+func (l *loop) void(a exchange.Attempt) bool {
+	e, listed := l.servers[a.Server]
+	return listed && (e.State != "up" || e.Addr != a.Addr || e.Started != a.Start) || !listed && !l.onlyDraining
+}
+
+// recheck takes back what has been decided by the list before this one and is not on its way yet: guards against the
+// time that a connection takes to come up, in which a server may begin to drain. A connection that stood before is
+// nothing new to its server while that drains.
+func (l *loop) recheck() {
+	for _, x := range l.open {
+		x.CallOff(func(a exchange.Attempt) bool {
+			if len(x.Head.At) > 0 && l.servers[a.Server].State == "draining" {
+				return false
+			}
+			return l.void(a)
+		})
+	}
+}
+
 // leaving has the clients of a server moved that drains and in a while has not sent them away itself.
 func (l *loop) leaving(id balance.ServerID) {
 	time.AfterFunc(l.drain, func() {
--- a/node/node.go
+++ b/node/node.go
@@ -69,7 +69,7 @@
 	n.loop = newLoop(n.work, &n.cfg, n.log)
 	n.loop.back = backend.New(backend.Config{Dial: settings.Microseconds(cfg.Settings.Ceilings.DialTimeout),
 		Source: cfg.source(), Probe: ms(cfg.Times.Probe), Idle: settings.Microseconds(cfg.Settings.Ceilings.KeepAlive),
-		LoadField: settings.LoadField}, n.loop, n.loop.probed)
+		LoadField: settings.LoadField, Connect: cfg.connect}, n.loop, n.loop.probed)
 	if n.loop.leases != nil {
 		if n.loop.leases.conn, err = peers.New(peers.Config{Listen: cfg.Peers.Listen, Nodes: cfg.Peers.Nodes, Index: cfg.Settings.Index,
 			Wait: cfg.ListenFD != 0}, n.log); err != nil {
@@ -145,12 +145,16 @@
 	return nil
 }
 
+// lastWords is what the answers get that only the end of the process brings: they are written before it.
+const lastWords = 100 * time.Millisecond
+
 // leaveEvery is how often a node that stops looks for clients that stand.
 const leaveEvery = 50 * time.Millisecond
 
 // Run serves until ctx ends, goes on accepting for a while, moves all clients away and returns. Where there is no
 // other node, who stands is moved only when the time to stop runs out: until this one is back nobody takes them.
-// Of an inherited socket it takes no more at once: what waits there is the next process's.
+// Of an inherited socket it takes no more at once: what waits there is the next process's. Who still waits for an answer just
+// before the time to stop has run out is told that there will be none.
 func (n *Node) Run(ctx context.Context) error {
 	defer n.stop()
 	if n.admin != nil { // open before all else, and closed last
@@ -190,15 +194,17 @@
 	n.log.Info("stopping")
 	n.loop.tell(n.loop.leave)
 	t := n.cfg.Times
-	end := time.After(ms(t.Stop))
+	words, end := time.After(ms(t.Stop)-lastWords), time.After(ms(t.Stop))
 	last := time.Now().Add(ms(t.Stop - t.Linger)) // a client may take that long to go
 	own := n.cfg.ListenFD == 0
 	if own {
 		time.Sleep(ms(t.Accept)) // the front still sends clients here
 	}
-	n.listener.Close()
-	if own { // else those at the door have the time that every first line has
+	if own {
 		n.front.HangUp(ms(t.Linger))
+		n.front.Last(n.listener)
+	} else { // those at the door have the time that every first line has
+		n.listener.Close()
 	}
 	gone := make(chan struct{})
 	go func() {
@@ -218,6 +224,8 @@
 		case <-again.C: // what was not up before may stand now
 		case <-gone:
 			going = false
+		case <-words:
+			n.loop.tell(n.loop.end)
 		case <-end:
 			n.log.Warn("stopped with clients that did not go")
 			going = false
@@ -345,7 +353,7 @@
 
 var outcomes = [...]string{balance.Error: "error", balance.OK: "ok", balance.Full: "full",
 	balance.TimedOut: "timed_out", balance.ConnectFailed: "connect_failed", balance.Reset: "reset",
-	balance.Cancelled: "cancelled", balance.Moot: "moot"}
+	balance.Cancelled: "cancelled", balance.Moot: "moot", balance.Unsent: "unsent"}
 
 // shortestAim is the least time that any class wants a message answered in.
 func shortestAim(s balance.Settings) time.Duration {
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -297,6 +297,11 @@
 		"an end, unsafe":             {"pay", func(s *wire) { s.Close() }, "ERR"},
 		"an unknown answer, unsafe":  {"pay", func(s *wire) { s.say("HELLO\r\n") }, "ERR"},
 		"an overlong answer, unsafe": {"pay", func(s *wire) { s.say(strings.Repeat("U", 5000)) }, "ERR"},
+		"no receipt, unsafe":         {"pay", func(s *wire) { s.say("UP\r\n") }, "ERR"},
+		"an empty receipt, unsafe":   {"pay", func(s *wire) { s.say("UP \r\n") }, "ERR"},
+		"two receipts, unsafe":       {"pay", func(s *wire) { s.say("UP r r\r\n") }, "ERR"},
+		"half its end, unsafe":       {"pay", func(s *wire) { s.say("UP r\n") }, "ERR"},
+		"an answer cut off, unsafe":  {"pay", func(s *wire) { s.say("UP r"); s.Close() }, "ERR"},
 		"no answer, safe":            {"chat", func(s *wire) {}, "UP r-2"},
 		"no answer, unsafe":          {"pay", func(s *wire) {}, "ERR"},
 	} {
