A watch is heard on until the next one shows that it lives; an older word undoes no newer one

Cause: a watch that answers a call without a list, as nothing has changed, was not counted as one that speaks; at the next change of watches it was closed in place of the dead one before it. And the newer of two watches on one discovery may have been asked before the older one told of a drain, and say what was so before.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -115,13 +116,20 @@
 // errLate guards against a process that was stopped for a while between its decision to call and the call.
 var errLate = errors.New("the call would be late")
 
+// Hearer takes what a watch says. Its functions are called from goroutines of the watch's own.
+type Hearer struct {
+	List  func(*List) // the list, or changes to it
+	Live  func()      // the first sign of life, also one that tells nothing
+	Quiet func()      // each time that it has said nothing for the silence
+}
+
 // Watch passes on what changes after a version, as the discovery at addr tells it, until the watch breaks or
-// ctx ends. It returns why. Each time that it has said nothing for the silence, silent is called, from a goroutine of its own;
-// to end it is the caller's: what it has still to say counts as told until another watch has said more. Guards against a discovery that lags behind its own word, as one of several may, and would
+// ctx ends. It returns why. To end one that has fallen silent is the caller's: what it has still to say counts as told.
+// Guards against a discovery that lags behind its own word, as one of several may, and would
 // bring back servers that are gone: an older version ends the watch. A whole list that is older again the next time is
 // taken, since then discovery has begun to count anew. Where by is not the zero time the call is on its way by then, or is
 // not made.
-func (c *Client) Watch(ctx context.Context, addr string, since int64, by time.Time, change func(*List), quiet func()) error {
+func (c *Client) Watch(ctx context.Context, addr string, since int64, by time.Time, hear Hearer) error {
 	ctx = context.WithValue(ctx, byKey{}, by)
 	var silent *time.Timer
 	var looked atomic.Bool
@@ -129,14 +137,16 @@
 	silent = time.AfterFunc(c.silence, func() {
 		// Guards against a process that was itself stopped for a while: what came meanwhile is still to be read.
 		if <-armed; looked.Swap(true) {
-			quiet()
+			hear.Quiet()
 		} else {
 			silent.Reset(lookAgain)
 		}
 	})
 	close(armed)
 	defer silent.Stop()
+	live := sync.OnceFunc(hear.Live)
 	alive := func() {
+		live()
 		looked.Store(false)
 		silent.Reset(c.silence)
 	}
@@ -148,7 +158,7 @@
 		held = l.Version
 		c.older.Store(false)
 		c.Count.Changes.Add(1)
-		change(l)
+		hear.List(l)
 		return nil
 	})
 	if cause := ctx.Err(); cause != nil {
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -21,7 +21,7 @@
 }
 
 func (a asking) Watch(ctx context.Context, since int64, change func(*List)) error {
-	return a.Client.Watch(ctx, a.addr, since, time.Time{}, change, func() {})
+	return a.Client.Watch(ctx, a.addr, since, time.Time{}, Hearer{change, func() {}, func() {}})
 }
 
 // serve is a discovery that answers by a function.
@@ -127,16 +127,23 @@
 			})
 			c.silence = 20 * time.Millisecond
 			ctx, cancel := context.WithCancel(context.Background())
-			quiet, listed, ended := make(chan bool, 100), make(chan *List, 1), make(chan error, 1)
+			quiet, listed, ended, live := make(chan bool, 100), make(chan *List, 1), make(chan error, 1), make(chan bool, 100)
 			go func() {
-				ended <- c.Client.Watch(ctx, c.addr, 0, time.Time{}, func(l *List) { listed <- l }, func() { quiet <- true })
+				ended <- c.Client.Watch(ctx, c.addr, 0, time.Time{},
+					Hearer{func(l *List) { listed <- l }, func() { live <- true }, func() { quiet <- true }})
 			}()
 			<-quiet
+			if (len(live) > 0) != says {
+				t.Error("a sign of life is told where none came, or not told")
+			}
 			close(speak)
 			if l := <-listed; l.Version != 41 {
 				t.Errorf("got %+v", l)
 			}
 			<-quiet // again
+			if len(live) != 1 {
+				t.Errorf("%d first signs of life", len(live))
+			}
 			cancel()
 			if err := <-ended; err != context.Canceled {
 				t.Errorf("got %v", err)
--- a/node/loop.go
+++ b/node/loop.go
@@ -47,7 +47,7 @@
 	emptying     bool   // what is handled empties a server or this node
 	ending       bool   // nothing is sent on any more
 	heard        *watch // the last one that was opened
-	heardBefore  *watch // the one before it, until the last one has told a list
+	heardBefore  *watch // the one before it, until the last one has told anything
 	asked        string // the address of the discovery
 	version      int64
 	known        balance.Members
@@ -547,7 +547,7 @@
 	}
 }
 
-// watch opens a watch. The one before it, where that has told a list, is heard on until this one has: guards against what was
+// watch opens a watch. The one before it, where that has told anything, is heard on until this one has: guards against what was
 // written to it and not read yet as this one is opened, since it fell silent or another discovery is asked now. All
 // that counts as told.
 func (l *loop) watch() {
@@ -556,7 +556,7 @@
 	if l.heardBefore == nil {
 		l.heardBefore = l.heard
 	} else {
-		l.heard.stop() // it has told none
+		l.heard.stop() // it has told nothing
 	}
 	l.heard = w
 	tell := func(do func()) {
@@ -567,8 +567,9 @@
 		})
 	}
 	go func() {
-		err := l.list.Watch(ctx, w.addr, w.since, by, func(list *discovery.List) { tell(func() { l.told(w, list) }) },
-			func() { tell(func() { l.unheard(w, errSilent) }) })
+		err := l.list.Watch(ctx, w.addr, w.since, by, discovery.Hearer{
+			List: func(list *discovery.List) { tell(func() { l.told(w, list) }) },
+			Live: func() { tell(func() { l.live(w) }) }, Quiet: func() { tell(func() { l.unheard(w, errSilent) }) }})
 		end()
 		tell(func() {
 			l.unheard(w, err)
@@ -581,6 +582,15 @@
 
 var errSilent = errors.New("discovery is silent")
 
+// live ends the watch before one that is heard now, on the same discovery: what that has still to say this one will say too. Of
+// another one it takes the list.
+func (l *loop) live(w *watch) {
+	if w == l.heard && l.heardBefore != nil && l.heardBefore.addr == w.addr {
+		l.heardBefore.stop()
+		l.heardBefore = nil
+	}
+}
+
 // told takes what a watch says. Guards against two watches on one discovery of which the newer was asked first and says
 // what the older has said already: that would bring back a server that drains.
 func (l *loop) told(w *watch, list *discovery.List) {
--- a/node/moments_test.go
+++ b/node/moments_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"brassmux/balance"
+	"brassmux/internal/discovery"
 	"brassmux/internal/settings"
 )
 
@@ -248,8 +249,7 @@
 		t.Run("in the queue"+also, func(t *testing.T) {
 			h := newHost(t, "s-1")
 			n := start(t, noProbes, h)
-			hold := make(chan struct{})
-			n.loop.tell(func() { <-hold })
+			hold := n.holdLoop()
 			client := n.open("k", "")
 			n.until("the request", func() bool { return n.front.Count.Requests.Load() == 1 && len(n.loop.events) == 1 })
 			client.say(text)
@@ -264,8 +264,7 @@
 		t.Run("before the queue"+also, func(t *testing.T) {
 			h := newHost(t, "s-1")
 			n := start(t, noProbes, h)
-			hold := make(chan struct{})
-			n.loop.tell(func() { <-hold })
+			hold := n.holdLoop()
 			n.until("the queue to be full", func() bool {
 				for {
 					select {
@@ -363,6 +362,18 @@
 	}
 }
 
+// holdLoop keeps the loop from what comes next, until the channel is closed.
+func (r *running) holdLoop() (hold chan struct{}) {
+	hold = make(chan struct{})
+	held := make(chan struct{})
+	r.loop.tell(func() {
+		close(held)
+		<-hold
+	})
+	<-held
+	return hold
+}
+
 // A client that writes ahead and stays gets what it asked for, in order.
 func TestWhatAClientWritesAheadWaitsForItsServer(t *testing.T) {
 	h := newHost(t, "s-1")
@@ -473,8 +484,7 @@
 	n.until("it", func() bool { return n.counter("list_changes") == 1 })
 	quiet := newLister(t, 0)
 	for range 2 { // the second one's first words, of a third, come as late
-		hold := make(chan struct{})
-		n.loop.tell(func() { <-hold })
+		hold := n.holdLoop()
 		if err := n.Reload(n.again(quiet)); err != nil {
 			t.Fatal(err)
 		}
@@ -512,3 +522,54 @@
 	list.change(2, false, h.entryJSON("draining"))
 	n.until("the drain", func() bool { return n.drains(h) })
 }
+
+// A watch takes the place of a silent one, lives, and falls silent in its turn; the next call is not answered.
+func TestOnlyTheWatchBeforeTheLastIsHeardOn(t *testing.T) {
+	list := newLister(t, 0)
+	list.answers = 2
+	cfg := config(t, list)
+	cfg.Times.Watch = 60_000
+	n := run(t, cfg, list)
+	watches := func() (heard, before *watch) {
+		all := make(chan *watch, 2)
+		n.loop.tell(func() { all <- n.loop.heard; all <- n.loop.heardBefore })
+		return <-all, <-all
+	}
+	silent := func() { n.loop.tell(func() { n.loop.unheard(n.loop.heard, errSilent) }) }
+	n.until("the first watch", func() bool { return n.counter("list_calls") == 1 })
+	first, _ := watches()
+	silent()
+	n.until("its successor, which is alive after a second", func() bool {
+		heard, before := watches()
+		return heard != first && before == nil
+	})
+	second, _ := watches()
+	silent()
+	n.until("another", func() bool { heard, _ := watches(); return heard != second })
+	if _, before := watches(); before != second {
+		t.Error("the last one that spoke is not heard on")
+	}
+}
+
+// The newer of two watches was asked before the older one told of a drain, and its answer comes after that.
+func TestAnOlderWatchsWordIsNotUndone(t *testing.T) {
+	h := newHost(t, "s-1")
+	n := start(t, nil, h)
+	n.until("the first watch", func() bool { return n.counter("list_calls") == 1 })
+	word := func(version int64, state string) *discovery.List {
+		return &discovery.List{Version: version, Servers: []discovery.Server{h.entry(state)}}
+	}
+	n.loop.tell(func() {
+		first, second := n.loop.heard, &watch{addr: n.loop.asked, since: 1, end: func() {}}
+		n.loop.heard, n.loop.heardBefore = second, first
+		n.loop.told(first, word(43, "draining"))
+		n.loop.told(second, word(42, "up"))
+	})
+	if !n.drains(h) {
+		t.Error("it may get clients again")
+	}
+	n.loop.tell(func() { n.loop.told(n.loop.heard, word(44, "up")) })
+	if n.drains(h) {
+		t.Error("what is newer is not taken")
+	}
+}
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -496,19 +496,20 @@
 	n := start(t, nil, h)
 	client, server := n.stand(h)
 	n.until("the first watch, and the word that it stands, which might come behind hold", func() bool { return n.counter("list_calls") == 1 && n.counter("served") == 1 })
-	other, hold := newLister(t, 0), make(chan struct{})
-	n.loop.tell(func() { <-hold })
+	n.list.change(8, false)
+	n.until("a first list", func() bool { return n.counter("list_changes") == 1 })
+	other, hold := newLister(t, 0), n.holdLoop()
 	if err := n.Reload(n.again(other)); err != nil {
 		t.Fatal(err)
 	}
 	n.list.change(9, false, stale.entryJSON("up")) // the old one's last words come behind the reload
-	n.until("them", func() bool { return n.counter("list_changes") == 1 && len(n.loop.events) == 2 })
+	n.until("them", func() bool { return n.counter("list_changes") == 2 && len(n.loop.events) == 2 })
 	close(hold)
 	if n.address(stale) != "" {
 		t.Error("the old one's last words were heeded")
 	}
 	other.change(1, true, next.entryJSON("up")) // another count of versions: its whole list holds
-	n.until("the new list", func() bool { return n.counter("list_changes") == 2 })
+	n.until("the new list", func() bool { return n.counter("list_changes") == 3 })
 	n.stand(next)
 	client.say("still\r\n") // who stands is not touched
 	server.hear("still\r\n")
