A watch that breaks or falls silent is opened anew at once; only a call that failed is spread

Change: a silent watch is heard on only where lists are pushed, as there it says at its return what counts at once. And the pause, the cause beneath it, is for calls that failed: a watch that had told something and broke or fell silent tells nothing of how busy discovery is (ListBroken), and is opened anew within 0.3 s at any number of nodes.

Tests: the pauses at 300 nodes by kind of list and of break; a reset and a silent watch on sockets at 10,000 nodes, then a failed call.

--- a/balance/api.go
+++ b/balance/api.go
@@ -155,6 +155,7 @@
 	ListChanges                 // only the entries that changed
 	ListFull                    // all of the list: a server not in it is gone
 	ListCached                  // all of the list as last seen, maybe old
+	ListBroken                  // the subscription has told something, and broke or fell silent; the old list stays
 )
 
 // Request is a client's try to get a connection. It is owed exactly one final answer.
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -307,12 +307,11 @@
 		b.out = append(b.out, SetTimer{time.Duration(b.rng.Float64() * float64(bookEvery)), timerBook})
 	}
 	// Guards against a herd that asks at once: an overbooked discovery that is asked too often serves nobody.
-	all, most := time.Duration(b.set.Nodes)*askGap, askPauseMost
-	if b.set.Pushed { // what each node's own agent has counts as told, asked for or not
-		all, most = 0, askPause
-	}
-	if ev.Kind == ListFailed {
-		after := b.spread(min(max(askPause, all)<<min(b.asks, 10), max(most, 4*all)))
+	all := time.Duration(b.set.Nodes) * askGap
+	if ev.Kind == ListBroken || ev.Kind == ListFailed && b.set.Pushed { // its news count as told
+		b.out = append(b.out, SetTimer{b.spread(askPause), timerSubscribe})
+	} else if ev.Kind == ListFailed {
+		after := b.spread(min(max(askPause, all)<<min(b.asks, 10), max(askPauseMost, 4*all)))
 		b.asks, b.out = b.asks+1, append(b.out, SetTimer{after, timerSubscribe})
 	} else if b.asks = 0; ev.Kind == ListCached && !b.set.Pushed {
 		after := time.Duration(b.rng.Float64() * float64(all-askGap) / 2) // an old list is urgent
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -1099,15 +1099,25 @@
 	}
 }
 
-// Where lists are pushed, what a node's own agent has counts as told; no other node is in its way.
-func TestAPushedListIsAskedForAgainAtOnce(t *testing.T) {
-	set := site()
-	set.Nodes = 300
-	n := newNode(set, ready(1)...)
-	for range 20 {
-		acts := n.do(Members{Kind: ListFailed})
-		if again := acts[0].(SetTimer); again.After > 300*ms || again.Token != timerSubscribe {
-			t.Errorf("got %+v", again)
+// What there is to be told counts as told soon where lists are pushed, and where a watch has broken that had told something:
+// nothing is known then of how busy discovery is. All others are spread over the nodes.
+func TestTheListIsAskedForAtOnceWhereItsNewsCount(t *testing.T) {
+	for _, c := range []struct {
+		pushed bool
+		kind   ListKind
+		least  time.Duration
+		most   time.Duration
+	}{
+		{true, ListFailed, 0, 300 * ms}, {true, ListBroken, 0, 300 * ms}, {false, ListBroken, 0, 300 * ms}, {false, ListFailed, 7500 * ms, 90 * time.Second},
+	} {
+		set := site()
+		set.Nodes, set.Pushed = 300, c.pushed
+		n := newNode(set, ready(1)...)
+		for range 20 {
+			acts := n.do(Members{Kind: c.kind})
+			if again := acts[0].(SetTimer); again.After < c.least || again.After > c.most || again.Token != timerSubscribe {
+				t.Errorf("%+v: got %+v", c, again)
+			}
 		}
 	}
 }
--- a/lab/fleet/leases.go
+++ b/lab/fleet/leases.go
@@ -59,7 +59,7 @@
 
 // after an event, the list is read, and wants go out.
 func (s *leases) after(ev balance.Event) {
-	if m, ok := ev.(balance.Members); ok && m.Kind != balance.ListFailed {
+	if m, ok := ev.(balance.Members); ok && m.Kind != balance.ListFailed && m.Kind != balance.ListBroken {
 		for _, e := range m.Servers {
 			if before, was := s.ready[e.ID]; was && (before != e.UpSince || e.State != balance.Ready) {
 				s.budgets.Drop(s.id(e.ID))
--- a/node/loop.go
+++ b/node/loop.go
@@ -537,6 +537,7 @@
 type watch struct {
 	addr   string
 	since  int64
+	lives  bool // it has said something
 	failed bool // its end or silence has been told
 	end    context.CancelFunc
 }
@@ -585,6 +586,7 @@
 // live ends the watch before one that is heard now, on the same discovery: what that has still to say this one will say too. Of
 // another one it takes the list.
 func (l *loop) live(w *watch) {
+	w.lives = true
 	if w == l.heard && l.heardBefore != nil && l.heardBefore.addr == w.addr {
 		l.heardBefore.stop()
 		l.heardBefore = nil
@@ -616,7 +618,14 @@
 	}
 	l.log.Warn("the watch on the server list broke", zap.String("discovery", w.addr), zap.Error(err))
 	w.failed, l.watching = true, false
-	l.handle(balance.Members{Kind: balance.ListFailed})
+	if !l.pushed { // where lists are pushed it may say at its return what counts as told then; else nothing more
+		w.stop()
+	}
+	kind := balance.ListFailed
+	if w.lives { // then nothing is known of how busy discovery is
+		kind = balance.ListBroken
+	}
+	l.handle(balance.Members{Kind: kind})
 }
 
 // rediscover follows the list of another discovery, at once: the decisions' own retry may be seconds away.
--- a/node/moments_test.go
+++ b/node/moments_test.go
@@ -516,7 +516,7 @@
 	list.answers = 1
 	cfg := config(t, list, h, next)
 	noProbes(&cfg)
-	cfg.Times.Watch = 50
+	cfg.Times.Watch, cfg.Settings.Membership = 50, "pushed" // what its agent is to say counts as told
 	n := run(t, cfg, list)
 	n.until("further calls", func() bool { return n.counter("list_calls") >= 3 })
 	list.change(2, false, h.entryJSON("draining"))
@@ -528,7 +528,7 @@
 	list := newLister(t, 0)
 	list.answers = 2
 	cfg := config(t, list)
-	cfg.Times.Watch = 60_000
+	cfg.Times.Watch, cfg.Settings.Membership = 60_000, "pushed"
 	n := run(t, cfg, list)
 	watches := func() (heard, before *watch) {
 		all := make(chan *watch, 2)
@@ -551,6 +551,43 @@
 	}
 }
 
+// A watch that has told something breaks, or falls silent: all that is to be told counts as told soon, so it is asked for anew at
+// once however many nodes there are. A call that fails is spread.
+func TestABrokenWatchIsOpenedAtOnceAndAFailedCallIsNot(t *testing.T) {
+	for name, broken := range map[string]func(n *running){
+		"reset":  func(n *running) { n.list.cut() },
+		"silent": func(n *running) { n.loop.tell(func() { n.loop.unheard(n.loop.heard, errSilent) }) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			n := start(t, func(c *Config) { c.Settings.Balancers, c.Settings.Index = 10_000, 0 })
+			n.loop.tell(n.loop.subscribe) // else that, too, takes its time
+			n.until("the first watch", func() bool { return n.counter("list_calls") == 1 })
+			n.list.change(2, false)
+			n.until("it to live", func() bool { return n.counter("list_changes") == 1 })
+			n.list.mu.Lock()
+			n.list.fails = 1000
+			n.list.mu.Unlock()
+			begun := time.Now()
+			broken(n)
+			n.until("another", func() bool { return n.counter("list_calls") == 2 })
+			if took := time.Since(begun); took > patience/2 {
+				t.Errorf("asked after %v", took)
+			}
+			n.until("its failure, and the pause after it", func() bool {
+				next := make(chan time.Duration)
+				n.loop.tell(func() {
+					if len(n.loop.timers) == 0 {
+						next <- 0
+						return
+					}
+					next <- n.loop.timers[0].at - n.loop.now()
+				})
+				return <-next > time.Minute
+			})
+		})
+	}
+}
+
 // The newer of two watches was asked before the older one told of a drain, and its answer comes after that.
 func TestAnOlderWatchsWordIsNotUndone(t *testing.T) {
 	h := newHost(t, "s-1")
--- a/node/standins_test.go
+++ b/node/standins_test.go
@@ -155,6 +155,7 @@
 	answers int // calls that are answered; 0 for all
 	calls   int
 	after   string // what the last call named as the version held
+	cut     func() // breaks all watches
 }
 
 func (d *lister) since() string {
@@ -194,6 +195,7 @@
 		}
 	}))
 	t.Cleanup(s.CloseClientConnections)
+	d.cut = s.CloseClientConnections
 	d.addr = strings.TrimPrefix(s.URL, "http://")
 	return d
 }
