--- a/node/moments_test.go
+++ b/node/moments_test.go
@@ -590,13 +590,13 @@
 	n.pause("another call", time.Minute)
 }
 
-// pause waits until the loop's next timer is further away than that.
+// pause waits until the loop has heard that its last watch is over, and its next timer is further away than that.
 func (r *running) pause(before string, least time.Duration) {
 	r.t.Helper()
 	r.until("a pause before "+before, func() bool {
 		next := make(chan time.Duration)
 		r.loop.tell(func() {
-			if len(r.loop.timers) == 0 {
+			if len(r.loop.timers) == 0 || !r.loop.heard.failed {
 				next <- 0
 				return
 			}
