A request whose time is over blames no server; a server that does not read holds up no UP

Cause, read: a request that waited past its time was still tried, its connection ended at once by its own time, and that counted as a server that cannot be reached. And lines written ahead went to the server before the loop heard that the connection stands, without a time limit. The stand-in of discovery ends with its test, and stacks are read whole: run 200 times, a test of requests before the queue missed its goroutine among those left by others.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -63,7 +63,7 @@
 	}
 	ctx, cancel := context.WithDeadline(context.Background(), until)
 	begun := time.Now()
-	if !x.Attempting(a, cancel) {
+	if !until.After(begun) || !x.Attempting(a, cancel) { // else a server would be blamed for a time that was over
 		cancel()
 		go c.sink.Closed(x, a, balance.Moot, 0, nil)
 		return
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -316,9 +316,12 @@
 		x.listen()
 	}
 	x.mu.Unlock()
+	server.SetWriteDeadline(time.Now().Add(x.limits.Linger)) // a server that does not read must not hold its own words up
+	defer server.SetWriteDeadline(time.Time{})
 	for _, line := range ahead {
 		if _, err := server.Write(line); err != nil {
-			return // the server side sees the break
+			server.Reset() // part of a line may be out
+			return
 		}
 		x.toServer.Add(1)
 	}
@@ -398,9 +401,9 @@
 		x.client.SetWriteDeadline(time.Time{})
 	}
 	x.mu.Unlock()
+	x.sink.Accepted(x, x.attempt, x.stood.Sub(x.sent))
 	x.passAhead(server)
 	close(x.up)
-	x.sink.Accepted(x, x.attempt, x.stood.Sub(x.sent))
 	if err == nil {
 		x.toClient.Add(1)
 	} else { // part of the line may be out: nothing more can follow it
--- a/lab/fleet/fleet.go
+++ b/lab/fleet/fleet.go
@@ -679,7 +679,13 @@
 	}
 }
 
-// noList tells a node that its call failed or its watch ended.
+// cutOff tells a node that its watch has ended.
+func (n *node) cutOff() {
+	n.w.count("list watches ended")
+	n.tell(balance.Members{Kind: balance.ListBroken})
+}
+
+// noList tells a node that its call failed.
 func (n *node) noList() {
 	n.w.count("list calls failed")
 	n.tell(balance.Members{Kind: balance.ListFailed})
--- a/lab/fleet/trouble.go
+++ b/lab/fleet/trouble.go
@@ -23,7 +23,7 @@
 		for _, n := range w.nodes {
 			if n.alive && n.watching {
 				n.watching = false
-				n.later(netDelay, n.noList)
+				n.later(netDelay, n.cutOff)
 			}
 		}
 	case "kill_nodes":
--- a/node/moments_test.go
+++ b/node/moments_test.go
@@ -280,8 +280,7 @@
 			client.say(text)
 			client.Close()
 			n.until("its end to be seen", func() bool {
-				all := make([]byte, 1<<20)
-				return strings.Contains(string(all[:runtime.Stack(all, true)]), "exchange.(*Exchange).clientEnds")
+				return strings.Contains(stacks(), "exchange.(*Exchange).clientEnds")
 			})
 			close(hold)
 			n.until("its leaving", func() bool { return n.counter("left") == 1 })
@@ -374,6 +373,16 @@
 	return hold
 }
 
+// stacks is what all goroutines are at, whole.
+func stacks() string {
+	for size := 1 << 20; ; size *= 2 {
+		all := make([]byte, size)
+		if n := runtime.Stack(all, true); n < size {
+			return string(all[:n])
+		}
+	}
+}
+
 // A client that writes ahead and stays gets what it asked for, in order.
 func TestWhatAClientWritesAheadWaitsForItsServer(t *testing.T) {
 	h := newHost(t, "s-1")
@@ -475,6 +484,25 @@
 	}
 }
 
+// A request's time is over when it is decided on: it is answered, and no server is blamed for that.
+func TestARequestWhoseTimeIsOverIsNotTried(t *testing.T) {
+	h := newHost(t, "s-1")
+	n := start(t, noProbes, h)
+	hold := n.holdLoop()
+	client := n.dial()
+	client.say("OPEN id k c=pay,d=20\r\n")
+	n.until("the request", func() bool { return len(n.loop.events) == 1 })
+	time.Sleep(25 * time.Millisecond)
+	close(hold)
+	if line := client.line(); !strings.HasPrefix(line, "BUSY") { // it has not run
+		t.Errorf("got %q", line)
+	}
+	if n.counter("attempts") != 0 || len(h.first) > 0 {
+		t.Error("it was tried")
+	}
+	n.stand(h)
+}
+
 // The old discovery's word of a drain was written before the reload, and is read after it.
 func TestADrainThatWasToldBeforeAReloadHolds(t *testing.T) {
 	h, next := newHost(t, "s-1"), newHost(t, "s-2")
--- a/node/standins_test.go
+++ b/node/standins_test.go
@@ -194,7 +194,10 @@
 			}
 		}
 	}))
-	t.Cleanup(s.CloseClientConnections)
+	t.Cleanup(func() { // its goroutine, too, ends with the test
+		s.CloseClientConnections()
+		s.Close()
+	})
 	d.cut = s.CloseClientConnections
 	d.addr = strings.TrimPrefix(s.URL, "http://")
 	return d
