--- a/node/moments_test.go
+++ b/node/moments_test.go
@@ -196,6 +196,29 @@
 	}
 }
 
+// A connection that stood before is nothing new to a server that drains, but one that is gone gets no more.
+func TestAConnectionThatStoodBeforeGoesToWhoeverHasItsServersName(t *testing.T) {
+	g, h, again := newGate(), newEar(t, "s-1"), newHost(t, "s-1")
+	n := start(t, func(c *Config) { noProbes(c); c.connect = g.connect }, h.host)
+	client := n.dial()
+	client.say("OPEN id k c=chat,d=20000,at=s-1\r\n")
+	g.held(t)
+	n.list.change(2, false, h.entryJSON("removed"))
+	n.until("the news", func() bool { return n.address(h.host) == "" })
+	g.pass <- struct{}{}
+	h.nothing(t)
+	n.list.change(3, false, again.entryJSON("up"))
+	if addr := g.held(t); addr != again.addr {
+		t.Errorf("it goes to %s", addr)
+	}
+	n.list.change(4, false, again.entryJSON("draining"))
+	n.until("the drain", func() bool { return n.drains(again) })
+	g.pass <- struct{}{}
+	server, _ := again.next(t)
+	server.say("UP r\r\n")
+	client.hear("UP r\r\n")
+}
+
 // What has begun to be sent goes on: the server may have run it.
 func TestAnAttemptThatWasSentIsNotTakenBackByTheList(t *testing.T) {
 	h, other := newHost(t, "s-1"), newHost(t, "s-2")
