The tests of narrow moments share one listener and one way of leaving; a probe's answer is awaited in the log

The test of a client that leaves while its server is asked looked at an empty queue, which is empty before the answer comes, too.

--- a/node/moments_test.go
+++ b/node/moments_test.go
@@ -54,31 +54,17 @@
 }
 
 func newEar(t *testing.T, id string) *ear {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	e := &ear{host: &host{id: id, addr: l.Addr().String()}, got: make(chan string, 100)}
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				w := newWire(t, c)
-				if e.breaks.Load() {
-					line, _ := w.in.ReadString('\n')
-					w.reset()
-					e.got <- line
-					return
-				}
-				all, _ := io.ReadAll(w)
-				e.got <- string(all)
-			}()
+	e := &ear{host: &host{id: id}, got: make(chan string, 100)}
+	e.addr = listen(t, func(w *wire) {
+		if e.breaks.Load() {
+			line, _ := w.in.ReadString('\n')
+			w.reset()
+			e.got <- line
+			return
 		}
-	}()
+		all, _ := io.ReadAll(w)
+		e.got <- string(all)
+	})
 	return e
 }
 
@@ -312,24 +298,14 @@
 			}
 		})
 		t.Run("while its server is asked"+also, func(t *testing.T) {
-			l, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer l.Close()
-			n := start(t, func(c *Config) { c.Times.Probe = 60_000 }, &host{id: "s-1", addr: l.Addr().String()})
+			probes := make(chan *wire, 10)
+			n := start(t, func(c *Config) { c.Times.Probe = 60_000 }, &host{id: "s-1", addr: listen(t, func(w *wire) { probes <- w })})
 			client := n.open("k", "")
-			c, err := l.Accept()
-			if err != nil {
-				t.Fatal(err)
-			}
-			probe := newWire(t, c)
+			probe := <-probes
 			probe.hear("STATS\r\n")
-			client.say(text)
-			client.Close()
-			n.until("its leaving", func() bool { return n.counter("left") == 1 })
+			n.leave(client, text)
 			probe.say("PONG x0=0.1\r\n")
-			n.until("the answer", func() bool { return len(n.loop.events) == 0 })
+			n.until("the answer", func() bool { return n.logs.FilterMessage("probed").Len() == 1 })
 			if held := n.held(); held != 0 || n.counter("attempts") != 0 {
 				t.Error("it is held, or was tried")
 			}
@@ -341,9 +317,7 @@
 			s, _ := h.next(t)
 			s.say("BUSY\r\n")
 			n.until("the pause", func() bool { return n.counter("attempts_full") == 1 })
-			client.say(text)
-			client.Close()
-			n.until("its leaving", func() bool { return n.counter("left") == 1 })
+			n.leave(client, text)
 			n.list.change(2, false, h.entryJSON("removed"))
 			again := make(chan int)
 			time.AfterFunc(returnPause, func() { n.loop.tell(func() { again <- len(n.loop.returns) }) }) // begun after the pause
@@ -359,9 +333,7 @@
 			n := start(t, nil)
 			client := n.open("k", ",at=s-1")
 			n.until("it to wait", func() bool { return n.counter("standing_before") == 1 })
-			client.say(text)
-			client.Close()
-			n.until("its leaving", func() bool { return n.counter("left") == 1 })
+			n.leave(client, text)
 			n.list.change(2, false, h.entryJSON("up"))
 			n.until("the news", func() bool { return n.address(h) != "" })
 			if n.counter("attempts") != 0 || n.held() != 0 {
@@ -384,6 +356,14 @@
 	}
 }
 
+// leave has a client write and close, and waits until the loop has heard of it.
+func (r *running) leave(client *wire, ahead string) {
+	r.t.Helper()
+	client.say(ahead)
+	client.Close()
+	r.until("its leaving", func() bool { return r.counter("left") == 1 })
+}
+
 // holdLoop keeps the loop from what comes next, until the channel is closed.
 func (r *running) holdLoop() (hold chan struct{}) {
 	hold = make(chan struct{})
--- a/node/standins_test.go
+++ b/node/standins_test.go
@@ -92,22 +92,29 @@
 }
 
 func newHost(t *testing.T, id string) *host {
+	h := &host{id: id, conns: make(chan *wire, 100), first: make(chan string, 100), load: "0.1"}
+	h.addr = listen(t, h.serve)
+	return h
+}
+
+// listen serves each connection to an address.
+func listen(t *testing.T, serve func(*wire)) (addr string) {
+	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { l.Close() })
-	h := &host{id: id, addr: l.Addr().String(), conns: make(chan *wire, 100), first: make(chan string, 100), load: "0.1"}
 	go func() {
 		for {
 			c, err := l.Accept()
 			if err != nil {
 				return
 			}
-			go h.serve(newWire(t, c))
+			go serve(newWire(t, c))
 		}
 	}()
-	return h
+	return l.Addr().String()
 }
 
 func (h *host) serve(w *wire) {
