A next process that hangs holds up no answer of the one that ends, and is offered no more

Cause, read: Run gave connections to the next process in its own loop, and waited there for its answers, 2 s for each 64. A next process that hangs so held up everything else that is due at a stop: who still waited was cut off unanswered, clients were not moved, and the process went on past its time, into the platform's kill. And after each 2 s it was offered the next 64, which were lost, too. Now the giving runs beside the loop; a process that has not answered one in 2 s, or takes no message in 1 s, is offered nothing more, and the others are moved. What had been offered stays its own, as two readers of one connection would be worse than none. Tests, each seen to fail with its change taken out: a waiting request is answered and the process ends in its time; 67 connections, of which a hanging process is offered 64 and three hear MOVE. A stop time under 0.2 s gives its last words half of itself.

--- a/node/handover.go
+++ b/node/handover.go
@@ -297,13 +297,9 @@
 	}
 }
 
-// give hands the connections that stand to the next process; false where there is none. What another process has
+// give hands the connections that stand to the next process. What another process has
 // taken is no more this one's; of what it does not answer for, it may have.
-func (n *Node) give(until time.Time) bool {
-	h := n.other.heir.Load()
-	if h == nil {
-		return false
-	}
+func (n *Node) give(h *heir, until time.Time) {
 	var all sync.WaitGroup
 	room := make(chan struct{}, handAtOnce)
 	for _, x := range n.loop.standing() {
@@ -316,7 +312,6 @@
 		})
 	}
 	all.Wait()
-	return true
 }
 
 func (h *heir) give(s *exchange.Standing, client, server *net.TCPConn) bool {
@@ -326,6 +321,8 @@
 		h.link.Send(upgrade.Message{Kind: upgrade.Connection, Standing: s}, tellWithin, client, server) == nil
 	if sent {
 		h.asked = append(h.asked, answer)
+	} else {
+		h.gone = true // it takes nothing any more: the others need not wait for it one by one
 	}
 	h.mu.Unlock()
 	if !sent {
@@ -335,6 +332,9 @@
 	case taken := <-answer:
 		return taken
 	case <-time.After(2 * tellWithin):
+		h.mu.Lock()
+		h.gone = true // guards against a next process that hangs, and is offered all the others, too
+		h.mu.Unlock()
 		return true // two readers of one connection would be worse than none
 	}
 }
--- a/node/handover_test.go
+++ b/node/handover_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"os"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -152,6 +153,62 @@
 	n.wait()
 }
 
+// The next process hangs with a connection in its hands: who waits for an answer here has it in time all the same, and the process
+// ends in its time.
+func TestANextProcessThatHangsHoldsUpNoAnswer(t *testing.T) {
+	h := newHost(t, "s-1")
+	change, path := inherited(t)
+	n := start(t, func(c *Config) { change(c); noProbes(c); c.Times.Stop, c.Times.Linger = 600, 200 }, h)
+	n.stand(h)
+	waits := n.dial()
+	waits.say("OPEN id w c=pay,d=60000\r\n")
+	h.next(t) // and is not answered
+	link := another(t, path)
+	serves(t, link)
+	begun := time.Now()
+	n.stop()
+	receive(t, link) // a connection, for which it does not answer
+	if line := waits.line(); !strings.HasPrefix(line, "ERR") {
+		t.Errorf("got %q", line)
+	}
+	n.wait()
+	if took := time.Since(begun); took >= 2*tellWithin { // what the next process has to answer
+		t.Errorf("ended after %v", took)
+	}
+}
+
+// It is offered no more than it had been when it began to hang; the others are moved.
+func TestANextProcessThatHangsIsOfferedNoMore(t *testing.T) {
+	h := newHost(t, "s-1")
+	change, path := inherited(t)
+	n := start(t, func(c *Config) { change(c); noProbes(c); c.Times.Stop, c.Times.Linger = 2800, 300 }, h)
+	const more = 3
+	moved := make(chan bool, handAtOnce+more)
+	for range handAtOnce + more {
+		client, _ := n.stand(h)
+		go func() {
+			line, _ := client.in.ReadString('\n')
+			moved <- line == "MOVE\r\n"
+			client.Close()
+		}()
+	}
+	link := another(t, path)
+	serves(t, link)
+	n.stop()
+	for range handAtOnce {
+		receive(t, link)
+	}
+	for range more {
+		if !<-moved {
+			t.Error("a connection that was not offered has ended without MOVE")
+		}
+	}
+	n.wait()
+	if m, _, err := link.Receive(time.Now().Add(patience)); err == nil {
+		t.Errorf("it was offered %v", m.Kind)
+	}
+}
+
 // A hand-over that is damaged is counted, told in one line, and changes nothing.
 func TestADamagedHandOverChangesNothing(t *testing.T) {
 	h := newHost(t, "s-1")
--- a/node/node.go
+++ b/node/node.go
@@ -11,6 +11,7 @@
 	"runtime"
 	"runtime/debug"
 	"slices"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -194,7 +195,7 @@
 	n.log.Info("stopping")
 	n.loop.tell(n.loop.leave)
 	t := n.cfg.Times
-	words, end := time.After(ms(t.Stop)-lastWords), time.After(ms(t.Stop))
+	words, end := time.After(ms(t.Stop)-min(lastWords, ms(t.Stop)/2)), time.After(ms(t.Stop))
 	last := time.Now().Add(ms(t.Stop - t.Linger)) // a client may take that long to go
 	own := n.cfg.ListenFD == 0
 	if own {
@@ -215,9 +216,15 @@
 	again := time.NewTicker(leaveEvery)
 	defer again.Stop()
 	others := !n.alone() || !own // who take those that are moved
+	var giving atomic.Bool
 	for going := true; going; {
-		late := time.Now().After(last)
-		if given := !late && n.give(last); late || others && !given {
+		late, heir := time.Now().After(last), n.other.heir.Load()
+		if heir != nil && !late && giving.CompareAndSwap(false, true) {
+			go func() { // guards against a next process that hangs: what is due here must not wait for its answers
+				n.give(heir, last)
+				giving.Store(false)
+			}()
+		} else if late || others && heir == nil {
 			n.loop.tell(func() { n.loop.handle(balance.Leaving{}) })
 		}
 		select {
