A spoilt BUSY is no refusal, and an endless load no report

Cause, read: BUSY was known by its first word alone, so a line that lost its CRLF or gained control characters counted as the server's word that a request has not run, after which an unsafe one is sent again; and x0=inf was read as a load, for which a server counts as full. Both are held to what UP is held to, or left out.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"math"
 	"net"
 	"os"
 	"strconv"
@@ -119,7 +120,7 @@
 			return balance.TimedOut, nil, false
 		}
 		return balance.Cancelled, nil, false
-	case word == "BUSY":
+	case word == "BUSY" && sound(line):
 		outcome = balance.Full
 	default:
 		outcome = balance.Error
@@ -138,11 +139,17 @@
 	return balance.ConnectFailed
 }
 
-// receipt tells whether a line is UP with its receipt, whole: what is less is no answer that a server has made.
-func receipt(line []byte) bool {
+// sound tells whether a line is whole and text. Guards against a spoilt answer that would be taken for the server's word that
+// a request has run, or has not.
+func sound(line []byte) bool {
 	text, whole := lines.Text(line)
-	parts := bytes.Split(text, []byte(" "))
-	return whole && len(parts) == 2 && len(parts[1]) > 0 && utf8.Valid(text) && !bytes.ContainsFunc(text, unicode.IsControl)
+	return whole && utf8.Valid(text) && !bytes.ContainsFunc(text, unicode.IsControl)
+}
+
+// receipt tells whether an UP has its receipt: what is less is no answer that a server has made.
+func receipt(line []byte) bool {
+	parts := bytes.Split(bytes.TrimRight(line, "\r\n"), []byte(" "))
+	return sound(line) && len(parts) == 2 && len(parts[1]) > 0
 }
 
 func (c *Client) dial(ctx context.Context, addr string) (*lines.Conn, error) {
@@ -164,7 +171,7 @@
 	for pair := range bytes.SplitSeq(text[i+1:], []byte(",")) {
 		name, value, _ := bytes.Cut(pair, []byte("="))
 		if string(name) == c.cfg.LoadField {
-			if load, err := strconv.ParseFloat(string(value), 64); err == nil && load >= 0 {
+			if load, err := strconv.ParseFloat(string(value), 64); err == nil && load >= 0 && !math.IsInf(load, 0) {
 				r.Load = load
 			}
 		}
--- a/internal/backend/probe_test.go
+++ b/internal/backend/probe_test.go
@@ -123,6 +123,8 @@
 		"no load in it":     {"PONG eps=1\r\n", balance.OK, -1},
 		"no number":         {"PONG x0=much\r\n", balance.OK, -1},
 		"a negative number": {"PONG x0=-1\r\n", balance.OK, -1},
+		"no end of it":      {"PONG x0=inf\r\n", balance.OK, -1},
+		"none at all":       {"PONG x0=nan\r\n", balance.OK, -1},
 		"no answer":         {"", balance.TimedOut, -1},
 	} {
 		t.Run(name, func(t *testing.T) {
