The test of outcomes measures how late the machine is, and allows the node that and no more

Checked: 20 such nodes run side by side in that test on 8 cores, and a goroutine that only sleeps is as late. The bound stays 50 ms on a machine that is not late; beyond it four times the lateness that such a goroutine measures beside the test, one for each turn between the end of the time and the answer. The test is as strict as before wherever it gave a verdict on the node.

--- a/node/node_test.go
+++ b/node/node_test.go
@@ -313,6 +313,7 @@
 			one, two := newHost(t, "s-1"), newHost(t, "s-2")
 			n := start(t, nil, one, two)
 			client := n.dial()
+			late := lateness(t)
 			begun := time.Now()
 			client.say("OPEN id k c=" + c.class + ",d=600\r\n")
 			var first, second *host
@@ -335,8 +336,9 @@
 			if line := client.line(); !strings.HasPrefix(line, c.want) {
 				t.Errorf("got %q, want %q", line, c.want)
 			}
-			if took := time.Since(begun); took > 650*time.Millisecond {
-				t.Errorf("answered after %v", took)
+			// Four goroutines take their turn between the end of the time and the answer.
+			if took, late := time.Since(begun), late(); took > 650*time.Millisecond+4*late {
+				t.Errorf("answered after %v, on a machine that is up to %v late", took, late)
 			}
 			if len(first.conns) > 0 {
 				t.Error("the same server was tried twice")
--- a/node/standins_test.go
+++ b/node/standins_test.go
@@ -12,6 +12,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -214,6 +215,25 @@
 	d.lines <- fmt.Sprintf(`{"version":%d,"full":%v,"servers":[%s]}`, version, full, strings.Join(entries, ","))
 }
 
+// lateness measures by how much a goroutine that does nothing else is late on this machine, at most, until it is asked.
+func lateness(t *testing.T) (most func() time.Duration) {
+	var late atomic.Int64
+	stop := make(chan struct{})
+	t.Cleanup(func() { close(stop) })
+	go func() {
+		const nap = time.Millisecond
+		for begun := time.Now(); ; begun = time.Now() {
+			select {
+			case <-stop:
+				return
+			case <-time.After(nap):
+				late.Store(max(late.Load(), int64(time.Since(begun)-nap)))
+			}
+		}
+	}()
+	return func() time.Duration { return time.Duration(late.Load()) }
+}
+
 // running is a node under test.
 type running struct {
 	*Node
