Read again: one check of a sound line, one way to fail, one bound for an attempt, one buffer for lines ahead

The check for whole, printable text stood in ParseHead and anew in backend; it is lines.Sound now. The final answer that promises nothing was written out in four places of the loop (fail). An attempt's time was joined by hand from two sources (Attempt.Bind). What a client writes ahead was a slice of copies with a length beside it, and is one buffer, written at once. Answer tells by itself whether it was the first. The bound on what is read of an answered client stood in frontend and exchange. Run asked twice in a row whether the listener is its own.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -12,8 +12,6 @@
 	"sync"
 	"sync/atomic"
 	"time"
-	"unicode"
-	"unicode/utf8"
 
 	"brassmux/balance"
 	"brassmux/internal/exchange"
@@ -110,8 +108,11 @@
 		}
 		return balance.Reset, nil, false
 	}
-	switch word := string(lines.Word(line)); {
-	case word == "UP" && receipt(line):
+	// Guards against a spoilt answer that would be taken for the server's word that a request has run, or has not.
+	text, sound := lines.Sound(line)
+	receipt, up := bytes.CutPrefix(text, []byte("UP "))
+	switch {
+	case sound && up && len(receipt) > 0 && !bytes.Contains(receipt, []byte(" ")):
 		if stop() && x.Stand(conn, line, c.Report) {
 			return balance.OK, nil, true
 		}
@@ -120,7 +121,7 @@
 			return balance.TimedOut, nil, false
 		}
 		return balance.Cancelled, nil, false
-	case word == "BUSY" && sound(line):
+	case sound && string(lines.Word(line)) == "BUSY":
 		outcome = balance.Full
 	default:
 		outcome = balance.Error
@@ -139,19 +140,6 @@
 	return balance.ConnectFailed
 }
 
-// sound tells whether a line is whole and text. Guards against a spoilt answer that would be taken for the server's word that
-// a request has run, or has not.
-func sound(line []byte) bool {
-	text, whole := lines.Text(line)
-	return whole && utf8.Valid(text) && !bytes.ContainsFunc(text, unicode.IsControl)
-}
-
-// receipt tells whether an UP has its receipt: what is less is no answer that a server has made.
-func receipt(line []byte) bool {
-	parts := bytes.Split(bytes.TrimRight(line, "\r\n"), []byte(" "))
-	return sound(line) && len(parts) == 2 && len(parts[1]) > 0
-}
-
 func (c *Client) dial(ctx context.Context, addr string) (*lines.Conn, error) {
 	conn, err := c.cfg.Connect(ctx, addr)
 	if err != nil {
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -4,6 +4,7 @@
 package exchange
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"os"
@@ -39,6 +40,13 @@
 	By     time.Time // it must be on its way by then, or not at all; the zero time where that does not matter
 }
 
+// Bind has the attempt be on its way by then, if it is not bound to be so earlier.
+func (a *Attempt) Bind(by time.Time) {
+	if a.By.IsZero() || by.Before(a.By) {
+		a.By = by
+	}
+}
+
 // Reason tells why a connection ended; it is the code in its log line.
 type Reason string
 
@@ -85,11 +93,11 @@
 	sending                 // it may run
 )
 
-// aheadMost bounds what a client writes before it is answered, as it is to wait for that; drainMost what is read of one that
+// aheadMost bounds what a client writes before it is answered, as it is to wait for that; DrainMost what is read of one that
 // has its answer, so that its close takes nothing back.
 const (
 	aheadMost = 4 * lines.Max
-	drainMost = 64 << 10
+	DrainMost = 64 << 10
 )
 
 // messagesMost bounds the messages whose time is taken on one connection.
@@ -113,10 +121,9 @@
 
 	mu       sync.Mutex
 	phase    phase
-	stage    stage    // of the attempt that is out, while the phase is waiting
-	cancel   func()   // calls it off
-	ahead    [][]byte // lines that the client wrote before it was answered
-	aheadLen int
+	stage    stage  // of the attempt that is out, while the phase is waiting
+	cancel   func() // calls it off
+	ahead    []byte // lines that the client wrote before it was answered
 	server   *lines.Conn
 	attempt  Attempt   // the last one
 	sent     time.Time // when it was
@@ -151,11 +158,9 @@
 	return x.cancel, true
 }
 
-// Answer gives the final answer that is not a server's. The caller does not wait for the client.
-func (x *Exchange) Answer(why Reason, line string) { x.answer(why, line) }
-
-// answer is Answer, and tells whether no other was given.
-func (x *Exchange) answer(why Reason, line string) bool {
+// Answer gives the final answer that is not a server's, and tells whether no other was given. The caller does not wait for
+// the client.
+func (x *Exchange) Answer(why Reason, line string) bool {
 	cancel, first := x.settle(why)
 	if first {
 		if why == Refused {
@@ -248,7 +253,7 @@
 		if errors.Is(err, lines.ErrTooLong) && x.tooMuch() {
 			line, err = x.client.Rest(), nil
 		}
-		if err != nil || drained > drainMost {
+		if err != nil || drained > DrainMost {
 			x.clientEnds(err)
 			return
 		}
@@ -281,9 +286,9 @@
 // against a request that is sent on for nobody.
 func (x *Exchange) keep(line []byte) bool {
 	x.mu.Lock()
-	waits, room := x.phase == waiting, x.aheadLen+len(line) <= aheadMost
+	waits, room := x.phase == waiting, len(x.ahead)+len(line) <= aheadMost
 	if waits && room {
-		x.ahead, x.aheadLen = append(x.ahead, slices.Clone(line)), x.aheadLen+len(line)
+		x.ahead = append(x.ahead, line...)
 	}
 	x.mu.Unlock()
 	if waits && !room {
@@ -295,7 +300,7 @@
 // tooMuch answers a client that has written more ahead than is kept, and waits: it is there, and hears so. It tells whether
 // the client has an answer that is not a server's.
 func (x *Exchange) tooMuch() bool {
-	if x.answer(WroteAhead, "ERR too much before the answer") {
+	if x.Answer(WroteAhead, "ERR too much before the answer") {
 		x.sink.Left(x)
 	}
 	<-x.up
@@ -309,22 +314,23 @@
 	x.mu.Lock()
 	ahead := x.ahead
 	x.ahead = nil
-	for range ahead[:min(len(ahead), messagesMost)] {
-		x.out = append(x.out, time.Now())
+	if len(ahead) == 0 {
+		x.mu.Unlock()
+		return
 	}
-	if len(x.out) > 0 && !x.moving && x.handing == nil {
+	count := bytes.Count(ahead, []byte("\n"))
+	x.out = slices.Repeat([]time.Time{time.Now()}, min(count, messagesMost))
+	if !x.moving && x.handing == nil {
 		x.listen()
 	}
 	x.mu.Unlock()
 	server.SetWriteDeadline(time.Now().Add(x.limits.Linger)) // a server that does not read must not hold its own words up
 	defer server.SetWriteDeadline(time.Time{})
-	for _, line := range ahead {
-		if _, err := server.Write(line); err != nil {
-			server.Reset() // part of a line may be out
-			return
-		}
-		x.toServer.Add(1)
+	if _, err := server.Write(ahead); err != nil {
+		server.Reset() // part of a line may be out
+		return
 	}
+	x.toServer.Add(int64(count))
 }
 
 // free tells that the connection is up and nothing ends it. x.mu is held.
--- a/internal/exchange/head.go
+++ b/internal/exchange/head.go
@@ -7,8 +7,6 @@
 	"net"
 	"strconv"
 	"time"
-	"unicode"
-	"unicode/utf8"
 
 	"brassmux/internal/lines"
 )
@@ -36,10 +34,10 @@
 // ParseHead reads a line with its end. The head keeps the line. It is strict, since a server is sent only what it
 // can read: one that is not is answered with an error, or a close, that looks like the server's own failure.
 func ParseHead(line []byte) (*Head, error) {
-	text, ok := lines.Text(line)
+	text, ok := lines.Sound(line)
 	if string(lines.Word(line)) != "OPEN" {
 		return nil, ErrUnknown
-	} else if !ok || !utf8.Valid(text) || bytes.ContainsFunc(text, unicode.IsControl) {
+	} else if !ok {
 		return nil, ErrMalformed
 	}
 	parts := bytes.Split(text, []byte(" "))
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -66,9 +66,6 @@
 // follows its connection at once.
 const hurried = 50 * time.Millisecond
 
-// drainMost bounds what is read off a client that is turned away: more than it sends before it hears so.
-const drainMost = 64 << 10
-
 // acceptPause is how long accepting rests when it fails, as when descriptors run out.
 const acceptPause = 10 * time.Millisecond
 
@@ -315,5 +312,5 @@
 		c.SetReadDeadline(time.Now().Add(s.cfg.Exchange.Linger))
 	}
 	s.mu.Unlock()
-	io.Copy(io.Discard, io.LimitReader(c.TCPConn, drainMost))
+	io.Copy(io.Discard, io.LimitReader(c.TCPConn, exchange.DrainMost))
 }
--- a/internal/lines/lines.go
+++ b/internal/lines/lines.go
@@ -9,6 +9,8 @@
 	"net/textproto"
 	"syscall"
 	"time"
+	"unicode"
+	"unicode/utf8"
 )
 
 // Max is the longest line, with its end.
@@ -106,6 +108,12 @@
 // Text is a line without its end; ok is false where that is not CRLF.
 func Text(line []byte) (text []byte, ok bool) { return bytes.CutSuffix(line, []byte("\r\n")) }
 
+// Sound is Text, and tells whether the line is whole and has neither control characters nor what is no text.
+func Sound(line []byte) (text []byte, ok bool) {
+	text, ok = Text(line)
+	return text, ok && utf8.Valid(text) && !bytes.ContainsFunc(text, unicode.IsControl)
+}
+
 // Word is the first word of a line.
 func Word(line []byte) []byte {
 	text := bytes.TrimRight(line, "\r\n")
--- a/node/loop.go
+++ b/node/loop.go
@@ -211,7 +211,7 @@
 			}
 			decided := time.Now()
 			if a.Within > 0 {
-				attempt.By = decided.Add(a.Within)
+				attempt.Bind(decided.Add(a.Within))
 			}
 			l.afford(sendBudget, uint64(a.Server), answerWait, func(ok bool) {
 				if !ok {
@@ -221,14 +221,10 @@
 					end(balance.Unsent)
 					return
 				}
-				by := attempt.By
 				if s := l.leases; s != nil && (attempt.Number > 0 && s.on[retryBudget] || s.cold(a.Server)) {
-					attempt.By = decided.Add(s.within)
+					attempt.Bind(decided.Add(s.within))
 				} else if s != nil && s.on[sendBudget] {
-					attempt.By = time.Now().Add(s.within)
-				}
-				if !by.IsZero() && by.Before(attempt.By) {
-					attempt.By = by
+					attempt.Bind(time.Now().Add(s.within))
 				}
 				l.back.Attempt(x, attempt, a.Timeout)
 			})
@@ -236,9 +232,8 @@
 	case balance.Refuse:
 		l.refuse(a.ID, a.RetryIn)
 	case balance.Fail:
-		if x := l.forget(a.ID); x != nil {
-			l.count.failed.Add(1)
-			x.Answer(exchange.Failed, "ERR not served")
+		if x := l.open[a.ID]; x != nil {
+			l.fail(x, "not served")
 		}
 	case balance.Move:
 		x := l.open[a.ID]
@@ -280,6 +275,13 @@
 	}
 }
 
+// fail gives the final answer that promises nothing.
+func (l *loop) fail(x *exchange.Exchange, why string) {
+	l.forget(x.ID)
+	l.count.failed.Add(1)
+	x.Answer(exchange.Failed, "ERR "+why)
+}
+
 func (l *loop) forget(id balance.RequestID) *exchange.Exchange {
 	x := l.open[id]
 	delete(l.open, id)
@@ -384,9 +386,7 @@
 }
 
 func (l *loop) giveUp(x *exchange.Exchange) {
-	l.forget(x.ID)
-	l.count.failed.Add(1)
-	x.Answer(exchange.Failed, "ERR stopping")
+	l.fail(x, "stopping")
 	l.handle(balance.Left{ID: x.ID})
 }
 
@@ -394,9 +394,7 @@
 func (l *loop) noReturn(x *exchange.Exchange) {
 	if i := slices.Index(l.returns, x); i >= 0 {
 		l.returns = slices.Delete(l.returns, i, i+1)
-		l.forget(x.ID)
-		l.count.failed.Add(1)
-		x.Answer(exchange.Failed, "ERR no such server")
+		l.fail(x, "no such server")
 	}
 }
 
@@ -452,9 +450,7 @@
 		time.AfterFunc(returnPause, func() { l.tell(func() { l.standAgain(x) }) })
 		return
 	}
-	l.forget(x.ID)
-	l.count.failed.Add(1)
-	x.Answer(exchange.Failed, "ERR not up again")
+	l.fail(x, "not up again")
 }
 
 // Message is part of exchange.Sink. While the loop has more to do, a measurement is dropped.
@@ -589,17 +585,21 @@
 func (l *loop) live(w *watch) {
 	w.lives = true
 	if w == l.heard && l.heardBefore != nil && l.heardBefore.addr == w.addr {
-		l.heardBefore.stop()
-		l.heardBefore = nil
+		l.hearOne()
 	}
 }
 
+// hearOne ends the watch before the last.
+func (l *loop) hearOne() {
+	l.heardBefore.stop()
+	l.heardBefore = nil
+}
+
 // told takes what a watch says. Guards against two watches on one discovery of which the newer was asked first and says
 // what the older has said already: that would bring back a server that drains.
 func (l *loop) told(w *watch, list *discovery.List) {
 	if w == l.heard {
-		l.heardBefore.stop()
-		l.heardBefore = nil
+		l.hearOne()
 	}
 	if w.addr != l.asked { // it may count its versions otherwise, and be old: it can only take servers away any more
 		list.Full = false
--- a/node/node.go
+++ b/node/node.go
@@ -200,8 +200,6 @@
 	own := n.cfg.ListenFD == 0
 	if own {
 		time.Sleep(ms(t.Accept)) // the front still sends clients here
-	}
-	if own {
 		n.front.HangUp(ms(t.Linger))
 		n.front.Last(n.listener)
 	} else { // those at the door have the time that every first line has
