Tests of narrow moments: cases in tables, one harness, and what proves nothing more is gone

Folded: where a request waits (one table for six places, each with and without lines ahead; all now check that nothing is held, failed or decided on), news of a server, watches that break, a next process that hangs, the watch that is silent (its words checked in order). Dropped: the table of Sending in exchange and the test of an attempt already sent (the node's tests force the same orders over real connections; the one assertion that was new moved to the test of clients that hear MOVE), the test of too much ahead (a case of the table, which now checks the place in each case).

--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -112,43 +112,36 @@
 
 // A machine that vanishes leaves the watch open and silent: keep-alive does not notice. What it says after all counts as told.
 func TestASilentWatchIsToldAndHeardOn(t *testing.T) {
-	for name, says := range map[string]bool{"an empty line, then nothing": true, "nothing at all": false} {
-		t.Run(name, func(t *testing.T) {
-			speak := make(chan bool)
-			c := serve(t, func(w http.ResponseWriter, r *http.Request) {
-				if says {
-					fmt.Fprintln(w)
-					w.(http.Flusher).Flush()
-				}
-				<-speak
-				fmt.Fprintf(w, "{\"version\":41,\"full\":true,\"servers\":[%s]}\n", entry)
+	for said, want := range map[string]string{"": "quiet, live, 41, quiet", "\n": "live, quiet, 41, quiet"} {
+		speak, heard := make(chan bool), make(chan string, 100)
+		c := serve(t, func(w http.ResponseWriter, r *http.Request) {
+			for _, text := range []string{said, fmt.Sprintf("{\"version\":41,\"full\":true,\"servers\":[%s]}\n", entry)} {
+				fmt.Fprint(w, text)
 				w.(http.Flusher).Flush()
-				<-r.Context().Done()
-			})
-			c.Silence = 20 * time.Millisecond
-			ctx, cancel := context.WithCancel(context.Background())
-			quiet, listed, ended, live := make(chan bool, 100), make(chan *List, 1), make(chan error, 1), make(chan bool, 100)
-			go func() {
-				ended <- c.Client.Watch(ctx, c.addr, 0, time.Time{},
-					Hearer{func(l *List) { listed <- l }, func() { live <- true }, func() { quiet <- true }})
-			}()
-			<-quiet
-			if (len(live) > 0) != says {
-				t.Error("a sign of life is told where none came, or not told")
-			}
-			close(speak)
-			if l := <-listed; l.Version != 41 {
-				t.Errorf("got %+v", l)
-			}
-			<-quiet // again
-			if len(live) != 1 {
-				t.Errorf("%d first signs of life", len(live))
-			}
-			cancel()
-			if err := <-ended; err != context.Canceled {
-				t.Errorf("got %v", err)
+				<-speak
 			}
+			<-r.Context().Done()
 		})
+		c.Silence = 20 * time.Millisecond
+		ctx, cancel := context.WithCancel(context.Background())
+		ended := make(chan error, 1)
+		go func() {
+			ended <- c.Client.Watch(ctx, c.addr, 0, time.Time{}, Hearer{func(l *List) { heard <- fmt.Sprint(l.Version) },
+				func() { heard <- "live" }, func() { heard <- "quiet" }})
+		}()
+		var got []string
+		for len(got) < 4 {
+			if got = append(got, <-heard); got[len(got)-1] == "quiet" && len(got) < 4 {
+				close(speak)
+			}
+		}
+		if all := strings.Join(got, ", "); all != want {
+			t.Errorf("after %q: %s", said, all)
+		}
+		cancel()
+		if err := <-ended; err != context.Canceled {
+			t.Errorf("got %v", err)
+		}
 	}
 }
 
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"io"
 	"net"
-	"strings"
 	"testing"
 	"time"
 
@@ -113,42 +112,3 @@
 		}
 	}
 }
-
-// Whether an attempt may still send is decided in one place, once.
-func TestAnAttemptMaySendUntilItIsTakenBack(t *testing.T) {
-	all, none := func(Attempt) bool { return true }, func(Attempt) bool { return false }
-	for name, c := range map[string]struct {
-		by     time.Duration
-		before func(x *Exchange)
-		may    bool
-	}{
-		"nothing has happened":      {0, func(*Exchange) {}, true},
-		"another is taken back":     {0, func(x *Exchange) { x.CallOff(none) }, true},
-		"it is taken back":          {0, func(x *Exchange) { x.CallOff(all) }, false},
-		"its client has left":       {0, func(x *Exchange) { x.settle(ClientLeft) }, false},
-		"it is answered":            {0, func(x *Exchange) { x.Answer(Refused, "BUSY") }, false},
-		"there is time":             {time.Minute, func(*Exchange) {}, true},
-		"its time is over":          {-time.Nanosecond, func(*Exchange) {}, false},
-		"it is sent":                {0, func(x *Exchange) { x.Sending() }, false},
-		"it is sent and taken back": {0, func(x *Exchange) { x.Sending(); x.CallOff(all) }, false},
-	} {
-		t.Run(name, func(t *testing.T) {
-			client, _ := pair(t)
-			x := New(&Head{Wait: time.Minute}, client, &Tally{}, deaf{}, Limits{}, zap.NewNop())
-			a, calledOff := Attempt{Server: 1}, 0
-			if c.by != 0 {
-				a.By = time.Now().Add(c.by)
-			}
-			if !x.Attempting(a, func() { calledOff++ }) {
-				t.Fatal("it may not begin")
-			}
-			c.before(x)
-			if may := x.Sending(); may != c.may {
-				t.Errorf("it may send: %v", may)
-			}
-			if strings.HasPrefix(name, "it is sent") && calledOff > 0 {
-				t.Error("what is sent was called off by the list")
-			}
-		})
-	}
-}
--- a/node/handover_test.go
+++ b/node/handover_test.go
@@ -153,21 +153,33 @@
 	n.wait()
 }
 
-// The next process hangs with a connection in its hands: who waits for an answer here has it in time all the same, and the process
-// ends in its time.
-func TestANextProcessThatHangsHoldsUpNoAnswer(t *testing.T) {
+// hanging stops a node beside a next process that serves and then answers nothing. Some connections stand.
+func hanging(t *testing.T, stop int64, stands int, before func(n *running, h *host)) (n *running, link *upgrade.Link, clients []*wire) {
 	h := newHost(t, "s-1")
 	change, path := inherited(t)
-	n := start(t, func(c *Config) { change(c); noProbes(c); c.Times.Stop, c.Times.Linger = 600, 200 }, h)
-	n.stand(h)
-	waits := n.dial()
-	waits.say("OPEN id w c=pay,d=60000\r\n")
-	h.next(t) // and is not answered
-	link := another(t, path)
+	n = start(t, func(c *Config) { change(c); noProbes(c); c.Times.Stop, c.Times.Linger = stop, 300 }, h)
+	for range stands {
+		client, _ := n.stand(h)
+		clients = append(clients, client)
+	}
+	before(n, h)
+	link = another(t, path)
 	serves(t, link)
-	begun := time.Now()
 	n.stop()
-	receive(t, link) // a connection, for which it does not answer
+	return n, link, clients
+}
+
+// The next process hangs with a connection in its hands: who waits for an answer here has it in time all the same, and the process
+// ends in its time.
+func TestANextProcessThatHangsHoldsUpNoAnswer(t *testing.T) {
+	var waits *wire
+	n, link, _ := hanging(t, 700, 1, func(n *running, h *host) {
+		waits = n.dial()
+		waits.say("OPEN id w c=pay,d=60000\r\n")
+		h.next(t) // and is not answered
+	})
+	begun := time.Now()
+	receive(t, link)
 	if line := waits.line(); !strings.HasPrefix(line, "ERR") {
 		t.Errorf("got %q", line)
 	}
@@ -179,22 +191,16 @@
 
 // It is offered no more than it had been when it began to hang; the others are moved.
 func TestANextProcessThatHangsIsOfferedNoMore(t *testing.T) {
-	h := newHost(t, "s-1")
-	change, path := inherited(t)
-	n := start(t, func(c *Config) { change(c); noProbes(c); c.Times.Stop, c.Times.Linger = 2800, 300 }, h)
 	const more = 3
-	moved := make(chan bool, handAtOnce+more)
-	for range handAtOnce + more {
-		client, _ := n.stand(h)
+	n, link, clients := hanging(t, 2800, handAtOnce+more, func(*running, *host) {})
+	moved := make(chan bool, len(clients))
+	for _, client := range clients {
 		go func() {
 			line, _ := client.in.ReadString('\n')
 			moved <- line == "MOVE\r\n"
 			client.Close()
 		}()
 	}
-	link := another(t, path)
-	serves(t, link)
-	n.stop()
 	for range handAtOnce {
 		receive(t, link)
 	}
--- a/node/moments_test.go
+++ b/node/moments_test.go
@@ -46,6 +46,20 @@
 	return addr
 }
 
+// gated starts a node whose connections to servers are held, with two servers, and sends it a first line: first is the one that it
+// goes to.
+func gated(t *testing.T, change func(*Config), line string) (n *running, g *gate, client *wire, first, other *ear) {
+	t.Helper()
+	g, first, other = newGate(), newEar(t, "s-1"), newEar(t, "s-2")
+	n = start(t, func(c *Config) { noProbes(c); c.connect = g.connect; change(c) }, first.host, other.host)
+	client = n.dial()
+	client.say(line)
+	if g.held(t) == other.addr {
+		first, other = other, first
+	}
+	return n, g, client, first, other
+}
+
 // ear is a server that counts what it is sent: got has all of each connection once that has ended.
 type ear struct {
 	*host
@@ -88,26 +102,27 @@
 // The connection for an attempt has come up and nothing is written yet.
 func TestWhatIsTakenBackBeforeItsFirstByteIsNotSent(t *testing.T) {
 	leaves := map[string]func(client *wire){
-		"the client ends":                     func(c *wire) { c.CloseWrite() },
-		"the client closes":                   func(c *wire) { c.Close() },
-		"the client breaks":                   func(c *wire) { c.reset() },
-		"the client writes ahead and ends":    func(c *wire) { c.say("a\r\nb\r\n"); c.CloseWrite() },
-		"the client writes ahead and breaks":  func(c *wire) { c.say("a\r\nb\r\n"); c.reset() },
-		"half a line ahead, and it ends":      func(c *wire) { c.say("a\r\nb"); c.CloseWrite() },
-		"much ahead, and it ends":             func(c *wire) { c.say(strings.Repeat("much ahead\r\n", 1000)); c.CloseWrite() },
+		"the client ends":                    func(c *wire) { c.CloseWrite() },
+		"the client closes":                  func(c *wire) { c.Close() },
+		"the client breaks":                  func(c *wire) { c.reset() },
+		"the client writes ahead and ends":   func(c *wire) { c.say("a\r\nb\r\n"); c.CloseWrite() },
+		"the client writes ahead and breaks": func(c *wire) { c.say("a\r\nb\r\n"); c.reset() },
+		"half a line ahead, and it ends":     func(c *wire) { c.say("a\r\nb"); c.CloseWrite() },
+		"much ahead, and it ends":            func(c *wire) { c.say(strings.Repeat("much ahead\r\n", 1000)); c.CloseWrite() },
+		"the client floods, and stays": func(c *wire) {
+			go func() {
+				for err := error(nil); err == nil; {
+					_, err = io.WriteString(c.TCPConn, strings.Repeat("again and again\r\n", 100))
+				}
+			}()
+		},
 		"a line without end, and it is there": func(c *wire) { c.say(strings.Repeat("x", 5000)) },
 		"too much, and it is there":           func(c *wire) { c.say(strings.Repeat("too much\r\n", 3000)) },
 	}
 	for name, leave := range leaves {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			g, one, two := newGate(), newEar(t, "s-1"), newEar(t, "s-2")
-			n := start(t, func(c *Config) { noProbes(c); c.connect = g.connect }, one.host, two.host)
-			client := n.open("k", "")
-			first, other := one, two
-			if g.held(t) == two.addr {
-				first, other = two, one
-			}
+			n, g, client, first, other := gated(t, func(c *Config) { c.Settings.Ceilings.MaxOpen = 1 }, "OPEN id k c=chat,d=2000\r\n")
 			leave(client)
 			n.until("the client's leaving", func() bool { return n.counter("left") == 1 })
 			g.pass <- struct{}{}
@@ -122,6 +137,7 @@
 				}
 				client.end(io.EOF)
 			}
+			n.until("its place, whatever it writes", func() bool { return n.front.Open() == 0 })
 			n.open("k", "") // the server did nothing wrong: it is still this client's own
 			if to := g.held(t); to != first.addr {
 				t.Error("its server was set aside")
@@ -133,23 +149,16 @@
 
 // The same, and the list brings news of the server.
 func TestNothingIsSentToAServerThatHasGoneWhileTheConnectionCameUp(t *testing.T) {
-	for name, change := range map[string]func(n *running, h, other *host){
-		"drains": func(n *running, h, other *host) {
-			n.list.change(2, false, h.entryJSON("draining"), other.entryJSON("up"))
-		},
-		"removed": func(n *running, h, other *host) {
-			n.list.change(2, false, h.entryJSON("removed"), other.entryJSON("up"))
-		},
-		"no more listed": func(n *running, h, other *host) { n.list.change(2, true, other.entryJSON("up")) },
-		"another address": func(n *running, h, other *host) {
-			h.addr = "127.0.0.1:1"
-			n.list.change(2, false, h.entryJSON("up"), other.entryJSON("up"))
-		},
-		"another has its address": func(n *running, h, other *host) {
-			n.list.change(2, false, h.entryJSON("removed"), (&host{id: "s-9", addr: h.addr}).entryJSON("draining"), other.entryJSON("up"))
+	for name, word := range map[string]func(h *host) (full bool, entry string){
+		"drains":          func(h *host) (bool, string) { return false, h.entryJSON("draining") + "," },
+		"removed":         func(h *host) (bool, string) { return false, h.entryJSON("removed") + "," },
+		"no more listed":  func(h *host) (bool, string) { return true, "" },
+		"another address": func(h *host) (bool, string) { h.addr = "127.0.0.1:1"; return false, h.entryJSON("up") + "," },
+		"another has its address": func(h *host) (bool, string) {
+			return false, h.entryJSON("removed") + "," + (&host{id: "s-9", addr: h.addr}).entryJSON("draining") + ","
 		},
-		"started anew": func(n *running, h, other *host) {
-			n.list.change(2, false, strings.Replace(h.entryJSON("up"), `"started_ms":0`, `"started_ms":1700000000000`, 1), other.entryJSON("up"))
+		"started anew": func(h *host) (bool, string) {
+			return false, strings.Replace(h.entryJSON("up"), `"started_ms":0`, `"started_ms":1700000000000`, 1) + ","
 		},
 	} {
 		for _, class := range []string{"chat", "pay"} {
@@ -163,7 +172,8 @@
 				client := n.dial()
 				client.say("OPEN id k c=" + class + ",d=20000\r\n")
 				g.held(t)
-				change(n, h.host, other)
+				full, entry := word(h.host)
+				n.list.change(2, full, entry+other.entryJSON("up"))
 				n.until("the news", func() bool { return n.counter("list_changes") == 1 && n.address(other) != "" })
 				g.pass <- struct{}{}
 				g.pass <- struct{}{}
@@ -205,45 +215,22 @@
 	client.hear("UP r\r\n")
 }
 
-// What has begun to be sent goes on: the server may have run it.
-func TestAnAttemptThatWasSentIsNotTakenBackByTheList(t *testing.T) {
-	h, other := newHost(t, "s-1"), newHost(t, "s-2")
-	n := start(t, noProbes, h)
-	client := n.open("k", "")
-	server, _ := h.next(t)
-	n.list.change(2, false, h.entryJSON("draining"), other.entryJSON("up"))
-	n.until("the news", func() bool { return n.address(other) != "" })
-	server.say("UP r\r\n")
-	client.hear("UP r\r\n")
-	if len(other.conns) > 0 {
-		t.Error("it was sent twice")
-	}
-}
-
 // Repeats of a keyed request are dropped for a while only. The connection for one comes up when that is over.
 func TestARepeatIsNotSentAfterItsWindow(t *testing.T) {
-	g, one, two := newGate(), newEar(t, "s-1"), newEar(t, "s-2")
-	n := start(t, func(c *Config) {
-		noProbes(c)
-		c.connect, c.Settings.Classes = g.connect, nil
+	begun := time.Now()
+	_, g, client, first, second := gated(t, func(c *Config) {
+		c.Settings.Classes = nil
 		if err := json.Unmarshal([]byte(`{"classes":[{"name":"order","effect":"idempotency_key","key_scope":"all","window_us":400000}]}`), &c.Settings); err != nil {
 			t.Fatal(err)
 		}
-	}, one.host, two.host)
-	one.breaks.Store(true) // either may be the first; the second is to get no line
-	two.breaks.Store(true)
-	client, begun := n.dial(), time.Now()
-	client.say("OPEN id k c=order,d=20000\r\n")
-	first, second := one, two
-	if g.held(t) == two.addr {
-		first, second = two, one
-	}
+	}, "OPEN id k c=order,d=20000\r\n")
+	first.breaks.Store(true) // once it has the line
 	g.pass <- struct{}{}
 	if line := <-first.got; !strings.HasPrefix(line, "OPEN id k") {
 		t.Errorf("got %q", line)
 	}
 	g.held(t)
-	time.Sleep(time.Until(begun.Add(450 * time.Millisecond)))
+	time.Sleep(time.Until(begun.Add(patience / 10))) // the window is over
 	g.pass <- struct{}{}
 	second.nothing(t)
 	if line := client.line(); !strings.HasPrefix(line, "BUSY") { // all servers drop its repeats
@@ -253,117 +240,107 @@
 
 // Wherever a request waits, nothing is sent for a client that has left.
 func TestAClientThatLeavesWhileItWaitsIsNotSentOn(t *testing.T) {
-	ahead := map[string]string{"": "", ", having written ahead": "a\r\nb\r\n"}
-	for also, text := range ahead {
-		t.Run("in the queue"+also, func(t *testing.T) {
-			h := newHost(t, "s-1")
-			n := start(t, noProbes, h)
-			hold := n.holdLoop()
-			client := n.open("k", "")
-			n.until("the request", func() bool { return n.front.Count.Requests.Load() == 1 && len(n.loop.events) == 1 })
-			client.say(text)
-			client.Close()
-			n.until("its end, behind it", func() bool { return len(n.loop.events) == 2 })
-			close(hold)
-			n.until("its leaving", func() bool { return n.counter("left") == 1 })
-			if n.counter("attempts") != 0 || n.held() != 0 || n.logs.FilterMessage("request").Len() > 0 {
-				t.Error("it was tried, is held, or was decided on")
+	for name, c := range map[string]struct {
+		attempts int64
+		decided  int // requests that the decisions heard of
+		wait     func(w *waiter) (then func())
+	}{
+		"in the queue": {0, 0, func(w *waiter) func() {
+			hold := w.n.holdLoop()
+			w.open("")
+			w.n.until("the request", func() bool { return len(w.n.loop.events) == 1 })
+			w.goes = func() bool { return len(w.n.loop.events) == 2 } // its end, behind it
+			return func() { close(hold) }
+		}},
+		"before the queue": {0, 0, func(w *waiter) func() {
+			hold := w.n.holdLoop()
+			for len(w.n.loop.events) < queue {
+				w.n.loop.tell(func() {})
 			}
-		})
-		t.Run("before the queue"+also, func(t *testing.T) {
-			h := newHost(t, "s-1")
-			n := start(t, noProbes, h)
-			hold := n.holdLoop()
-			n.until("the queue to be full", func() bool {
-				for {
-					select {
-					case n.loop.events <- func() {}:
-						continue
-					default:
-					}
-					return len(n.loop.events) == queue
-				}
-			})
-			client := n.open("k", "")
-			n.until("the request", func() bool { return n.front.Count.Requests.Load() == 1 })
-			client.say(text)
-			client.Close()
-			n.until("its end to be seen", func() bool {
-				return strings.Contains(stacks(), "exchange.(*Exchange).clientEnds")
-			})
-			close(hold)
-			n.until("its leaving", func() bool { return n.counter("left") == 1 })
-			if n.counter("attempts") != 0 || n.held() != 0 || n.logs.FilterMessage("request").Len() > 0 {
-				t.Error("it was tried, is held, or was decided on")
-			}
-		})
-		t.Run("while its server is asked"+also, func(t *testing.T) {
-			probes := make(chan *wire, 10)
-			n := start(t, func(c *Config) { c.Times.Probe = 60_000 }, &host{id: "s-1", addr: listen(t, func(w *wire) { probes <- w })})
-			client := n.open("k", "")
-			probe := <-probes
+			w.open("")
+			w.n.until("the request", func() bool { return w.n.front.Count.Requests.Load() == 1 })
+			w.goes = func() bool { return strings.Contains(stacks(), "exchange.(*Exchange).clientEnds") }
+			return func() { close(hold) }
+		}},
+		"while its server is asked": {0, 1, func(w *waiter) func() {
+			w.open("")
+			probe := <-w.probes
 			probe.hear("STATS\r\n")
-			n.leave(client, text)
-			probe.say("PONG x0=0.1\r\n")
-			n.until("the answer", func() bool { return n.logs.FilterMessage("probed").Len() == 1 })
-			if held := n.held(); held != 0 || n.counter("attempts") != 0 {
-				t.Error("it is held, or was tried")
+			return func() {
+				probe.say("PONG x0=0.1\r\n")
+				w.n.until("the answer", func() bool { return w.n.logs.FilterMessage("probed").Len() == 1 })
 			}
-		})
-		t.Run("before its connection is tried again"+also, func(t *testing.T) {
-			h := newHost(t, "s-1")
-			n := start(t, nil, h)
-			client := n.open("k", ",at=s-1")
-			s, _ := h.next(t)
+		}},
+		"before its connection is tried again": {1, 0, func(w *waiter) func() {
+			w.open(",at=s-1")
+			s, _ := w.h.next(w.t)
 			s.say("BUSY\r\n")
-			n.until("the pause", func() bool { return n.counter("attempts_full") == 1 })
-			n.leave(client, text)
-			n.list.change(2, false, h.entryJSON("removed"))
-			again := make(chan int)
-			time.AfterFunc(returnPause, func() { n.loop.tell(func() { again <- len(n.loop.returns) }) }) // begun after the pause
-			if waiting := <-again; waiting > 0 {
-				t.Error("it waits for a list that names its server")
-			}
-			if n.counter("attempts") != 1 || n.held() != 0 || n.counter("failed") != 0 {
-				t.Error("it was tried again, or is held")
-			}
-		})
-		t.Run("while no list names its server"+also, func(t *testing.T) {
-			h := newHost(t, "s-1")
-			n := start(t, nil)
-			client := n.open("k", ",at=s-1")
-			n.until("it to wait", func() bool { return n.counter("standing_before") == 1 })
-			n.leave(client, text)
-			n.list.change(2, false, h.entryJSON("up"))
-			n.until("the news", func() bool { return n.address(h) != "" })
-			if n.counter("attempts") != 0 || n.held() != 0 {
-				t.Error("it was tried, or is held")
+			w.n.until("the pause", func() bool { return w.n.counter("attempts_full") == 1 })
+			return func() {
+				w.n.list.change(2, false, w.h.entryJSON("removed"))
+				again := make(chan int)
+				time.AfterFunc(returnPause, func() { w.n.loop.tell(func() { again <- len(w.n.loop.returns) }) }) // begun after the pause
+				if waiting := <-again; waiting > 0 {
+					w.t.Error("it waits for a list that names its server")
+				}
 			}
-		})
-		t.Run("when its server has it"+also, func(t *testing.T) {
-			h := newHost(t, "s-1")
-			n := start(t, nil, h)
-			client := n.open("k", "")
-			server, _ := h.next(t)
-			client.say(text)
-			client.Close()
-			server.end(io.EOF) // what is out is called off
-			n.until("its leaving", func() bool { return n.counter("left") == 1 })
-			if n.counter("attempts") != 1 || n.held() != 0 {
-				t.Error("it was tried again, or is held")
+		}},
+		"while no list names its server": {0, 0, func(w *waiter) func() {
+			w.open(",at=s-2")
+			w.n.until("it to wait", func() bool { return w.n.counter("standing_before") == 1 })
+			return func() {
+				w.n.list.change(2, false, (&host{id: "s-2", addr: w.h.addr}).entryJSON("up"))
+				w.n.until("the news", func() bool { return w.n.counter("list_changes") == 1 && w.n.address(&host{id: "s-2"}) != "" })
 			}
-		})
+		}},
+		"when its server has it": {1, 1, func(w *waiter) func() {
+			w.open("")
+			server, _ := w.h.next(w.t)
+			return func() { server.end(io.EOF) } // what is out is called off
+		}},
+	} {
+		for also, text := range map[string]string{"": "", ", having written ahead": "a\r\nb\r\n"} {
+			t.Run(name+also, func(t *testing.T) {
+				w := &waiter{t: t, probes: make(chan *wire, 10)}
+				w.h = newHost(t, "s-1")
+				if name == "while its server is asked" {
+					w.h.addr = listen(t, func(probe *wire) { w.probes <- probe })
+				}
+				w.n = start(t, func(c *Config) {
+					c.Times.Probe, c.Settings.Ceilings.MayProbe = 60_000, name == "while its server is asked"
+				}, w.h)
+				then := c.wait(w)
+				w.client.say(text)
+				w.client.Close()
+				if w.goes == nil {
+					w.goes = func() bool { return w.n.counter("left") == 1 }
+				}
+				w.n.until("its leaving to be seen", w.goes)
+				then()
+				w.n.until("its leaving", func() bool { return w.n.counter("left") == 1 })
+				if w.n.counter("attempts") != c.attempts || w.n.held() != 0 || w.n.counter("failed") != 0 {
+					t.Error("it was tried, is held, or counts as failed")
+				}
+				if decided := w.n.logs.FilterMessage("request").Len(); decided != c.decided {
+					t.Errorf("decided on %d times", decided)
+				}
+			})
+		}
 	}
 }
 
-// leave has a client write and close, and waits until the loop has heard of it.
-func (r *running) leave(client *wire, ahead string) {
-	r.t.Helper()
-	client.say(ahead)
-	client.Close()
-	r.until("its leaving", func() bool { return r.counter("left") == 1 })
+// waiter is a request that waits somewhere, with what is around it.
+type waiter struct {
+	t      *testing.T
+	n      *running
+	h      *host
+	probes chan *wire
+	client *wire
+	goes   func() bool // its leaving has been seen
 }
 
+func (w *waiter) open(more string) { w.client = w.n.open("k", more) }
+
 // holdLoop keeps the loop from what comes next, until the channel is closed.
 func (r *running) holdLoop() (hold chan struct{}) {
 	hold = make(chan struct{})
@@ -408,22 +385,6 @@
 	client.hear("one\r\n")
 }
 
-// The place of a client that has been turned away for what it wrote is free at once, whatever else it writes.
-func TestAClientThatWritesTooMuchAheadGivesItsPlaceUp(t *testing.T) {
-	h := newHost(t, "s-1")
-	n := start(t, func(c *Config) { noProbes(c); c.Settings.Ceilings.MaxOpen = 1 }, h)
-	flood := n.open("k", "")
-	server, _ := h.next(t)
-	go func() {
-		for err := error(nil); err == nil; {
-			_, err = io.WriteString(flood.TCPConn, strings.Repeat("again and again\r\n", 100))
-		}
-	}()
-	server.end(io.EOF)
-	n.until("its place", func() bool { return n.front.Open() == 0 })
-	n.stand(h)
-}
-
 // What the machine has accepted when a stop begins is taken, though the program has not seen it.
 func TestWhoComesAsTheStopBeginsIsAnswered(t *testing.T) {
 	h := newHost(t, "s-1")
@@ -510,9 +471,7 @@
 func TestADrainThatWasToldBeforeAReloadHolds(t *testing.T) {
 	h, next := newHost(t, "s-1"), newHost(t, "s-2")
 	n := start(t, noProbes, h, next)
-	n.until("the first watch", func() bool { return n.counter("list_calls") == 1 })
-	n.list.change(2, false) // it has told a list
-	n.until("it", func() bool { return n.counter("list_changes") == 1 })
+	n.watches()
 	quiet := newLister(t, 0)
 	for range 2 { // the second one's first words, of a third, come as late
 		hold := n.holdLoop()
@@ -554,107 +513,96 @@
 	n.until("the drain", func() bool { return n.drains(h) })
 }
 
-// A watch takes the place of a silent one, lives, and falls silent in its turn; the next call is not answered.
-func TestOnlyTheWatchBeforeTheLastIsHeardOn(t *testing.T) {
-	list := newLister(t, 0)
-	list.answers = 2
-	cfg := config(t, list)
-	cfg.Times.Watch, cfg.Settings.Membership = 60_000, "pushed"
-	n := run(t, cfg, list)
-	watches := func() (heard, before *watch) {
-		all := make(chan *watch, 2)
-		n.loop.tell(func() { all <- n.loop.heard; all <- n.loop.heardBefore })
-		return <-all, <-all
-	}
-	silent := func() { n.loop.tell(func() { n.loop.unheard(n.loop.heard, errSilent) }) }
-	n.until("the first watch", func() bool { return n.counter("list_calls") == 1 })
-	first, _ := watches()
-	silent()
-	n.until("its successor, which is alive after a second", func() bool {
-		heard, before := watches()
-		return heard != first && before == nil
-	})
-	second, _ := watches()
-	silent()
-	n.until("another", func() bool { heard, _ := watches(); return heard != second })
-	if _, before := watches(); before != second {
-		t.Error("the last one that spoke is not heard on")
-	}
-}
-
 // A watch that has told something breaks, or falls silent: all that is to be told counts as told soon, so it is asked for anew at
 // once however many nodes there are. A call that fails is spread.
 func TestABrokenWatchIsOpenedAtOnceAndAFailedCallIsNot(t *testing.T) {
-	for name, broken := range map[string]func(n *running){
-		"reset":  func(n *running) { n.list.cut() },
-		"silent": func(n *running) { n.loop.tell(func() { n.loop.unheard(n.loop.heard, errSilent) }) },
+	cut := func(n *running) { n.list.cut() }
+	silent := func(n *running) { n.loop.tell(func() { n.loop.unheard(n.loop.heard, errSilent) }) }
+	for name, c := range map[string]struct {
+		broken func(n *running)
+		stood  time.Duration
+		again  bool // at once
+	}{
+		"reset":                  {cut, time.Hour, true},
+		"silent":                 {silent, time.Hour, true},
+		"reset soon, every time": {cut, 0, false}, // else such a discovery would be asked five times a second by every node
 	} {
 		t.Run(name, func(t *testing.T) {
 			n := start(t, func(c *Config) { c.Settings.Balancers, c.Settings.Index = 10_000, 0 })
 			n.loop.tell(n.loop.subscribe) // else that, too, takes its time
-			n.until("the first watch", func() bool { return n.counter("list_calls") == 1 })
-			n.list.change(2, false)
-			n.until("it to live", func() bool { return n.counter("list_changes") == 1 })
+			n.watches()
 			n.list.mu.Lock()
 			n.list.fails = 1000
 			n.list.mu.Unlock()
-			n.loop.tell(func() { n.loop.heard.opened = time.Now().Add(-time.Hour) })
 			begun := time.Now()
-			broken(n)
-			n.until("another", func() bool { return n.counter("list_calls") == 2 })
-			if took := time.Since(begun); took > patience/2 {
-				t.Errorf("asked after %v", took)
+			n.loop.tell(func() { n.loop.heard.opened = begun.Add(-c.stood) })
+			c.broken(n)
+			if c.again {
+				n.until("another", func() bool { return n.counter("list_calls") == 2 })
+				if took := time.Since(begun); took > patience/2 {
+					t.Errorf("asked after %v", took)
+				}
+			}
+			n.until("a pause before the next call", func() bool { // once the loop has heard that the last one is over
+				next := make(chan time.Duration)
+				n.loop.tell(func() {
+					if len(n.loop.timers) == 0 || !n.loop.heard.failed {
+						next <- 0
+						return
+					}
+					next <- n.loop.timers[0].at - n.loop.now()
+				})
+				return <-next > time.Minute
+			})
+			if calls := n.counter("list_calls"); (calls == 2) != c.again {
+				t.Errorf("%d calls before it", calls)
 			}
-			n.pause("the call after one that failed", time.Minute)
 		})
 	}
 }
 
-// A discovery that ends each watch once it has said something is not asked five times a second by every node.
-func TestAWatchThatEndsSoonIsNotOpenedAtOnce(t *testing.T) {
-	n := start(t, func(c *Config) { c.Settings.Balancers, c.Settings.Index = 10_000, 0 })
-	n.loop.tell(n.loop.subscribe)
-	n.until("the first watch", func() bool { return n.counter("list_calls") == 1 })
-	n.list.change(2, false)
-	n.until("it to live", func() bool { return n.counter("list_changes") == 1 })
-	n.list.cut()
-	n.pause("another call", time.Minute)
-}
-
-// pause waits until the loop has heard that its last watch is over, and its next timer is further away than that.
-func (r *running) pause(before string, least time.Duration) {
+// watches waits until the first watch has told a list.
+func (r *running) watches() {
 	r.t.Helper()
-	r.until("a pause before "+before, func() bool {
-		next := make(chan time.Duration)
-		r.loop.tell(func() {
-			if len(r.loop.timers) == 0 || !r.loop.heard.failed {
-				next <- 0
-				return
-			}
-			next <- r.loop.timers[0].at - r.loop.now()
-		})
-		return <-next > least
-	})
+	r.until("the first watch", func() bool { return r.counter("list_calls") == 1 })
+	r.list.change(2, false)
+	r.until("its first list", func() bool { return r.counter("list_changes") == 1 })
 }
 
-// The newer of two watches was asked before the older one told of a drain, and its answer comes after that.
-func TestAnOlderWatchsWordIsNotUndone(t *testing.T) {
+// The newer of two watches was asked before the older one told of a drain, and its answer comes after that. Then it lives on, a third
+// takes its place, and only the first has nothing more to say.
+func TestTwoWatchesAreHeardInTheirOrder(t *testing.T) {
 	h := newHost(t, "s-1")
 	n := start(t, nil, h)
 	n.until("the first watch", func() bool { return n.counter("list_calls") == 1 })
-	word := func(version int64, state string) *discovery.List {
-		return &discovery.List{Version: version, Servers: []discovery.Server{h.entry(state)}}
+	ended := map[*watch]bool{}
+	second := &watch{addr: n.loop.asked, since: 1}
+	second.end = func() { ended[second] = true }
+	word := func(w *watch, version int64, state string) {
+		n.loop.told(w, &discovery.List{Version: version, Servers: []discovery.Server{h.entry(state)}})
 	}
+	seen := make(chan bool, 3)
 	n.loop.tell(func() {
-		first, second := n.loop.heard, &watch{addr: n.loop.asked, since: 1, end: func() {}}
+		first := n.loop.heard
 		n.loop.heard, n.loop.heardBefore = second, first
-		n.loop.told(first, word(43, "draining"))
-		n.loop.told(second, word(42, "up"))
+		word(first, 43, "draining")
+		n.loop.live(second) // also without a list
+		seen <- n.loop.heardBefore == nil
+		word(second, 42, "up")
+		n.loop.watch()
+		seen <- n.loop.heardBefore == second && !ended[second]
+		n.loop.watch() // the third has told nothing
+		seen <- n.loop.heardBefore == second && !ended[second]
 	})
+	for range 3 {
+		if !<-seen {
+			t.Error("another watch is heard than the last that spoke")
+		}
+	}
 	if !n.drains(h) {
 		t.Error("it may get clients again")
 	}
-	n.loop.tell(func() { n.loop.told(n.loop.heard, word(44, "up")) })
+	n.loop.tell(func() { word(second, 44, "up") })
 	if n.drains(h) {
 		t.Error("what is newer is not taken")
 	}
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -465,6 +465,9 @@
 	s.say("UP r-2\r\n")
 	waiting.hear("UP r-2\r\n")
 	waiting.hear("MOVE\r\n")
+	if len(other.conns) > 0 {
+		t.Error("what was out was sent twice")
+	}
 	n.open("k", ",again=1")
 	other.next(t) // nothing new goes to the one that drains
 }
