Both referees take the stricter of the operators' bound for cold servers and their own

Wanted: the operators let N + 2 x root of N + 2 come to a cold server; the laboratory and the rig count N + 1. With the operators' bound alone TestAColdServerFallsByTheStricterBound, TestWhatMayComeToAColdServerIsTheStricterOfBothBounds and the case 'over the whole' of TestEachFaultIsCaught fail (seen). The case of the referee is as strict as before: four allowed and one by chance in place of five.

--- a/internal/cli/lab.go
+++ b/internal/cli/lab.go
@@ -1,6 +1,7 @@
 package cli
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -21,6 +22,7 @@
 	lab := &cobra.Command{Use: "lab", Short: "Cause failures and measure what they cost", Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error { return c.Help() }}
 	var seeds, first uint64
+	var nodes int
 	var out string
 	run := &cobra.Command{
 		Use:   "fleet SCENARIO...",
@@ -32,12 +34,16 @@
 			if seeds == 0 || seeds > 1000 {
 				return fmt.Errorf("--seeds: %d is not 1 to 1000", seeds)
 			}
+			if nodes < 0 || nodes > 5000 {
+				return fmt.Errorf("--nodes: %d is not 1 to 5000", nodes)
+			}
 			var scenarios []*fleet.Scenario
 			for _, name := range names {
 				s, err := fleet.Load(name)
 				if err != nil {
 					return err // nothing has started
 				}
+				s.Nodes = cmp.Or(nodes, s.Nodes)
 				scenarios = append(scenarios, s)
 			}
 			return wrap(playFleet(stdout, scenarios, first, seeds, out))
@@ -45,6 +51,7 @@
 	}
 	run.Flags().Uint64Var(&first, "seed", 1, "the first seed")
 	run.Flags().Uint64Var(&seeds, "seeds", 5, "how many seeds to play")
+	run.Flags().IntVar(&nodes, "nodes", 0, "how many nodes, in place of the scenario's")
 	run.Flags().StringVar(&out, "json", "", "write all results to this file")
 	lab.AddCommand(run, rigCommand(stdout))
 	return lab
@@ -75,6 +82,7 @@
 		}
 		row("served", "%.3f", func(r *fleet.Result) float64 { return r.Served }, "")
 		row("served, worst 5 s", "%.3f", func(r *fleet.Result) float64 { return r.Worst }, "")
+		row("fullest window of a cold server", "%.3f", func(r *fleet.Result) float64 { return r.ColdUsed }, "")
 		names := map[string]bool{}
 		for _, r := range played {
 			for name := range r.Totals {
--- a/internal/cli/rig.go
+++ b/internal/cli/rig.go
@@ -62,6 +62,7 @@
 		table := tabwriter.NewWriter(stdout, 0, 0, 2, ' ', 0)
 		fmt.Fprintf(table, "%s\tseed %d, %d nodes\n", s.Name, seed, s.Nodes)
 		fmt.Fprintf(table, "  served\t%.3f\n  most that the rig was late\t%.0f ms\n", r.Served, r.Lateness)
+		fmt.Fprintf(table, "  fullest window of a cold server\t%.3f\n", r.ColdUsed)
 		for _, name := range r.Names() {
 			fmt.Fprintf(table, "  %s\t%d\n", name, r.Totals[name])
 		}
--- a/lab/fleet/fleet.go
+++ b/lab/fleet/fleet.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"brassmux/balance"
+	"brassmux/lab/referee"
 )
 
 // Decider is what decides at a node: the module, or in a test a faulty stand-in.
@@ -23,6 +24,7 @@
 	Served   float64          `json:"served"`      // part of the seconds wanted in which the server was not over its capacity
 	Worst    float64          `json:"worst_5s"`    // the same over the worst 5 s
 	Broken   Broken           `json:"broken"`      // rules
+	ColdUsed float64          `json:"cold_used"`   // the fullest window of a cold server that nodes knew of: what came over what may come
 	Totals   map[string]int   `json:"totals"`      // of the whole day, all nodes together
 	Seconds  map[string][]int `json:"seconds"`     // the same by second
 	OneHost  map[string]int   `json:"one_host_1s"` // the most that one server met in one second
@@ -563,18 +565,24 @@
 	s.sent = slices.DeleteFunc(append(s.sent, sending{w.now, told}), func(x sending) bool {
 		return x.at < w.now-time.Duration(v.FallWindow)
 	})
-	most := v.FallMultiple * w.share(s) * v.Holds / time.Duration(v.ColdFor).Seconds() * time.Duration(v.FallWindow).Seconds()
-	if s.fallen || float64(len(s.sent)) <= most+1 {
+	most := referee.ColdMost(v.FallMultiple * w.share(s) * v.Holds / time.Duration(v.ColdFor).Seconds() * time.Duration(v.FallWindow).Seconds())
+	if s.fallen {
 		return
 	}
-	knew := 0
+	knew, sent := 0, float64(len(s.sent))
 	for _, x := range s.sent {
 		if x.told {
 			knew++
 		}
 	}
-	if 3*knew >= 2*len(s.sent) {
-		w.broke(&w.result.Broken.Fallen, "server %d: %d sent in its window, %d by nodes that knew of its start, %.1f are the bound",
+	known := 3*knew >= 2*len(s.sent)
+	if known {
+		w.result.ColdUsed = max(w.result.ColdUsed, sent/most)
+	}
+	if sent <= most {
+		return
+	} else if known {
+		w.broke(&w.result.Broken.Fallen, "server %d: %d sent in its window, %d by nodes that knew of its start, %.1f may come",
 			s.entry.ID, len(s.sent), knew, most)
 	} else {
 		w.count("fallen unannounced")
--- a/lab/fleet/fleet_test.go
+++ b/lab/fleet/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"math"
 	"strings"
 	"testing"
 	"time"
@@ -162,6 +163,31 @@
 	}
 }
 
+// Guards against the operators' bound in place of the stricter one: 20 or 30 nodes that were told send a cold server one more than may
+// come, which is far from n + 2√n + 2, and it falls; with what may come it stands.
+func TestAColdServerFallsByTheStricterBound(t *testing.T) {
+	for _, nodes := range []int{20, 30} {
+		s := load(t, "calm")
+		w := &world{s: s, now: epoch, host: map[meeting]int{}, result: &Result{Totals: map[string]int{}, Seconds: map[string][]int{}, OneHost: map[string]int{}}}
+		cold := w.newServer(epoch)
+		w.news = []balance.Server{cold.entry}
+		n := s.Server.FallMultiple * s.Server.ColdFrom * s.Server.Holds / time.Duration(s.Server.ColdFor).Seconds() * time.Duration(s.Server.FallWindow).Seconds()
+		if operators := n + 2*math.Sqrt(n) + 2; n+3 > operators {
+			t.Fatalf("%.1f are allowed: the two bounds are too near to one another", n)
+		}
+		for i := range int(n + 1) {
+			w.take(cold, &node{index: i % nodes, known: 1})
+		}
+		if cold.fallen || w.result.Broken.Any() || w.result.ColdUsed < n/(n+1) || w.result.ColdUsed > 1 {
+			t.Errorf("%d nodes: %+v with what may come, used %.2f", nodes, w.result.Broken, w.result.ColdUsed)
+		}
+		w.take(cold, &node{known: 1})
+		if !cold.fallen || w.result.Broken.Fallen != 1 {
+			t.Errorf("%d nodes: it stands with %d, %.1f being allowed", nodes, int(n+1)+1, n)
+		}
+	}
+}
+
 func TestEachTroubleDoesWhatItSays(t *testing.T) {
 	calm := load(t, "calm")
 	for _, c := range []struct {
--- a/lab/referee/referee.go
+++ b/lab/referee/referee.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -19,12 +20,18 @@
 	// Most in any second by kind; "retries_per_s" are further attempts of requests, "open_per_customer" is at once; 0 means no bound.
 	Rates map[string]int
 
-	// What a cold server bears in a window, by its age at the window's end, from all nodes that were told of its start.
-	Window time.Duration
-	Bears  func(age time.Duration) float64
-	Cold   time.Duration // a server is cold for so long
+	// What a cold server is allowed in a window, by its age at the window's end, from all nodes that were told of its start;
+	// ColdMost tells what may come by chance beyond that.
+	Window  time.Duration
+	Allowed func(age time.Duration) float64
+	Cold    time.Duration // a server is cold for so long
 }
 
+// ColdMost is the most that may come to a cold server in a window in which n are allowed, n being 0 or more, from all nodes
+// together, however many there are. The operators let n + 2√n + 2 come, as chance; the laboratory lets one more than n come,
+// which is never more than that. Of both the stricter holds.
+func ColdMost(n float64) float64 { return min(n+1, n+2*math.Sqrt(n)+2) }
+
 // Broken counts broken rules.
 type Broken struct {
 	Unanswered int `json:"unanswered"` // no final answer in time
@@ -60,6 +67,9 @@
 	// The most connections of one customer at once, where that is bounded.
 	// Requests that came to servers and that nobody here asked: another rig runs beside this one, and has got its ports.
 	Excused, Answered, Cold, Further, MostOpen, Foreign int
+
+	// The fullest window of a cold server: what came over what may come; 1 is all of it.
+	ColdUsed float64
 }
 
 type key struct {
@@ -324,14 +334,15 @@
 			for s.at.Sub(sends[first].at) >= window {
 				first++
 			}
-			bears := r.rules.Bears(s.at.Sub(s.started) + r.rules.Slack)
-			if n := i + 1 - first; float64(n) > bears {
+			most := ColdMost(r.rules.Allowed(s.at.Sub(s.started) + r.rules.Slack))
+			n := i + 1 - first
+			if r.ColdUsed = max(r.ColdUsed, float64(n)/most); float64(n) > most {
 				nodes := []int{}
 				for _, x := range sends[first : i+1] {
 					nodes = append(nodes, x.node)
 				}
 				r.broke(&r.broken.Over, s.at, "%s, node %d, to %s, %v after its start: %d sent in a window, %.2f are the whole; by nodes %v",
-					s.id, s.node, s.server, s.at.Sub(s.started).Round(time.Millisecond), n, bears, nodes)
+					s.id, s.node, s.server, s.at.Sub(s.started).Round(time.Millisecond), n, most, nodes)
 			}
 		}
 	}
--- a/lab/referee/referee_test.go
+++ b/lab/referee/referee_test.go
@@ -1,6 +1,7 @@
 package referee
 
 import (
+	"math"
 	"testing"
 	"time"
 )
@@ -16,6 +17,17 @@
 	}
 }
 
+// What may come to a cold server is never laxer than what the operators let come, nor than one more than is allowed; and it is one
+// of the two, so that neither is made up for the other.
+func TestWhatMayComeToAColdServerIsTheStricterOfBothBounds(t *testing.T) {
+	for n := 0.0; n < 1000; n += 0.01 {
+		own, operators := n+1, n+2*math.Sqrt(n)+2
+		if most := ColdMost(n); most > own || most > operators || most != own && most != operators {
+			t.Fatalf("of %.2f allowed %.2f may come; %.2f and %.2f are the bounds", n, most, own, operators)
+		}
+	}
+}
+
 // For each thing that is counted a faulty node is caught, and a sound one is not.
 func TestEachFaultIsCaught(t *testing.T) {
 	start := time.Now().Add(-time.Hour).Truncate(time.Millisecond)
@@ -84,7 +96,8 @@
 			r.Sent(0, "s", "b", at(1150), time.Time{})
 		}, Broken{Late: 1}},
 		"over the whole": {func(r *Referee) {
-			for i := range 6 { // five are the whole; the one that came first is out of the last one's window
+			// Four are allowed, five may come; guards against the operators' bound in place of the stricter one, by which ten may.
+			for i := range 6 { // the one that came first is out of the last one's window
 				r.Told(i, "s", false, start, start)
 				r.Sent(i, "s", string(rune('a'+i)), at(500*i), start)
 			}
@@ -95,7 +108,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			r := New(Rules{Answer: 70 * time.Millisecond, Grace: 500 * time.Millisecond, Slack: 100 * time.Millisecond,
-				Window: 2100 * time.Millisecond, Cold: time.Minute, Rates: map[string]int{"retries_per_s": 2, "opens_per_s": 2, "open_per_customer": 5}, Bears: func(time.Duration) float64 { return 5 }})
+				Window: 2100 * time.Millisecond, Cold: time.Minute, Rates: map[string]int{"retries_per_s": 2, "opens_per_s": 2, "open_per_customer": 5}, Allowed: func(time.Duration) float64 { return 4 }})
 			c.play(r)
 			if got, history := r.Verdict(time.Now()); got != c.want {
 				t.Errorf("%+v, want %+v: %q", got, c.want, history)
--- a/lab/rig/rig.go
+++ b/lab/rig/rig.go
@@ -22,13 +22,14 @@
 	Scenario string             `json:"scenario"`
 	Seed     uint64             `json:"seed"`
 	Nodes    int                `json:"nodes"`
-	Void     string             `json:"void"`     // why the run says nothing; "" where it does
-	Lateness float64            `json:"late_ms"`  // the most by which the rig itself was late
-	Served   float64            `json:"served"`   // part of the time wanted in which clients stood at a server within what it can do
-	Broken   referee.Broken     `json:"broken"`   // rules
-	Totals   map[string]int     `json:"totals"`   // counted at clients, servers and the list service
-	Effects  []int              `json:"effects"`  // by event: how often it was seen to act at who met it
-	Counters map[string]float64 `json:"counters"` // the nodes' own, summed over all processes that told theirs
+	Void     string             `json:"void"`      // why the run says nothing; "" where it does
+	Lateness float64            `json:"late_ms"`   // the most by which the rig itself was late
+	Served   float64            `json:"served"`    // part of the time wanted in which clients stood at a server within what it can do
+	Broken   referee.Broken     `json:"broken"`    // rules
+	ColdUsed float64            `json:"cold_used"` // the fullest window of a cold server, what came over what may come
+	Totals   map[string]int     `json:"totals"`    // counted at clients, servers and the list service
+	Effects  []int              `json:"effects"`   // by event: how often it was seen to act at who met it
+	Counters map[string]float64 `json:"counters"`  // the nodes' own, summed over all processes that told theirs
 	Words    Words              `json:"words"`
 	Seconds  []Second           `json:"seconds"` // the day, second by second
 	Lists    Lists              `json:"lists"`
@@ -141,11 +142,11 @@
 	connections := r.connections()
 	r.ref = referee.New(referee.Rules{Answer: 70 * time.Millisecond, Grace: time.Duration(v.Grace), Slack: 100 * time.Millisecond,
 		Rates: s.Budgets.rates(), Window: time.Duration(v.FallWindow), Cold: time.Duration(v.ColdFor),
-		Bears: func(age time.Duration) float64 { // the mean share of the window, and one more
+		Allowed: func(age time.Duration) float64 { // by the mean share of the window
 			mean := max(age.Seconds()-time.Duration(v.FallWindow).Seconds()/2, 0) / time.Duration(v.ColdFor).Seconds()
 			share := min(v.ColdFrom+(1-v.ColdFrom)*mean, 1)
-			return v.FallMultiple*time.Duration(v.FallWindow).Seconds()*share*connections/
-				(float64(s.Servers)*time.Duration(v.ColdFor).Seconds()) + 1
+			return v.FallMultiple * time.Duration(v.FallWindow).Seconds() * share * connections /
+				(float64(s.Servers) * time.Duration(v.ColdFor).Seconds())
 		}})
 	var err error
 	if r.words, err = emulator.NewWords(s.Nodes, o.Seed); err != nil {
@@ -579,6 +580,7 @@
 	res.Broken, res.History = r.ref.Verdict(time.Now())
 	res.Totals["answered in time"], res.Totals["excused"] = r.ref.Answered, r.ref.Excused
 	res.Totals["attempts at cold servers"], res.Totals["further attempts"] = r.ref.Cold, r.ref.Further
+	res.ColdUsed = math.Round(r.ref.ColdUsed*1000) / 1000
 	res.Lists, res.Peaks = r.lists(), map[string]int{}
 	for what, times := range r.peaks {
 		kind, _, one := strings.Cut(what, " s-")
