Cold servers under the sum of 20 and 30 nodes, in the laboratory and in the rig

Wanted: cold servers hold also with twenty or thirty processes. Scenarios few-nodes (laboratory: each node has many clients) and cold-servers (rig: 30 processes, half of 8 servers replaced twice, some crashed, all nodes restarted, a tenth of them with ten times the traffic). Tests play 20 and 30 with fixed parts and leases.

--- a/lab/fleet/fleet_test.go
+++ b/lab/fleet/fleet_test.go
@@ -39,6 +39,31 @@
 	}
 }
 
+// So few nodes get as much traffic as eighty: each sends cold servers more, by its own part or by grants, and together no more than may come.
+// Where each node has many clients (few-nodes), what may come is nearly used, or it would prove nothing.
+func TestTwentyAndThirtyNodesPushNoColdServerOver(t *testing.T) {
+	for _, name := range []string{"calm", "rolling-deploy", "many-replaced", "mass-restart", "zone-returns-cold", "overbooked-discovery", "few-nodes"} {
+		for _, nodes := range []int{20, 30} {
+			for seed := range uint64(4) {
+				s := load(t, name)
+				if s.Nodes = nodes; seed%2 == 1 {
+					s.Budgets = Budgets{Lease: true, Floor: 0.5, Term: Duration(time.Second), Beat: Duration(400 * time.Millisecond)}
+				}
+				least := map[string]float64{"calm": 0, "mass-restart": 0, "few-nodes": 0.5}
+				r := Run(s, seed, Module)
+				want, ok := least[name]
+				if !ok {
+					want = 0.2
+				}
+				if r.Broken.Any() || r.ColdUsed < want || r.ColdUsed > 1 {
+					t.Errorf("%s, %d nodes, seed %d: %+v, %d sent to cold servers, the fullest window %.2f\n%s", name, nodes, seed, r.Broken,
+						r.Totals["sent to cold servers"], r.ColdUsed, strings.Join(r.History, "\n"))
+				}
+			}
+		}
+	}
+}
+
 func TestTheSameSeedGivesTheSameBytes(t *testing.T) {
 	s := load(t, "mass-restart")
 	play := func(seed uint64) []byte {
--- a/lab/rig/rig_test.go
+++ b/lab/rig/rig_test.go
@@ -213,6 +213,23 @@
 	}
 }
 
+// Twenty and thirty processes, by fixed parts and with leases, that all start anew, seven in ten of them at once, with uneven traffic and the
+// wave of those who come back: all together send no cold server more than it bears, and one more for chance. Each server is sent enough to prove it.
+func TestColdServersUnderTheSumOfManyProcesses(t *testing.T) {
+	for _, c := range []struct {
+		nodes int
+		lease bool
+	}{{20, false}, {30, true}} {
+		s := load(t, "cold-servers")
+		s.Nodes, s.Budgets = c.nodes, Budgets{Lease: c.lease, Floor: 0.5}
+		if r := play(t, s, 1); r.Totals["attempts at cold servers"] < 30 || r.ColdUsed == 0 || r.ColdUsed > 1 {
+			t.Errorf("%+v: %d at cold servers, the fullest window %.2f", c, r.Totals["attempts at cold servers"], r.ColdUsed)
+		} else {
+			t.Logf("%+v: %d at cold servers, the fullest window %.2f, served %.3f", c, r.Totals["attempts at cold servers"], r.ColdUsed, r.Served)
+		}
+	}
+}
+
 // What all nodes may do in a second, or a customer have at once, stays within it while clients want more and nodes are killed, stopped and
 // cut off; each bound is met and used, or it would prove nothing: of open connections, over the own parts (12), and moved in a split.
 func TestWhatAllNodesMayDoIsBounded(t *testing.T) {
