Descriptors are set apart for probes, whatever list of servers comes

Seen: a real limit of 256 descriptors, idle clients at a full door, all places of requests taken, 4 servers known and 400 listed as discovery comes back.

Cause: Config.places took one descriptor off for each server known at the start, and backend.Client.probing kept a connection for each server probed, for keepalive_us, with no bound. Ruled out: calls for the list, watches and the door, which stay within their parts (a count of /proc/PID/fd while it ran: what grew with the list was connections to servers beyond those of requests).

Change: connections of probes have places (backend.room), for those that come up, are in use and are kept: one for each server known, an eighth of the descriptors at the least and a quarter at the most. For one more the longest idle makes way; where all are in use a probe waits in its own time and is then told as an answer without a report, which blames nobody. The loop waits for none of it. A place of a request is free once the connection of its attempt has gone too, not before (Exchange.Attempted). With a second address limits.sockets is 56 at the least: at 48 its callers were not in the account.

TestPlacesAreSetApart now adds up all parts, for all sizes; its old sum left probes out. Two tests of the exchange had it stand without an attempt, which no caller does; they begin one now.

--- a/cmd/brassmux/main_test.go
+++ b/cmd/brassmux/main_test.go
@@ -84,7 +84,15 @@
 func start(t *testing.T, shell string, sockets int) *running {
 	t.Helper()
 	cmd, path := program(t, shell, config("127.0.0.1:0", sockets))
-	r := &running{Cmd: cmd, t: t, path: path}
+	r := watch(t, cmd, patience)
+	r.path = path
+	return r
+}
+
+// watch starts a program and waits until it serves; it ends after a while at the latest.
+func watch(t *testing.T, cmd *exec.Cmd, most time.Duration) *running {
+	t.Helper()
+	r := &running{Cmd: cmd, t: t}
 	log, err := r.StderrPipe()
 	if err != nil {
 		t.Fatal(err)
@@ -92,7 +100,7 @@
 	if err := r.Start(); err != nil {
 		t.Fatal(err)
 	}
-	stuck := time.AfterFunc(patience, func() { r.Process.Kill() })
+	stuck := time.AfterFunc(most, func() { r.Process.Kill() })
 	t.Cleanup(func() {
 		stuck.Stop()
 		r.Process.Kill()
@@ -107,10 +115,7 @@
 func (r *running) await(msg string) map[string]any {
 	r.t.Helper()
 	for r.log.Scan() {
-		var line map[string]any
-		if err := json.Unmarshal(r.log.Bytes(), &line); err != nil {
-			r.t.Fatalf("the log has %q", r.log.Text())
-		} else if line["msg"] == msg {
+		if line := r.parse(); line["msg"] == msg {
 			return line
 		}
 	}
@@ -118,6 +123,14 @@
 	return nil
 }
 
+// parse gives the last line of the log.
+func (r *running) parse() (line map[string]any) {
+	if err := json.Unmarshal(r.log.Bytes(), &line); err != nil {
+		r.t.Errorf("the log has %q", r.log.Text())
+	}
+	return line
+}
+
 func ping(addr string) error {
 	c, err := net.Dial("tcp", addr)
 	if err != nil {
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -24,6 +24,7 @@
 	Dial      time.Duration // a connection must be up within it
 	Probe     time.Duration // a probe must be answered within it
 	Idle      time.Duration // a probe's connection is kept for it
+	Probes    int           // connections for probes at once, kept ones too; 1 at the least
 	LoadField string        // the value of a load report that is wanted
 
 	Connect func(ctx context.Context, addr string) (net.Conn, error) // a TCP connection; nil for the net package's own way
@@ -36,6 +37,7 @@
 	probed func(balance.Probed)
 	mu     sync.Mutex
 	probes map[balance.ServerID]*prober
+	room   room // for connections of probes
 	Count  Counts
 }
 
@@ -51,7 +53,8 @@
 		d := net.Dialer{Timeout: cfg.Dial, LocalAddr: cfg.Source}
 		cfg.Connect = func(ctx context.Context, addr string) (net.Conn, error) { return d.DialContext(ctx, "tcp", addr) }
 	}
-	return &Client{cfg: cfg, sink: sink, probed: probed, probes: map[balance.ServerID]*prober{}}
+	return &Client{cfg: cfg, sink: sink, probed: probed, probes: map[balance.ServerID]*prober{},
+		room: room{left: max(cfg.Probes, 1)}}
 }
 
 // Attempt starts an attempt and returns at once. Its end is told to the sink.
@@ -72,6 +75,7 @@
 		defer cancel()
 		if outcome, report, stood := c.attempt(ctx, x, a, until); !stood {
 			c.Count.Outcomes[outcome].Add(1)
+			x.Attempted()
 			c.sink.Closed(x, a, outcome, time.Since(begun), report)
 		}
 	}()
--- a/internal/backend/probe.go
+++ b/internal/backend/probe.go
@@ -11,7 +11,7 @@
 	"brassmux/internal/lines"
 )
 
-// prober asks one server for its load, one probe at a time, over a connection that is kept for a while:
+// prober asks one server for its load, one probe at a time, over a connection that is kept for a while where there is room:
 // a new one costs the server work.
 type prober struct {
 	addr string
@@ -19,7 +19,7 @@
 }
 
 // Probe asks a server for its load and returns at once. Where by is not the zero time the question is on its way by then, or
-// is not asked, which is told as an answer without a report.
+// is not asked, which is told as an answer without a report. So is one that found no room for a connection in its time.
 func (c *Client) Probe(id balance.ServerID, addr string, by time.Time) {
 	c.Count.Probes.Add(1)
 	c.mu.Lock()
@@ -37,13 +37,18 @@
 }
 
 func (c *Client) probing(id balance.ServerID, p *prober) {
-	var conn *lines.Conn
+	var conn *lines.Conn // in use; between two questions it is in the room, and may make way
 	drop := func() {
-		if conn != nil {
-			conn.Close()
-		}
+		c.room.leave(conn)
 		conn = nil
 	}
+	var kept *lines.Conn // from the question before
+	wake := func() {
+		if kept != nil && c.room.wake(kept) {
+			conn = kept
+		}
+		kept = nil
+	}
 	idle := time.NewTimer(c.cfg.Idle)
 	for {
 		var by time.Time
@@ -59,20 +64,27 @@
 				delete(c.probes, id)
 			}
 			c.mu.Unlock()
-			drop()
+			if wake(); conn != nil {
+				drop()
+			}
 			return
 		case by = <-p.asks:
 		}
 		begun := time.Now()
 		ctx, cancel := context.WithDeadline(context.Background(), begun.Add(c.cfg.Probe))
 		result := balance.Probed{Server: id}
-		if conn != nil && !conn.Quiet() { // it was closed, or what came would be taken for the answer to this question
+		if wake(); conn != nil && !conn.Quiet() { // it was closed, or what came would be taken for the answer to this question
 			drop()
 		}
-		for kept := conn != nil; ; kept = false {
+		for again := conn != nil; ; again = false {
+			if conn == nil && !c.room.enter(ctx) {
+				result.Outcome = balance.OK
+				break
+			}
 			if conn == nil {
 				var err error
 				if conn, err = c.dial(ctx, p.addr); err != nil {
+					c.room.leave(nil)
 					result.Outcome = balance.ConnectFailed // whatever became of a kept one
 					break
 				}
@@ -87,11 +99,15 @@
 				break
 			}
 			drop()
-			if !kept || errors.Is(err, os.ErrDeadlineExceeded) {
+			if !again || errors.Is(err, os.ErrDeadlineExceeded) {
 				break // else the server has only closed what was idle: ask it on a new one
 			}
 		}
 		cancel()
+		if conn != nil && c.room.rest(conn) {
+			kept = conn
+		}
+		conn = nil
 		result.Took = time.Since(begun)
 		c.probed(result)
 	}
--- a/internal/backend/probe_test.go
+++ b/internal/backend/probe_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"testing"
 	"time"
 
 	"brassmux/balance"
+	"brassmux/internal/lines"
 )
 
 const patience = 10 * time.Second
@@ -45,14 +47,23 @@
 	return a
 }
 
-func (a *asker) ask() balance.Probed {
+func (a *asker) ask() balance.Probed { return a.askOf(7) }
+
+// askOf asks a server, at the one address.
+func (a *asker) askOf(server balance.ServerID) balance.Probed {
+	a.t.Helper()
+	a.Probe(server, a.addr, time.Time{})
+	p := a.result()
+	if p.Server != server {
+		a.t.Errorf("result for server %d", p.Server)
+	}
+	return p
+}
+
+func (a *asker) result() balance.Probed {
 	a.t.Helper()
-	a.Probe(7, a.addr, time.Time{})
 	select {
 	case p := <-a.results:
-		if p.Server != 7 {
-			a.t.Errorf("result for server %d", p.Server)
-		}
 		return p
 	case <-time.After(patience):
 		a.t.Fatal("no result")
@@ -185,3 +196,91 @@
 		})
 	}
 }
+
+// Guards against probes that take the descriptors of requests when a long list comes: the longest idle connection makes way, and
+// where all are in use a question waits its time, and tells nothing of its server then.
+func TestConnectionsOfProbesAreBounded(t *testing.T) {
+	ends := make(chan int, 10)
+	a := newAsker(t, func(n int, c net.Conn, in *bufio.Reader) {
+		for answer(c, in, "PONG x0=0.5\r\n") {
+		}
+		ends <- n
+	})
+	a.room.left = 2
+	asks := func(servers ...balance.ServerID) {
+		t.Helper()
+		for _, id := range servers {
+			if p := a.askOf(id); p.Outcome != balance.OK || p.Report == nil {
+				t.Fatalf("got %+v", p)
+			}
+		}
+	}
+	asks(1, 2, 1, 3)
+	if n := <-ends; n != 1 || len(a.conns) != 3 {
+		t.Errorf("%d made way for the third of %d", n, len(a.conns))
+	}
+	asks(1, 2) // one is kept still, the other comes up again
+	if n := <-ends; n != 2 || len(a.conns) != 4 {
+		t.Errorf("%d made way for the last of %d", n, len(a.conns))
+	}
+
+	for i := range 2 { // in use by others
+		if !a.room.enter(t.Context()) {
+			t.Fatal("no place", i)
+		}
+	}
+	a.cfg.Probe = 50 * time.Millisecond
+	if p := a.askOf(4); p.Outcome != balance.OK || p.Report != nil || len(a.conns) != 4 {
+		t.Errorf("got %+v over %d connections", p, len(a.conns))
+	}
+	a.room.leave(nil)
+	a.cfg.Probe = patience
+	asks(4)
+}
+
+// A place that comes free is the next one's who waits, and not that of an idle connection.
+func TestWhoWaitsForAPlaceGetsTheNext(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	c, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	conn := lines.New(c.(*net.TCPConn))
+	for name, free := range map[string]func(*room){
+		"one is closed": func(r *room) { r.leave(nil) },
+		"one is idle": func(r *room) {
+			if r.rest(conn) || r.wake(conn) {
+				t.Error("it is kept")
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := &room{left: 1}
+			r.enter(t.Context())
+			over, end := context.WithCancel(t.Context())
+			end()
+			if r.enter(over) {
+				t.Error("two have one place")
+			}
+			entered := make(chan bool)
+			go func() { entered <- r.enter(t.Context()) }()
+			for waiting := 0; waiting == 0; time.Sleep(time.Millisecond) {
+				r.mu.Lock()
+				waiting = len(r.waiting)
+				r.mu.Unlock()
+			}
+			free(r)
+			if !<-entered || r.left != 0 || len(r.waiting) != 0 {
+				t.Errorf("%d places are left, and %d wait", r.left, len(r.waiting))
+			}
+			r.leave(nil)
+			if r.left != 1 {
+				t.Errorf("%d places are left", r.left)
+			}
+		})
+	}
+}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -194,7 +194,7 @@
 	return x.reason == ServerMoved
 }
 
-// Attempting notes that an attempt starts; false means that nothing is owed any more.
+// Attempting notes that an attempt starts, and has Attempted called at its end; false means that nothing is owed any more.
 func (x *Exchange) Attempting(a Attempt, cancel func()) bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -202,9 +202,14 @@
 		return false
 	}
 	x.attempt, x.cancel, x.sent, x.stage = a, cancel, time.Now(), connecting
+	x.sides.Add(1)
 	return true
 }
 
+// Attempted notes that an attempt has ended that did not stand, and has no connection any more: guards against a place that is
+// given to another client while it has.
+func (x *Exchange) Attempted() { x.sideDone() }
+
 // Sending settles that the attempt that is out sends its first line now: from here on it may run. False means that it
 // must send nothing: the client has left, the attempt was called off or is late. All of that is decided here, under
 // x.mu, so that no end of the one falls between the look and the line.
@@ -397,7 +402,6 @@
 	}
 	x.phase, x.server, x.stood, x.cancel = standing, server, time.Now(), nil
 	server.SetDeadline(time.Time{})
-	x.sides.Add(1)
 	x.tally.Served.Add(1)
 	x.client.SetWriteDeadline(x.stood.Add(x.limits.Linger))
 	x.mu.Unlock()                  // the loop takes it, and must not wait for a client that does not read
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -51,6 +51,7 @@
 	}
 	client.SetWriteDeadline(time.Time{})
 	x := New(&Head{Wait: time.Minute}, client, &Tally{}, deaf{}, Limits{Linger: time.Minute}, zap.NewNop())
+	x.Attempting(Attempt{}, func() {})
 	go x.Stand(server, []byte("UP r\r\n"), func([]byte) *balance.Report { return nil })
 	answered := make(chan bool)
 	go func() {
@@ -93,6 +94,7 @@
 						x.Move()
 					}
 				}}, Limits{Linger: 100 * time.Millisecond, Silence: time.Minute, Notice: time.Minute}, zap.NewNop())
+				x.Attempting(Attempt{}, func() {})
 				go x.FromClient()
 				go x.Stand(server, line, noReport)
 				asker.SetDeadline(time.Now().Add(10 * time.Second))
--- a/node/config.go
+++ b/node/config.go
@@ -89,11 +89,12 @@
 	Empty     int64 `json:"empty_ms"`      // a node that is put out of service has moved its clients within it
 }
 
-// A node needs descriptors beside those of its connections: its files, its listener, two watches while it changes
-// from one to another, and one a server for probes.
+// A node needs descriptors beside those of its connections: its files, its listeners, one that has been accepted and waits at
+// the door, two watches while it changes from one to another, and one for a probe.
 const (
 	ownSockets  = 24
 	leastPlaces = 8
+	leastEach   = 3 * leastPlaces // the least of the door, and two for each of the least requests
 )
 
 // source is the local end of connections to servers and discovery; nil for any.
@@ -105,16 +106,21 @@
 	return net.TCPAddrFromAddrPort(netip.AddrPortFrom(addr, 0))
 }
 
-// places shares the descriptors out: two for each request and its server, and an eighth for connections that are
-// no requests yet, so that those keep no request out.
-func (c *Config) places() (requests, door int) {
-	left := c.Limits.Sockets - ownSockets - len(c.Known.Servers) - c.adminPlaces()
+// places shares the descriptors out: some for probes, two for each request and its server, and an eighth of those for
+// connections that are no requests yet, so that those keep no request out. Probes have one for each server that is known
+// already, but an eighth of all at the least and a quarter at the most: guards against a list that grows later, whose probes
+// would take the descriptors of requests.
+func (c *Config) places() (requests, door, probes int) {
+	left := c.Limits.Sockets - ownSockets - c.adminPlaces()
+	probes = min(max(len(c.Known.Servers), left/8), left/4)
+	probes = max(min(probes, left-leastEach), 1)
+	left -= probes
 	door = max(left/8, leastPlaces)
 	requests = max((left-door)/2, leastPlaces)
 	if open := c.Settings.Ceilings.MaxOpen; open > 0 {
 		requests = min(requests, open)
 	}
-	return requests, door
+	return requests, door, probes
 }
 
 // adminPlaces are the descriptors of callers at the second address, set apart so that neither side starves the other.
@@ -222,7 +228,7 @@
 	}{
 		{"limits.cores", c.Limits.Cores < 0, c.Limits.Cores},
 		{"limits.memory_mb", c.Limits.MemoryMB < 0, c.Limits.MemoryMB},
-		{"limits.sockets", c.Limits.Sockets < ownSockets+3*leastPlaces, c.Limits.Sockets},
+		{"limits.sockets", c.Limits.Sockets < ownSockets+leastEach+c.adminPlaces(), c.Limits.Sockets},
 	} {
 		if b.bad {
 			fault("config: %s: %v is out of range", b.key, b.value)
--- a/node/config_test.go
+++ b/node/config_test.go
@@ -20,6 +20,7 @@
 		"LB_LISTEN_FD: descriptor 999":               func(c *Config) { c.ListenFD = 999 },
 		"config: seed:":                              func(c *Config) { c.Seed = "seed" },
 		"config: limits.sockets:":                    func(c *Config) { c.Limits.Sockets = 10 },
+		"config: limits.sockets: 55":                 func(c *Config) { c.Limits.Sockets, c.Admin = 55, "127.0.0.1:0" },
 		"config: limits.memory_mb:":                  func(c *Config) { c.Limits.MemoryMB = -1 },
 		"config: limits.cores:":                      func(c *Config) { c.Limits.Cores = -1 },
 		"config: times.probe_ms:":                    func(c *Config) { c.Times.Probe = -1 },
--- a/node/daily_test.go
+++ b/node/daily_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"brassmux/internal/admin"
+	"brassmux/internal/discovery"
 )
 
 // call makes one call at the second address.
@@ -300,13 +301,28 @@
 	n.yes("POST", "/control/in-service")
 }
 
-// Callers at the second address take no place of a request, and requests none of theirs.
+// Callers at the second address take no place of a request, and requests none of theirs; probes take none of either, whatever
+// list was known at the start. One of the node's own descriptors is for a probe.
 func TestPlacesAreSetApart(t *testing.T) {
+	for sockets := ownSockets + leastEach; sockets <= 4096; sockets++ {
+		for _, servers := range []int{0, 4, 90, 1000} {
+			for _, addr := range []string{"", "127.0.0.1:1"} {
+				c := Config{Admin: addr, Limits: Limits{Sockets: sockets}, Known: discovery.List{Servers: make([]discovery.Server, servers)}}
+				if sockets < ownSockets+leastEach+c.adminPlaces() {
+					continue // it is refused
+				}
+				requests, door, probes := c.places()
+				if ownSockets+c.adminPlaces()+door+2*requests+probes-1 > sockets || requests < leastPlaces || door < leastPlaces || probes < 1 {
+					t.Fatalf("%d, %d, %d places of %d beside %d", requests, door, probes, sockets, c.adminPlaces())
+				}
+			}
+		}
+	}
 	c := Config{Limits: Limits{Sockets: 256}}
-	requests, door := c.places()
+	requests, door, probes := c.places()
 	c.Admin = "127.0.0.1:1"
-	fewer, sameDoor := c.places()
-	if c.adminPlaces() != 16 || 2*(requests-fewer)+door-sameDoor < 16 || 2*fewer+sameDoor+16+ownSockets > 256 {
-		t.Errorf("%d, %d places become %d, %d beside %d", requests, door, fewer, sameDoor, c.adminPlaces())
+	fewer, sameDoor, sameProbes := c.places()
+	if c.adminPlaces() != 16 || 2*(requests-fewer)+door-sameDoor+probes-sameProbes < 16 || probes != 29 {
+		t.Errorf("%d, %d, %d places become %d, %d, %d beside %d", requests, door, probes, fewer, sameDoor, sameProbes, c.adminPlaces())
 	}
 }
--- a/node/moments_test.go
+++ b/node/moments_test.go
@@ -123,6 +123,9 @@
 			n, g, client, first, other := gated(t, func(c *Config) { c.Settings.Ceilings.MaxOpen = 1 }, "OPEN id k c=chat,d=2000\r\n")
 			leave(client)
 			n.until("the client's leaving", func() bool { return n.counter("left") == 1 })
+			if n.front.Open() != 1 {
+				t.Error("its place is another's while its connection to the server is there")
+			}
 			g.pass <- struct{}{}
 			first.nothing(t)
 			n.until("the end of the attempt", func() bool { return n.counter("attempts_unsent") == 1 })
--- a/node/node.go
+++ b/node/node.go
@@ -65,12 +65,12 @@
 	}
 	limits := exchange.Limits{Silence: ms(cfg.Times.Silence), Notice: ms(cfg.Times.Notice),
 		Linger: ms(cfg.Times.Linger)}
-	requests, door := cfg.places()
+	requests, door, probes := cfg.places()
 	n.work, n.stop = context.WithCancel(context.Background())
 	n.loop = newLoop(n.work, &n.cfg, n.log)
 	n.loop.back = backend.New(backend.Config{Dial: settings.Microseconds(cfg.Settings.Ceilings.DialTimeout),
 		Source: cfg.source(), Probe: ms(cfg.Times.Probe), Idle: settings.Microseconds(cfg.Settings.Ceilings.KeepAlive),
-		LoadField: settings.LoadField, Connect: cfg.connect}, n.loop, n.loop.probed)
+		Probes: probes, LoadField: settings.LoadField, Connect: cfg.connect}, n.loop, n.loop.probed)
 	if n.loop.leases != nil {
 		if n.loop.leases.conn, err = peers.New(peers.Config{Listen: cfg.Peers.Listen, Nodes: cfg.Peers.Nodes, Index: cfg.Settings.Index,
 			Wait: cfg.ListenFD != 0}, n.log); err != nil {
