--- /dev/null
+++ b/lab/capacity/capacity_test.go
@@ -0,0 +1,124 @@
+package capacity
+
+import (
+	"context"
+	"encoding/json"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"brassmux/budget"
+	"brassmux/lab/slope"
+)
+
+var binary string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "capacity")
+	if err != nil {
+		panic(err)
+	}
+	binary = filepath.Join(dir, "brassmux")
+	if out, err := exec.Command("go", "build", "-o", binary, "brassmux/cmd/brassmux").CombinedOutput(); err != nil {
+		panic(string(out))
+	}
+	code := m.Run()
+	os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// Guards against a measurement that measures nothing: each finds what it measures in the state that it says (nodes that follow, units
+// granted, clients placed and connected, or it fails), at every size and as often as asked. Sizes are small, and no time is judged.
+func TestEachMeasurementIsMade(t *testing.T) {
+	r, err := Measure(context.Background(), Options{Seed: 3, Repeat: 2, Part: 15, Binary: binary})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, s := range r.Slopes {
+		if len(s.Sizes()) < 4 || len(s.Points) < 8 {
+			t.Errorf("%s: %d points at %v", s.Name, len(s.Points), s.Sizes())
+		}
+		for _, p := range s.Points {
+			if !(p.Y > 0) {
+				t.Errorf("%s: %g at %g", s.Name, p.Y, p.N)
+			}
+		}
+		if s.What == "" || s.Of == "" || s.Fit.Verdict == "" {
+			t.Errorf("%s does not say what it is: %+v", s.Name, s)
+		}
+	}
+	// What is a count or a number of bytes is known without a clock.
+	for name, want := range map[string]slope.Verdict{"list.bytes": slope.Line, "list.change_bytes": slope.Flat, "start.bytes": slope.Line,
+		"node.descriptors": slope.Line, "keeper.ask_bytes": slope.Flat} {
+		if s := r.Slope(name); s == nil || s.Fit.Verdict != want {
+			t.Errorf("%s: %+v, want %s", name, s, want)
+		}
+	}
+	if d := r.Slope("node.descriptors").Fit; d.Slope < 1.99 || d.Slope > 2.01 {
+		t.Errorf("%.3f descriptors a connection, which are two: the client's and its server's", d.Slope)
+	}
+	if _, err := json.Marshal(r); err != nil {
+		t.Error(err)
+	}
+}
+
+// Guards against a run that starts on names or numbers that it does not know.
+func TestMeasureRefuses(t *testing.T) {
+	if _, err := Measure(context.Background(), Options{Repeat: 2}, "keeper", "no-such"); err == nil || !strings.Contains(err.Error(), "no-such") {
+		t.Error(err)
+	}
+	if _, err := Measure(context.Background(), Options{Repeat: 1}, "pause"); err == nil {
+		t.Error("one measurement tells no spread")
+	}
+	ended, end := context.WithCancel(context.Background())
+	end()
+	if _, err := Measure(ended, Options{Repeat: 2}, "pause"); err == nil {
+		t.Error("it goes on after its end")
+	}
+}
+
+// Guards against a keeper that is measured while it has nothing to do: all nodes follow it, each want is granted, and what is granted
+// stands at the keeper when the next asks.
+func TestTheCrowdFollowsAndIsGranted(t *testing.T) {
+	const nodes = 40
+	c := newCrowd(nodes)
+	for c.now < budgetSettings(nodes, 0).Bound()+6*beat {
+		if _, _, _, err := c.beat(nodes-1, 1, false); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if s := c.keep.State(c.now); s.Followers != nodes-1 {
+		t.Errorf("%d follow", s.Followers)
+	}
+	if _, _, _, err := c.beat(nodes-1, 1, true); err != nil {
+		t.Fatal(err)
+	}
+	for i, w := range c.heard[1:] {
+		if !slices.EqualFunc(w.Grants, []budget.ID{budgetID((i + 1) % budgetCount)}, func(g budget.Grant, id budget.ID) bool { return g.ID == id && g.N == 1 }) {
+			t.Errorf("node %d was granted %+v", i+1, w.Grants)
+		}
+		if !w.Most {
+			t.Errorf("node %d is told that the keeper is not followed by most", i+1)
+		}
+	}
+}
+
+// Guards against a clock that measures another's time or none: this process's own processor time passes as it works, another's is its own.
+func TestClocks(t *testing.T) {
+	begun, wall := cpu(), time.Now()
+	for time.Since(wall) < 20*time.Millisecond {
+	}
+	if used := cpu() - begun; used <= 0 {
+		t.Errorf("%v of work used %v", time.Since(wall), used)
+	}
+	if own, other := cpu(), cpuOf(os.Getpid()); other < own || other > own+time.Minute {
+		t.Errorf("%v by the process, %v by its number", own, other)
+	}
+	if cpuOf(1<<22+1) != 0 {
+		t.Error("a process that is not there uses time")
+	}
+}
--- a/lab/slope/slope.go
+++ b/lab/slope/slope.go
@@ -93,6 +93,9 @@
 	}
 	f.Intercept, f.Slope, f.SlopeSpread = f.line.factors[0], f.line.factors[1]/biggest, f.line.spread(1)/biggest
 	f.Spread, f.R2 = f.line.error, stat.RSquared(x, y, w, f.line.factors[0], f.line.factors[1])
+	if f.R2 = min(f.R2, 1); !(f.R2 >= 0) { // values that are all the same have no variance to explain: rounding is all that is left
+		f.R2 = 0
+	}
 	if len(logY) == len(points) {
 		p, err := fit(logX, logY, slices.Repeat([]float64{1}, len(logX)), 1)
 		if err != nil {
--- a/lab/slope/slope_test.go
+++ b/lab/slope/slope_test.go
@@ -123,10 +123,11 @@
 	}
 }
 
-// Guards against figures that JSON cannot hold, where all or some values are 0.
+// Guards against figures that JSON cannot hold, where all or some values are 0, or all are the same.
 func TestZeros(t *testing.T) {
 	for name, points := range map[string][]Point{
 		"all":  {{1, 0}, {2, 0}, {3, 0}, {4, 0}},
+		"same": {{3, 157}, {17, 157}, {40, 157}, {200, 157}, {200, 157}},
 		"some": {{1, 0}, {2, 1}, {3, 2}, {4, 3}, {5, 4.1}},
 	} {
 		f, err := Of(points)
