--- a/lab/capacity/process.go
+++ b/lab/capacity/process.go
@@ -14,7 +14,6 @@
 	"path/filepath"
 	"slices"
 	"strings"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -27,7 +26,7 @@
 
 // config is a node's, with so many peers; the lists' service and the servers are named by address.
 func config(nodes, index int, discovery string, servers []emulator.Entry) map[string]any {
-	c := map[string]any{"name": "n", "listen": "127.0.0.1:0", "discovery": discovery, "seed": "1", "source": emulator.Source(0).String(),
+	c := map[string]any{"name": "n", "listen": "127.0.0.1:0", "discovery": discovery, "seed": "1",
 		"limits": map[string]any{"sockets": 19000},
 		"known":  map[string]any{"version": 1, "full": true, "servers": servers},
 		"settings": map[string]any{"balancers": max(nodes, 1), "index": index, "tick_us": 5000, "membership_mode": "on_request",
@@ -168,36 +167,60 @@
 	setup := b.slope("node.setup", "processor time of a set-up at the node, all of them together", "us", "connections")
 	message := b.slope("node.messages", "processor time of one message there and back on each connection, all together", "us", "connections")
 	idle := b.slope("node.idle", "processor time a second of connections that say nothing", "us", "connections")
-	return b.each(ctx, Connections, func(n, turn int) error { return b.stand(ctx, n, turn, mem, fds, setup, message, idle) })
+	return b.each(ctx, Connections, func(n, turn int) error {
+		return b.stand(ctx, n, turn, func(used used) {
+			mem.add(n, used.memory)
+			fds.add(n, used.descriptors)
+			setup.add(n, used.setup)
+			message.add(n, used.message)
+			idle.add(n, used.idle)
+		})
+	})
 }
 
-func (b *bench) stand(ctx context.Context, n, turn int, mem, fds, setup, message, idle *Slope) error {
-	ways := func(int) (in, out *emulator.Way) { return &emulator.Way{}, &emulator.Way{} }
-	var sent atomic.Int64
-	list := emulator.NewList(emulator.ListKind{PerSecond: 1000, Patience: patience}, func(emulator.Told) {}, func(emulator.Call) {})
-	for i := range 8 {
-		s := emulator.NewServer(fmt.Sprintf("s-%d", i), emulator.ServerKind{Holds: 1 << 20}, time.Time{}, func(r emulator.Receipt) {
-			if r.What == emulator.Sent {
-				sent.Add(1)
-			}
-		})
-		if err := s.Open(ways); err != nil {
-			return err
-		}
-		defer s.Stop()
-		list.Change(s, "up")
+// used is what so many connections have cost a node, in microseconds, bytes and descriptors.
+type used struct{ setup, message, idle, memory, descriptors float64 }
+
+// echo is a server that takes all that come and sends back what they say.
+func echo() (net.Listener, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
 	}
-	if err := list.Open(ways); err != nil {
-		return err
+	serve := func(c net.Conn) {
+		defer c.Close()
+		first, err := answer(c)
+		words := strings.Fields(first)
+		if err != nil || len(words) < 2 || words[0] != "OPEN" {
+			return
+		}
+		if _, err := fmt.Fprintf(c, "UP %s\r\n", words[1]); err == nil {
+			io.CopyBuffer(struct{ io.Writer }{c}, struct{ io.Reader }{c}, make([]byte, 256))
+		}
 	}
-	defer list.Close()
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go serve(c)
+		}
+	}()
+	return l, nil
+}
+
+func (b *bench) stand(ctx context.Context, n, turn int, take func(used)) error {
 	var known []emulator.Entry
-	for deadline := time.Now().Add(patience); len(known) < 8; time.Sleep(time.Millisecond) {
-		if _, known = list.Known(0); time.Now().After(deadline) {
-			return errors.New("the list service knows no servers")
+	for i := range 8 {
+		l, err := echo()
+		if err != nil {
+			return err
 		}
+		defer l.Close()
+		known = append(known, emulator.Entry{ID: fmt.Sprintf("s-%d", i), Addr: l.Addr().String(), State: "up", Weight: 1})
 	}
-	p, err := b.child(ctx, config(0, 0, list.Addr(), known))
+	p, err := b.child(ctx, config(0, 0, "127.0.0.1:1", known)) // no list service is there: the node goes on with the list that it has
 	if err != nil {
 		return err
 	}
@@ -217,17 +240,16 @@
 	if err != nil {
 		return err
 	}
-	setup.add(n, float64(cpuOf(pid)-begun)/1e3)
-	fds.add(n, float64(descriptors(pid)-files))
+	u := used{setup: float64(cpuOf(pid)-begun) / 1e3, descriptors: float64(descriptors(pid) - files)}
 	begun = cpuOf(pid)
 	if err := exchange(conns); err != nil {
 		return err
 	}
-	message.add(n, float64(cpuOf(pid)-begun)/1e3)
+	u.message = float64(cpuOf(pid)-begun) / 1e3
 	begun = cpuOf(pid)
-	time.Sleep(time.Second)
-	idle.add(n, float64(cpuOf(pid)-begun)/1e3)
-	mem.add(n, pages(pid))
+	time.Sleep(time.Second) // what is measured is a second of it
+	u.idle, u.memory = float64(cpuOf(pid)-begun)/1e3, pages(pid)
+	take(u)
 	return nil
 }
 
