No first byte for a client that has left: its socket is asked before it

Looked at: 12 places where a request can wait (the listener's queue, before and in the loop's queue, its server being asked for its load, its first connection coming up, its next one after an error and after a time-out, the budget of its customer and that of its server, the pause of an at=, no address yet, at its server) and 4 ways to leave (close, reset, end of sending, close having written ahead), 50 clients each, and whatever would have the request go on over 0.1 s later. Ruled out: budgets, timers and lists, which all end in Exchange.Attempting and Sending.

What was left by the code: both decide by what the client's side has read. A client that left while it waited to be accepted, or whose side does not come to run, has gone on the wire and not in the exchange; then the line goes out. Exchange.Sending now asks the socket itself (lines.Conn.Gone, a peek that takes nothing) and ends the exchange as left.

Before its answer an end of sending is a leave, at the door and after UP it is none: design, "Ends", has the reasons.

Tests: AClientThatLeavesWhileItWaitsIsNotSentOn has 50 clients for each place and way where it had one, 6 places more, and counts what the servers were sent beside what it counted before.

--- a/cmd/brassmux/descriptors_test.go
+++ b/cmd/brassmux/descriptors_test.go
@@ -126,10 +126,13 @@
 		"ceilings":{"may_probe":true,"send_cap":3,"dial_timeout_us":5000000,"keepalive_us":60000000},"report":{"fields":["x0"],"via":"probe"},
 		"classes":[{"name":"chat","effect":"read_like"}]}}`, c.discovery, sockets, c.list(known)))
 	r := watch(t, cmd, 6*patience)
-	lines := make(chan map[string]any, 1)
+	lines, ended := make(chan map[string]any, 1), make(chan bool, 1)
 	go func() {
 		for r.log.Scan() {
-			if line := r.parse(); line["msg"] == "counters" {
+			if len(ended) > 0 {
+				continue // only lest the log fills the pipe
+			} else if line := r.parse(); line["msg"] == "counters" {
+				ended <- true
 				lines <- line
 			} else if line["msg"] == "clients cannot be accepted" {
 				t.Error(line)
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -212,8 +212,13 @@
 
 // Sending settles that the attempt that is out sends its first line now: from here on it may run. False means that it
 // must send nothing: the client has left, the attempt was called off or is late. All of that is decided here, under
-// x.mu, so that no end of the one falls between the look and the line.
+// x.mu, so that no end of the one falls between the look and the line. Whether the client has left the machine is asked first: guards
+// against a side that has not come to read its end yet, as on a busy machine or where the client left before it was accepted.
 func (x *Exchange) Sending() bool {
+	if x.client.Gone() {
+		x.left()
+		return false
+	}
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	if by := x.attempt.By; x.phase != waiting || x.stage != connecting || !by.IsZero() && time.Now().After(by) {
@@ -350,12 +355,21 @@
 	return x.free()
 }
 
-func (x *Exchange) clientEnds(err error) {
-	if cancel, first := x.settle(ClientLeft); first {
+// left ends an exchange that waits, as its client has gone, once. Until its answer a client has nothing more to say: who ends its
+// sending has gone like one that closes.
+func (x *Exchange) left() bool {
+	cancel, first := x.settle(ClientLeft)
+	if first {
 		if cancel != nil {
 			cancel()
 		}
 		x.sink.Left(x)
+	}
+	return first
+}
+
+func (x *Exchange) clientEnds(err error) {
+	if x.left() {
 		return
 	}
 	x.mu.Lock()
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"io"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -114,3 +115,58 @@
 		}
 	}
 }
+
+// leaver counts the clients that left.
+type leaver struct {
+	deaf
+	left *atomic.Int64
+}
+
+func (l leaver) Left(*Exchange) { l.left.Add(1) }
+
+// The client's side has not come to read how its client left; nothing is sent all the same. What a client that is there writes is
+// not taken from that side.
+func TestTheFirstByteIsNotSentForAClientThatHasLeft(t *testing.T) {
+	for name, c := range map[string]struct {
+		leave func(asker *net.TCPConn)
+		sends bool
+	}{
+		"closes":           {func(asker *net.TCPConn) { asker.Close() }, false},
+		"ends its sending": {func(asker *net.TCPConn) { asker.CloseWrite() }, false},
+		"breaks":           {func(asker *net.TCPConn) { asker.SetLinger(0); asker.Close() }, false},
+		"is there":         {func(asker *net.TCPConn) {}, true},
+		"writes ahead":     {func(asker *net.TCPConn) { io.WriteString(asker, "a\r\n") }, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			client, far := pair(t)
+			asker := far.(*net.TCPConn)
+			var left atomic.Int64
+			x := New(&Head{Wait: time.Minute}, client, &Tally{}, leaver{left: &left}, Limits{Linger: time.Minute}, zap.NewNop())
+			cancelled := 0
+			x.Attempting(Attempt{}, func() { cancelled++ })
+			c.leave(asker)
+			gone := int64(0)
+			for end := time.Now().Add(10 * time.Second); !c.sends && gone == 0; {
+				if client.Gone() { // it has reached the machine
+					gone = 1
+				} else if time.Now().After(end) {
+					t.Fatal("its leaving is not seen")
+				}
+			}
+			if x.Sending() != c.sends || left.Load() != gone || int64(cancelled) != gone || x.Owed() != c.sends {
+				t.Errorf("it is sent on; %d have left, %d attempts are called off", left.Load(), cancelled)
+			}
+			if name == "writes ahead" {
+				if line, err := client.ReadLine(); string(line) != "a\r\n" {
+					t.Errorf("got %q, %v", line, err)
+				}
+			}
+			asker.Close()
+			x.Attempted()
+			x.FromClient()
+			if left.Load() != 1 {
+				t.Errorf("it has left %d times", left.Load())
+			}
+		})
+	}
+}
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -162,6 +162,9 @@
 // Open is the number of requests that have not ended.
 func (s *Server) Open() int { return len(s.room) }
 
+// AtDoor is the number of connections that are no requests.
+func (s *Server) AtDoor() int { return len(s.door) }
+
 // Wait returns when all connections have ended.
 func (s *Server) Wait() { s.wait.Wait() }
 
--- a/internal/lines/lines.go
+++ b/internal/lines/lines.go
@@ -79,6 +79,21 @@
 	return quiet && err == nil
 }
 
+// Gone tells whether the other side has ended its sending or broken the connection, with nothing unread before that. Another
+// goroutine may read meanwhile: nothing is taken from it.
+func (c *Conn) Gone() bool {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return true
+	}
+	gone := false
+	err = raw.Control(func(fd uintptr) {
+		n, _, err := syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		gone = n == 0 && err == nil || err == syscall.ECONNRESET
+	})
+	return gone && err == nil
+}
+
 // Unread gives a copy of what was read off the connection and belongs to no line yet.
 func (c *Conn) Unread() []byte {
 	rest, _ := c.text.R.Peek(c.text.R.Buffered())
--- a/node/moments_test.go
+++ b/node/moments_test.go
@@ -12,8 +12,12 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+
 	"brassmux/balance"
+	"brassmux/budget"
 	"brassmux/internal/discovery"
+	"brassmux/internal/exchange"
 	"brassmux/internal/settings"
 )
 
@@ -239,44 +243,99 @@
 	}
 }
 
-// Wherever a request waits, nothing is sent for a client that has left.
+// leavers is how many clients of a play leave.
+const leavers = 50
+
+// Wherever a request waits, nothing is sent for a client that has left: closed, broken, or ended its sending, since until its answer
+// it has nothing else to say. Whatever would have the request go on comes over 0.1 s later, and servers count what they are sent.
 func TestAClientThatLeavesWhileItWaitsIsNotSentOn(t *testing.T) {
-	for name, c := range map[string]struct {
-		attempts int64
-		decided  int // requests that the decisions heard of
+	ways := map[string]func(c *wire){
+		"closes":                    func(c *wire) { c.Close() },
+		"breaks":                    func(c *wire) { c.reset() },
+		"ends its sending":          func(c *wire) { c.CloseWrite() },
+		"closes, has written ahead": func(c *wire) { c.say("a\r\nb\r\n"); c.Close() },
+	}
+	asked := func(_ *waiter, c *Config) { c.Times.Probe, c.Settings.Ceilings.MayProbe = 60_000, true }
+	gated := func(w *waiter, c *Config) { c.connect, c.Settings.Ceilings.DialTimeout = w.gate.connect, 60_000_000 }
+	places := map[string]struct {
+		attempts int // for each client, before it leaves
+		decided  int // times that the decisions heard of each
+		change   func(w *waiter, c *Config)
 		wait     func(w *waiter) (then func())
 	}{
-		"in the queue": {0, 0, func(w *waiter) func() {
+		"in the listener's queue": {-1, -1, nil, func(w *waiter) func() { // the process comes to it later
+			w.open("")
+			w.goes = func() bool { return true }
+			return w.n.run
+		}},
+		"in the queue": {0, 0, nil, func(w *waiter) func() {
 			hold := w.n.holdLoop()
 			w.open("")
-			w.n.until("the request", func() bool { return len(w.n.loop.events) == 1 })
-			w.goes = func() bool { return len(w.n.loop.events) == 2 } // its end, behind it
+			w.n.until("the requests", func() bool { return len(w.n.loop.events) == leavers })
+			w.goes = func() bool { return len(w.n.loop.events) == 2*leavers } // their ends, behind them
 			return func() { close(hold) }
 		}},
-		"before the queue": {0, 0, func(w *waiter) func() {
+		"before the queue": {0, 0, nil, func(w *waiter) func() {
 			hold := w.n.holdLoop()
 			for len(w.n.loop.events) < queue {
 				w.n.loop.tell(func() {})
 			}
 			w.open("")
-			w.n.until("the request", func() bool { return w.n.front.Count.Requests.Load() == 1 })
-			w.goes = func() bool { return strings.Contains(stacks(), "exchange.(*Exchange).clientEnds") }
+			w.n.until("the requests", func() bool { return w.n.front.Count.Requests.Load() == leavers })
+			w.goes = func() bool { return strings.Count(stacks(), "exchange.(*Exchange).clientEnds(") == leavers }
 			return func() { close(hold) }
 		}},
-		"while its server is asked": {0, 1, func(w *waiter) func() {
+		"while its server is asked": {0, 1, asked, func(w *waiter) func() {
 			w.open("")
-			probe := <-w.probes
-			probe.hear("STATS\r\n")
+			probe, _ := w.h.next(w.t)
+			w.n.until("the requests", func() bool { return w.n.logs.FilterMessage("request").Len() == leavers })
 			return func() {
 				probe.say("PONG x0=0.1\r\n")
 				w.n.until("the answer", func() bool { return w.n.logs.FilterMessage("probed").Len() == 1 })
 			}
 		}},
-		"before its connection is tried again": {1, 0, func(w *waiter) func() {
+		"while its connection comes up": {1, 1, gated, func(w *waiter) func() {
+			w.open("")
+			return w.held()
+		}},
+		"while its next connection comes up, after an error": {2, 1, gated, func(w *waiter) func() {
+			w.open("")
+			w.held()()
+			for range leavers {
+				s, _ := w.next()
+				s.say("ERR\r\n")
+			}
+			return w.held()
+		}},
+		"while its next connection comes up, after a time-out": {2, 1, gated, func(w *waiter) func() {
+			w.t.Parallel() // half of its time
+			w.wait = 4000
+			w.open("")
+			w.held()()
+			for range leavers {
+				w.next() // and is not answered
+			}
+			return w.held()
+		}},
+		"while its attempt waits for a budget": {0, 1, func(_ *waiter, c *Config) { lends(c); c.Budgets.Sends = 4 * leavers }, func(w *waiter) func() {
+			grant := w.n.withhold(budget.ID{Kind: sendBudget, Of: uint64(settings.NamedServer(w.h.id))})
+			w.open("")
+			w.n.until("the requests", func() bool { return w.n.waitForBudgets() == leavers })
+			return grant
+		}},
+		"while it waits for its customer's budget": {0, 0, func(_ *waiter, c *Config) { lends(c); c.Budgets.Opens = 4 * leavers }, func(w *waiter) func() {
+			grant := w.n.withhold(budget.ID{Kind: openBudget, Of: customer(&exchange.Head{Key: []byte("k")})})
+			w.open("")
+			w.n.until("the requests", func() bool { return w.n.waitForBudgets() == leavers })
+			return grant
+		}},
+		"before its connection is tried again": {1, 0, nil, func(w *waiter) func() {
 			w.open(",at=s-1")
-			s, _ := w.h.next(w.t)
-			s.say("BUSY\r\n")
-			w.n.until("the pause", func() bool { return w.n.counter("attempts_full") == 1 })
+			for range leavers {
+				s, _ := w.h.next(w.t)
+				s.say("BUSY\r\n")
+			}
+			w.n.until("the pause", func() bool { return w.n.counter("attempts_full") == leavers })
 			return func() {
 				w.n.list.change(2, false, w.h.entryJSON("removed"))
 				again := make(chan int)
@@ -286,43 +345,86 @@
 				}
 			}
 		}},
-		"while no list names its server": {0, 0, func(w *waiter) func() {
-			w.open(",at=s-2")
-			w.n.until("it to wait", func() bool { return w.n.counter("standing_before") == 1 })
+		"while no list names its server": {0, 0, nil, func(w *waiter) func() {
+			w.open(",at=s-9")
+			w.n.until("them to wait", func() bool { return w.n.counter("standing_before") == leavers })
 			return func() {
-				w.n.list.change(2, false, (&host{id: "s-2", addr: w.h.addr}).entryJSON("up"))
-				w.n.until("the news", func() bool { return w.n.counter("list_changes") == 1 && w.n.address(&host{id: "s-2"}) != "" })
+				w.n.list.change(2, false, (&host{id: "s-9", addr: w.h.addr}).entryJSON("up"))
+				w.n.until("the news", func() bool { return w.n.counter("list_changes") == 1 && w.n.address(&host{id: "s-9"}) != "" })
 			}
 		}},
-		"when its server has it": {1, 1, func(w *waiter) func() {
+		"when its server has it": {1, 1, nil, func(w *waiter) func() {
 			w.open("")
-			server, _ := w.h.next(w.t)
-			return func() { server.end(io.EOF) } // what is out is called off
+			var servers []*wire
+			for range leavers {
+				s, _ := w.h.next(w.t)
+				servers = append(servers, s)
+			}
+			return func() {
+				for _, s := range servers {
+					s.end(io.EOF) // what is out is called off
+				}
+			}
 		}},
-	} {
-		for also, text := range map[string]string{"": "", ", having written ahead": "a\r\nb\r\n"} {
-			t.Run(name+also, func(t *testing.T) {
-				w := &waiter{t: t, probes: make(chan *wire, 10)}
-				w.h = newHost(t, "s-1")
-				if name == "while its server is asked" {
-					w.h.addr = listen(t, func(probe *wire) { w.probes <- probe })
+	}
+	for place, c := range places {
+		for way, leave := range ways {
+			t.Run(place+", "+way, func(t *testing.T) {
+				w := &waiter{t: t, h: newHost(t, "s-1"), gate: newGate(), wait: 20_000}
+				if place == "while its server is asked" {
+					w.h.addr = accept(t, func(probe *wire) {
+						w.h.busy.Go(func() {
+							line, _ := probe.in.ReadString('\n')
+							w.h.first <- line
+							w.h.conns <- probe
+						})
+					})
+				}
+				hosts := []*host{w.h}
+				if c.attempts == 2 {
+					w.other = newHost(t, "s-2")
+					hosts = append(hosts, w.other)
+				}
+				list := newLister(t, 0)
+				cfg := config(t, list, hosts...)
+				cfg.Settings.Ceilings.MayProbe = false
+				if c.change != nil {
+					c.change(w, &cfg)
+				}
+				w.n = prepare(t, cfg, list)
+				if c.decided >= 0 {
+					w.n.run()
 				}
-				w.n = start(t, func(c *Config) {
-					c.Times.Probe, c.Settings.Ceilings.MayProbe = 60_000, name == "while its server is asked"
-				}, w.h)
 				then := c.wait(w)
-				w.client.say(text)
-				w.client.Close()
+				for _, client := range w.clients {
+					leave(client)
+				}
+				left := time.Now()
 				if w.goes == nil {
-					w.goes = func() bool { return w.n.counter("left") == 1 }
+					w.goes = func() bool { return w.n.counter("left") == leavers }
 				}
-				w.n.until("its leaving to be seen", w.goes)
+				w.n.until("their leaving to be seen", w.goes)
+				time.Sleep(time.Until(left.Add(100 * time.Millisecond))) // the bound
 				then()
-				w.n.until("its leaving", func() bool { return w.n.counter("left") == 1 })
-				if w.n.counter("attempts") != c.attempts || w.n.held() != 0 || w.n.counter("failed") != 0 {
-					t.Error("it was tried, is held, or counts as failed")
+				w.n.until("all to be over", func() bool {
+					return w.n.counter("connections") == leavers && w.n.front.AtDoor() == 0 && w.n.held() == 0 && w.n.front.Open() == 0
+				})
+				if sent := w.h.untaken(t); sent > 0 {
+					t.Errorf("%d were sent on", sent)
+				}
+				if w.other != nil && w.other.untaken(t) > 0 {
+					t.Error("some were sent on")
+				}
+				if n := w.n.counter("failed"); n != 0 {
+					t.Errorf("%d count as failed", n)
+				}
+				if c.decided < 0 {
+					return
 				}
-				if decided := w.n.logs.FilterMessage("request").Len(); decided != c.decided {
+				if n := w.n.counter("attempts"); n != int64(c.attempts*leavers) || w.n.counter("left") != leavers {
+					t.Errorf("%d attempts, %d have left", n, w.n.counter("left"))
+				}
+				if decided := w.n.logs.FilterMessage("request").Len(); decided != c.decided*leavers {
 					t.Errorf("decided on %d times", decided)
 				}
 			})
@@ -330,17 +432,174 @@
 	}
 }
 
-// waiter is a request that waits somewhere, with what is around it.
+// Who ends its sending and waits for no server's answer has not left.
+func TestAnEndOfSendingIsNoLeaveAtTheDoor(t *testing.T) {
+	n := start(t, nil)
+	for first, answer := range map[string]string{"PING\r\n": "PONG\r\n", "BOO\r\n": "ERR unknown request\r\n"} {
+		c := n.dial()
+		c.say(first)
+		c.CloseWrite()
+		c.hear(answer)
+		c.end(io.EOF)
+	}
+}
+
+// waiter is requests that wait somewhere, with what is around them.
 type waiter struct {
-	t      *testing.T
-	n      *running
-	h      *host
-	probes chan *wire
-	client *wire
-	goes   func() bool // its leaving has been seen
+	t        *testing.T
+	n        *running
+	h, other *host
+	gate     *gate
+	wait     int // for their answers, in milliseconds
+	clients  []*wire
+	goes     func() bool // their leaving has been seen
+}
+
+func (w *waiter) open(more string) {
+	for i := range leavers {
+		c := w.n.dial()
+		c.say(fmt.Sprintf("OPEN id-%d k c=chat,d=%d%s\r\n", i, w.wait, more))
+		w.clients = append(w.clients, c)
+	}
 }
 
-func (w *waiter) open(more string) { w.client = w.n.open("k", more) }
+// next waits for an attempt at either server.
+func (w *waiter) next() (s *wire, first string) {
+	w.t.Helper()
+	select {
+	case s = <-w.h.conns:
+		return s, <-w.h.first
+	case s = <-w.other.conns:
+		return s, <-w.other.first
+	case <-time.After(patience):
+		w.t.Fatal("no attempt has come")
+		return nil, ""
+	}
+}
+
+// held waits until all have a connection that has come up and is held.
+func (w *waiter) held() (pass func()) {
+	w.t.Helper()
+	for range leavers {
+		w.gate.held(w.t)
+	}
+	return func() {
+		for range leavers {
+			w.gate.pass <- struct{}{}
+		}
+	}
+}
+
+// lends has a node share budgets with another one.
+func lends(c *Config) {
+	c.Settings.Balancers, c.Settings.Ceilings.Peers = 2, true
+	c.Settings.Family.Quotas = []float64{1000}
+	c.Peers = Peers{Listen: "127.0.0.1:0", Nodes: []string{"127.0.0.1:2", "127.0.0.1:3"}}
+	c.Budgets.Lease = true
+}
+
+// withhold has a node wait for budgets: its own parts are spent, the other's words are held back, and its time stands still, until
+// grant.
+func (r *running) withhold(ids ...budget.ID) (grant func()) {
+	other := r.cfg
+	other.Settings.Index = 1 - r.cfg.Settings.Index
+	now := 20 * time.Second // what a start before this one did is past
+	var told []func()
+	share := func(loops ...*loop) {
+		for _, l := range loops {
+			l.share()
+		}
+		for len(told) > 0 {
+			next := told[0]
+			told = told[1:]
+			next()
+		}
+	}
+	loops := make([]*loop, 2)
+	own := r.cfg.Settings.Index
+	r.sync(func() {
+		loops[own], loops[1-own] = r.loop, newLoop(r.t.Context(), &other, zap.NewNop())
+		for i, l := range loops {
+			l.leases.clock = func() time.Duration { return now }
+			l.leases.tell = func(to int, w budget.Word) {
+				told = append(told, func() { loops[to].shared(loops[to].leases.budgets.Heard(now, i, w)) })
+			}
+		}
+		for range 100 {
+			now += 100 * time.Millisecond
+			share(loops...)
+		}
+		for _, id := range ids {
+			for r.loop.leases.budgets.Spend(now, id) {
+			}
+			if r.loop.leases.budgets.Left(now, id) != -1 || r.loop.leases.budgets.State(now).Keeper == own {
+				r.t.Error("none waits for the other node")
+			}
+		}
+	})
+	return func() {
+		r.sync(func() {
+			now += answerWait / 10
+			share(loops...)
+			share(loops...)
+			if s := r.loop.leases; len(s.waiting) > 0 || s.count.refused[ids[0].Kind].Load() > 0 {
+				r.t.Error("some wait on, or go without")
+			}
+		})
+	}
+}
+
+// sync has the loop do something, and waits.
+func (r *running) sync(do func()) {
+	done := make(chan struct{})
+	r.loop.tell(func() {
+		do()
+		close(done)
+	})
+	<-done
+}
+
+// The same, and the attempt waits for a budget.
+func TestNothingIsSentToAServerThatDrainsWhileAnAttemptWaitsForABudget(t *testing.T) {
+	first, other := newHost(t, "s-1"), newHost(t, "s-2")
+	n := start(t, func(c *Config) {
+		lends(c)
+		c.Settings.Ceilings.MayProbe, c.Budgets.Sends = false, 20
+	}, first, other)
+	of := func(h *host) budget.ID {
+		return budget.ID{Kind: sendBudget, Of: uint64(settings.NamedServer(h.id))}
+	}
+	grant := n.withhold(of(first), of(other))
+	client := n.open("k", "")
+	n.until("the request", func() bool { return n.waitForBudgets() == 1 })
+	n.sync(func() {
+		if len(n.loop.leases.waiting[of(first)]) == 0 {
+			first, other = other, first
+		}
+	})
+	n.list.change(2, false, first.entryJSON("draining"))
+	n.until("the drain", func() bool { return n.drains(first) })
+	n.until("another attempt", func() bool {
+		grant()
+		return len(other.conns) > 0
+	})
+	server, _ := other.next(t)
+	server.say("UP r\r\n")
+	client.hear("UP r\r\n")
+	if first.untaken(t) > 0 {
+		t.Error("the one that drains was sent it")
+	}
+}
+
+// waitForBudgets counts who does.
+func (r *running) waitForBudgets() (n int) {
+	r.sync(func() {
+		for _, all := range r.loop.leases.waiting {
+			n += len(all)
+		}
+	})
+	return n
+}
 
 // holdLoop keeps the loop from what comes next, until the channel is closed.
 func (r *running) holdLoop() (hold chan struct{}) {
--- a/node/standins_test.go
+++ b/node/standins_test.go
@@ -90,16 +90,22 @@
 	conns    chan *wire
 	first    chan string
 	load     string
+	busy     sync.WaitGroup // with connections whose first line has not come
 }
 
 func newHost(t *testing.T, id string) *host {
 	h := &host{id: id, conns: make(chan *wire, 100), first: make(chan string, 100), load: "0.1"}
-	h.addr = listen(t, h.serve)
+	h.addr = accept(t, func(w *wire) { h.busy.Go(func() { h.serve(w) }) })
 	return h
 }
 
 // listen serves each connection to an address.
 func listen(t *testing.T, serve func(*wire)) (addr string) {
+	return accept(t, func(w *wire) { go serve(w) })
+}
+
+// accept takes the connections to an address, one after the other.
+func accept(t *testing.T, take func(*wire)) (addr string) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -112,7 +118,7 @@
 			if err != nil {
 				return
 			}
-			go serve(newWire(t, c))
+			take(newWire(t, c))
 		}
 	}()
 	return l.Addr().String()
@@ -145,6 +151,23 @@
 	}
 }
 
+// untaken counts the first lines that the host has and nobody has asked next for, when the node sends nothing more. No probe's
+// connection may be kept.
+func (h *host) untaken(t *testing.T) (n int) {
+	t.Helper()
+	c, err := net.Dial("tcp", h.addr) // comes behind all others
+	if err != nil {
+		t.Fatal(err)
+	}
+	io.WriteString(c, "LAST\r\n")
+	for last := false; !last; n++ {
+		_, first := h.next(t)
+		last = first == "LAST\r\n"
+	}
+	h.busy.Wait()
+	return n - 1 + len(h.conns)
+}
+
 func (h *host) entry(state string) discovery.Server {
 	return discovery.Server{ID: settings.NamedServer(h.id), Addr: h.addr, Zone: "a", State: state, Weight: 1}
 }
@@ -272,20 +295,32 @@
 }
 
 func run(t *testing.T, cfg Config, list *lister) *running {
+	t.Helper()
+	r := prepare(t, cfg, list)
+	r.run()
+	return r
+}
+
+// prepare makes a node that listens, and does not run yet.
+func prepare(t *testing.T, cfg Config, list *lister) *running {
 	t.Helper()
 	core, logs := observer.New(zapcore.DebugLevel)
 	n, err := New(cfg, zap.New(core))
 	if err != nil {
 		t.Fatal(err)
 	}
+	return &running{Node: n, t: t, list: list, logs: logs, done: make(chan error, 1), opened: map[string]int{}}
+}
+
+// run has it run until the test ends.
+func (r *running) run() {
 	ctx, stop := context.WithCancel(context.Background())
-	r := &running{Node: n, t: t, list: list, logs: logs, stop: stop, done: make(chan error, 1), opened: map[string]int{}}
-	go func() { r.done <- n.Run(ctx) }()
-	t.Cleanup(func() {
+	r.stop = stop
+	go func() { r.done <- r.Run(ctx) }()
+	r.t.Cleanup(func() {
 		stop()
 		r.wait()
 	})
-	return r
 }
 
 // wait waits for the node to stop.
