The list is asked for so soon after a failed call that a change is told in its 6 s

Seen: 24 nodes of a fleet of 300, list service refusing for 6 s: half have the list 12.8 s after its return, the last after 22.0 s. Cause: balance.members waited spread(min(max(askPause, Nodes x askGap) << asks, max(askPauseMost, 4 x all))) after every failed call, also where nothing showed that the service had too many callers: 7.5 to 22 s at 300 nodes, minutes at 5,700. Ruled out: dials and the client's time-outs (1 s and 3.6 s).

Now: a call that was refused at once, or for which no connection came up, is followed by the next within 3.45 s; what a call waited is taken off the pause. A call that waited over half a second before it failed (Members.Took), among more than 46 nodes, shows a service with too many callers: there the pause grows over all nodes as before, until a list is told. What that leaves open is closed at the servers: by a list that nobody has told of for 1.5 s a server gets a connection only if it has answered a probe within 1.5 s. A probe's report that comes with an error is no word that the server takes clients; a PONG without a load is one. SIGHUP no longer counts as word of the list.

The walk and the end of an attempt are written shorter and decide the same.

--- a/balance/api.go
+++ b/balance/api.go
@@ -133,7 +133,7 @@
 // NeverRan tells whether the outcome proves that the server did nothing.
 func (o Outcome) NeverRan() bool { return o == Full || o == ConnectFailed || o == Moot || o == Unsent }
 
-// Report is a server's own account of its load; a negative load was not told.
+// Report is a server's own account of its load; a negative load was not told, and counts as none.
 type Report struct {
 	Load float64 // work asked of it over what it can do
 }
@@ -145,6 +145,7 @@
 type Members struct {
 	Kind    ListKind
 	Servers []Server
+	Took    time.Duration // with ListFailed: how long the call waited at the service; 0 where none came up, or it told a list
 }
 
 // ListKind tells how a Members event is to be read.
@@ -155,7 +156,7 @@
 	ListChanges                 // only the entries that changed
 	ListFull                    // all of the list: a server not in it is gone
 	ListCached                  // all of the list as last seen, maybe old
-	ListBroken                  // the subscription has told something, and broke or fell silent; the old list stays
+	ListBroken                  // the subscription has told something, and broke or fell silent, or another service is asked; the old list stays
 )
 
 // Request is a client's try to get a connection. It is owed exactly one final answer.
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -25,8 +25,8 @@
 	relieveMost = 4                       // groups that all nodes move off a server each second
 	rateMemory  = 20 * time.Second        // over which the usual rate of new clients is learned
 
-	askPause, askPauseMost = 200 * time.Millisecond, 3 * time.Second // before the list is asked for anew
-	askGap                 = 50 * time.Millisecond                   // between calls of all nodes together
+	askPause, askPauseMost = 200 * time.Millisecond, 2300 * time.Millisecond // before the list is asked for
+	askGap, askWait        = 50 * time.Millisecond, 500 * time.Millisecond   // all nodes' calls; one waits
 
 	timerSubscribe, timerWatch, timerBook, timerAsked = 1, 2, 3, 4 // timerAsked and up: a waiting request
 
@@ -48,11 +48,12 @@
 	requests        map[RequestID]*request
 	orders          map[string][]*server // rankings, until the list changes
 	table           table
-	asks, open      int           // failed calls for the list in a row; connections held, attempts included
+	open            int           // connections held, attempts included
 	watched         bool          // a timer for watch is out
 	rate            float64       // new connections a second
 	again           int           // clients that came back, since
 	rated, cameBack time.Duration // when rate was last brought up to date; the first of them did
+	pause, old      time.Duration // between calls for the list; from when on it may be old
 	relief          *server       // is to be relieved once another's load is known
 	usual           float64       // load of a connection
 	full, group     float64       // fullLoad and groupLoad, where late messages tell that it was too much
@@ -91,10 +92,9 @@
 	deadline time.Duration
 	tries    []try
 	entry    *entry
-	asks     int     // servers asked for it
-	unsent   int     // tries that sent nothing, and count for nothing
 	load     float64 // work a second; 0 until it is told
 
+	asks, unsent       int  // servers asked for it; tries that sent nothing, and count for nothing
 	standing, answered bool // the connection is up; nothing is owed
 	waits, timed       bool // for a report; until it is placed without
 }
@@ -121,7 +121,7 @@
 	b := &Balancer{set: set, rng: rand.New(rand.NewPCG(seed, 0)),
 		servers: map[ServerID]*server{}, requests: map[RequestID]*request{}, orders: map[string][]*server{},
 		table: table{bound: set.MaxOpen, entries: map[string]*entry{}},
-		boots: map[int]uint8{}, boot: uint8(1 + seed%64), full: 1, group: easyLoad,
+		boots: map[int]uint8{}, boot: uint8(1 + seed%64), full: 1, group: easyLoad, old: math.MaxInt64,
 	}
 	if set.TellsLate {
 		b.full, b.group = fullLoad, groupLoad
@@ -202,8 +202,8 @@
 	}
 	if r.asks++; !r.timed { // the answer is owed even if no report comes
 		r.timed = true
-		wait := r.deadline - b.now
-		wait = min(wait/4, cmp.Or(b.set.Classes[r.Class].Aim/2, wait))
+		left := r.deadline - b.now
+		wait := min(left/4, cmp.Or(b.set.Classes[r.Class].Aim/2, left))
 		b.out = append(b.out, SetTimer{wait, timerAsked + uint64(r.ID)})
 	}
 	r.waits, s.waiting = true, append(s.waiting, r)
@@ -226,8 +226,8 @@
 }
 
 func (b *Balancer) probed(s *server, ev Probed) {
-	if ev.Report != nil && ev.Report.Load >= 0 {
-		s.reportedLoad, s.loaded, s.signs = ev.Report.Load, b.now, 0
+	if ev.Report != nil && ev.Outcome == OK {
+		s.reportedLoad, s.loaded, s.signs = max(ev.Report.Load, 0), b.now, 0
 		s.since /= 2                                                                       // it is old
 		if s.reportedLoad > 1 && !b.set.TellsLate && (s.drawn || b.draw(s, relieveMost)) { // else a message
 			b.relief = s
@@ -306,16 +306,23 @@
 	if b.set.Talks && ev.Kind == ListCached {
 		b.out = append(b.out, SetTimer{time.Duration(b.rng.Float64() * float64(bookEvery)), timerBook})
 	}
-	// Guards against a herd that asks at once: an overbooked discovery that is asked too often serves nobody.
-	all := time.Duration(b.set.Nodes) * askGap
-	if ev.Kind == ListBroken || ev.Kind == ListFailed && b.set.Pushed { // its news count as told
-		b.out = append(b.out, SetTimer{b.spread(askPause), timerSubscribe})
-	} else if ev.Kind == ListFailed {
-		after := b.spread(min(max(askPause, all)<<min(b.asks, 10), max(askPauseMost, 4*all)))
-		b.asks, b.out = b.asks+1, append(b.out, SetTimer{after, timerSubscribe})
-	} else if b.asks = 0; ev.Kind == ListCached && !b.set.Pushed {
+	b.old = min(b.old, b.now+lately)
+	all, most := time.Duration(b.set.Nodes)*askGap, askPauseMost
+	switch {
+	case ev.Kind == ListChanges || ev.Kind == ListFull:
+		b.pause, b.old = 0, math.MaxInt64
+	case ev.Kind == ListCached && !b.set.Pushed:
 		after := time.Duration(b.rng.Float64() * float64(all-askGap) / 2) // an old list is urgent
 		b.out = append(b.out, SetTimer{after, timerSubscribe})
+	case ev.Kind == ListFailed && !b.set.Pushed:
+		if all > most && (ev.Took > askWait || b.pause > most) {
+			most, ev.Took = 4*all, 0 // guards against a herd: a busy service that is asked more serves nobody
+		}
+		b.pause = min(max(2*b.pause, askPause, all), most)
+		after := max(b.spread(b.pause)-ev.Took, b.spread(askPause))
+		b.out = append(b.out, SetTimer{after, timerSubscribe})
+	case ev.Kind != ListCached: // its news count as told
+		b.pause, b.out = 0, append(b.out, SetTimer{b.spread(askPause), timerSubscribe})
 	}
 }
 
@@ -458,18 +465,12 @@
 // walk is the ranking; past its top the servers where the group stands come first.
 func (b *Balancer) walk(r *request) []*server {
 	order := b.rank(r)
-	if b.set.Talks || len(order) == 0 {
+	if b.set.Talks || b.group == easyLoad || len(order) == 0 {
 		return order
 	}
-	first, then := []*server{order[0]}, make([]*server, 0, len(order))
-	for _, s := range order[1:] {
-		if b.most(r, s) > easyLoad {
-			first = append(first, s)
-		} else {
-			then = append(then, s)
-		}
-	}
-	return append(first, then...)
+	past := func(s *server) bool { return s != order[0] && b.most(r, s) == easyLoad }
+	first := slices.DeleteFunc(slices.Clone(order), past)
+	return append(first, slices.DeleteFunc(slices.Clone(order), func(s *server) bool { return !past(s) })...)
 }
 
 func (b *Balancer) cold(s *server) bool { return s.UpSince > 0 && b.now < s.started+b.set.ColdFor }
@@ -595,8 +596,9 @@
 func (b *Balancer) allowed(r *request, s *server) bool {
 	class, first := b.set.Classes[r.Class], r.first()
 	tried := slices.ContainsFunc(r.tries, func(t try) bool { return t.server == s })
-	if b.cold(s) && (!b.spend(r, s) || b.relieved) || tried {
-		return false // it started so lately that it may do only part of its work
+	old := b.now >= b.old && b.set.MayProbe && !b.set.Pushed && !b.unknown(r, s) && !s.reported(b.now)
+	if b.cold(s) && (!b.spend(r, s) || b.relieved) || tried || old {
+		return false // it started so lately that it may do only part of its work, or drains for all one knows
 	} else if first == nil || class.Effect == Safe {
 		return true
 	}
@@ -651,10 +653,9 @@
 		r.unsent++
 	} else if o == Moot { // guards against tries without end for a client whose time is over unnoticed
 		r.deadline = b.now
-	} else if ev.SentAway || !r.standing && o == ConnectFailed {
-		b.shun(t.server) // it drains or is gone: nothing that servers share is slow
-	} else if !r.standing && (o == TimedOut || o == Error && ev.Attempt == 0) || o == Reset && b.set.Talks {
-		b.shun(t.server) // an error at a later server may be the request's own
+	} else if silent := o == ConnectFailed || o == TimedOut; ev.SentAway || o == Reset && b.set.Talks ||
+		!r.standing && (silent || o == Error && ev.Attempt == 0) { // a later error may be the request's own
+		b.shun(t.server)
 	}
 	b.tell(t.server, 1)
 	if r.answered || ev.Final {
--- a/internal/backend/probe.go
+++ b/internal/backend/probe.go
@@ -1,6 +1,7 @@
 package backend
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -129,5 +130,5 @@
 	case string(lines.Word(line)) != "PONG":
 		return balance.Error, c.Report(line), nil
 	}
-	return balance.OK, c.Report(line), nil
+	return balance.OK, cmp.Or(c.Report(line), &balance.Report{Load: -1}), nil // it has answered
 }
--- a/lab/fleet/fleet.go
+++ b/lab/fleet/fleet.go
@@ -664,7 +664,8 @@
 	w.count("list calls")
 	d := w.s.Discovery
 	work := time.Duration(float64(time.Second) / d.PerSecond)
-	fail := func(after time.Duration) { n.later(after, n.noList) }
+	begun := w.now
+	fail := func(after time.Duration) { n.later(after, func() { n.noList(begun) }) }
 	switch wait := max(w.free, w.now) + work - w.now; {
 	case w.now < w.down:
 		fail(time.Duration(d.Patience))
@@ -678,7 +679,7 @@
 		}
 		n.later(wait, func() {
 			if w.now < w.down {
-				n.noList()
+				n.noList(begun)
 				return
 			}
 			n.watching = true
@@ -693,10 +694,10 @@
 	n.tell(balance.Members{Kind: balance.ListBroken})
 }
 
-// noList tells a node that its call failed.
-func (n *node) noList() {
+// noList tells a node that its call has failed, and how long that waited.
+func (n *node) noList(begun time.Duration) {
 	n.w.count("list calls failed")
-	n.tell(balance.Members{Kind: balance.ListFailed})
+	n.tell(balance.Members{Kind: balance.ListFailed, Took: n.w.now - begun})
 }
 
 // hear brings a node what has changed since it last heard.
--- a/node/loop.go
+++ b/node/loop.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"net"
 	"slices"
 	"strconv"
 	"sync/atomic"
@@ -626,7 +627,11 @@
 	if w.lives && time.Since(w.opened) >= l.list.Silence { // then nothing is known of how busy discovery is
 		kind = balance.ListBroken // else it may end each call soon, and is to be spared
 	}
-	l.handle(balance.Members{Kind: kind})
+	took := time.Since(w.opened)
+	if dial := (&net.OpError{}); w.lives || errors.As(err, &dial) && dial.Op == "dial" { // it did not wait
+		took = 0
+	}
+	l.handle(balance.Members{Kind: kind, Took: took})
 }
 
 // rediscover follows the list of another discovery, at once: the decisions' own retry may be seconds away.
@@ -637,7 +642,7 @@
 	}
 	l.log.Info("another discovery is asked", zap.String("discovery", addr))
 	l.asked, l.version, l.watching = addr, 0, false
-	l.handle(balance.Members{Kind: balance.ListChanges}) // what failed at the old one slows no retry at this one
+	l.handle(balance.Members{Kind: balance.ListBroken}) // what failed at the old one slows no retry at this one
 	l.subscribe()
 	l.flush()
 }
