lab slopes counts local ports; what lab capacity counted wrongly is mended

Seen: the key source binds each connection before it is known to which server it goes, so the kernel gives it a port that no other connection of that address has. The usual range has 28,232, a node of the size that is coming 45,600 connections. The measurement fails where a connection comes from another address (seen with the key left out).

The row of 298 rankings after each change is gone: a ranking is worked out when a client comes whose group has none (balance, rank), and who comes stands in a row already. The table of roles has a column of what control machines change by design.

--- a/internal/cli/slopes.go
+++ b/internal/cli/slopes.go
@@ -24,7 +24,7 @@
 		Short: "Measure how what nodes, keeper and lists cost grows with the size of a fleet",
 		Long: "slopes makes each measurement several times at four sizes or more, and tells the line through them, its spread, the exponent\n" +
 			"and whether it is a line at all. Without names it makes all; a name is one of " + strings.Join(capacity.Names(), ", ") + ".\n" +
-			"The node group starts this program as nodes and holds up to 4,000 connections: it needs 9,000 descriptors.",
+			"The groups node and ports start this program as nodes and hold up to 4,000 connections: they need 9,000 descriptors.",
 		RunE: func(_ *cobra.Command, names []string) error {
 			if o.Repeat < 2 || o.Repeat > 100 {
 				return fmt.Errorf("--repeat: %d is not 2 to 100", o.Repeat)
--- a/lab/capacity/capacity.go
+++ b/lab/capacity/capacity.go
@@ -106,6 +106,7 @@
 	{"pause", pause},
 	{"start", start},
 	{"node", standing},
+	{"ports", ports},
 }
 
 // Names are those of the groups of measurements.
--- a/lab/capacity/capacity_test.go
+++ b/lab/capacity/capacity_test.go
@@ -53,7 +53,7 @@
 	}
 	// What is a count or a number of bytes is known without a clock.
 	for name, want := range map[string]slope.Verdict{"list.bytes": slope.Line, "list.change_bytes": slope.Flat, "start.bytes": slope.Line,
-		"node.descriptors": slope.Line, "keeper.ask_bytes": slope.Flat} {
+		"node.descriptors": slope.Line, "ports.source": slope.Line, "keeper.ask_bytes": slope.Flat} {
 		if s := r.Slope(name); s == nil || s.Fit.Verdict != want {
 			t.Errorf("%s: %+v, want %s", name, s, want)
 		}
@@ -61,6 +61,9 @@
 	if d := r.Slope("node.descriptors").Fit; d.Slope < 1.99 || d.Slope > 2.01 {
 		t.Errorf("%.3f descriptors a connection, which are two: the client's and its server's", d.Slope)
 	}
+	if f := r.Slope("ports.source").Fit; f.Slope < 0.999 || f.Slope > 1.001 {
+		t.Errorf("%.3f local ports a connection where the key source is set, which is one of the address, whichever the server", f.Slope)
+	}
 	if _, err := json.Marshal(r); err != nil {
 		t.Error(err)
 	}
--- a/lab/capacity/process.go
+++ b/lab/capacity/process.go
@@ -14,6 +14,7 @@
 	"path/filepath"
 	"slices"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 
@@ -181,8 +182,8 @@
 // used is what so many connections have cost a node, in microseconds, bytes and descriptors.
 type used struct{ setup, message, idle, memory, descriptors float64 }
 
-// echo is a server that takes all that come and sends back what they say.
-func echo() (net.Listener, error) {
+// echo is a server that takes all that come and sends back what they say; from is told where each comes from, unless it is nil.
+func echo(from func(net.Addr)) (net.Listener, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -204,27 +205,97 @@
 			if err != nil {
 				return
 			}
+			if from != nil {
+				from(c.RemoteAddr())
+			}
 			go serve(c)
 		}
 	}()
 	return l, nil
 }
 
-func (b *bench) stand(ctx context.Context, n, turn int, take func(used)) error {
+// among starts a node with clients' servers, eight of them; end ends all.
+func (b *bench) among(ctx context.Context, source string, from func(net.Addr)) (p *child, end func(), err error) {
 	var known []emulator.Entry
+	var open []net.Listener
+	shut := func() {
+		for _, l := range open {
+			l.Close()
+		}
+	}
 	for i := range 8 {
-		l, err := echo()
+		l, err := echo(from)
 		if err != nil {
-			return err
+			shut()
+			return nil, nil, err
 		}
-		defer l.Close()
+		open = append(open, l)
 		known = append(known, emulator.Entry{ID: fmt.Sprintf("s-%d", i), Addr: l.Addr().String(), State: "up", Weight: 1})
 	}
-	p, err := b.child(ctx, config(0, 0, "127.0.0.1:1", known)) // no list service is there: the node goes on with the list that it has
+	cfg := config(0, 0, "127.0.0.1:1", known) // no list service is there: the node goes on with the list that it has
+	if source != "" {
+		cfg["source"] = source
+	}
+	if p, err = b.child(ctx, cfg); err != nil {
+		shut()
+		return nil, nil, err
+	}
+	return p, func() { p.stop(); shut() }, nil
+}
+
+// ports counts the local ports that a real node's connections to its servers take: with the key "source", and without.
+func ports(ctx context.Context, b *bench) error {
+	set := b.slope("ports.source", "local ports that connections to 8 servers take, where the key `source` is set", "", "connections")
+	unset := b.slope("ports.plain", "the same where it is not", "", "connections")
+	return b.each(ctx, Connections, func(n, turn int) error {
+		// Each time another address: a port is not free for a while after its connection.
+		for _, c := range []struct {
+			s      *Slope
+			source string
+		}{{set, fmt.Sprintf("127.%d.%d.%d", turn+1, n/250, n%250+1)}, {unset, ""}} {
+			var mu sync.Mutex
+			taken, came, other := map[int]bool{}, 0, ""
+			p, end, err := b.among(ctx, c.source, func(a net.Addr) {
+				mu.Lock()
+				defer mu.Unlock()
+				came++
+				if t, ok := a.(*net.TCPAddr); ok {
+					if taken[t.Port] = true; c.source != "" && t.IP.String() != c.source {
+						other = t.IP.String()
+					}
+				}
+			})
+			if err != nil {
+				return err
+			}
+			conns, err := b.connect(p, n, turn)
+			for _, c := range conns {
+				defer c.Close()
+			}
+			mu.Lock()
+			if err == nil && came != n {
+				err = fmt.Errorf("%d connections of %d clients", came, n)
+			}
+			if err == nil && other != "" {
+				err = fmt.Errorf("a connection came from %s, not from %s", other, c.source)
+			}
+			c.s.add(n, float64(len(taken)))
+			mu.Unlock()
+			end()
+			if err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+}
+
+func (b *bench) stand(ctx context.Context, n, turn int, take func(used)) error {
+	p, end, err := b.among(ctx, "", nil)
 	if err != nil {
 		return err
 	}
-	defer p.stop()
+	defer end()
 	pid := p.cmd.Process.Pid
 	// One connection first, so that what comes with the first is not counted.
 	if err := b.warm(p); err != nil {
--- a/lab/capacity/target.go
+++ b/lab/capacity/target.go
@@ -47,7 +47,8 @@
 	listBound = 1 << 20
 	cores     = 1.0 // of a control machine
 	fdLimit   = 20_000
-	calls     = 20.0 // a second that the list service works through
+	portRange = 28_232 // local ports of one address
+	calls     = 20.0   // a second that the list service works through
 )
 
 // Assumptions are all of them.
@@ -68,6 +69,7 @@
 		{"headers of a datagram; of a write on a connection", header, "bytes; and 52", "IPv4, UDP; IPv4, TCP with its times"},
 		{"calls that the list service works through", calls, "1/s", "assumed, as in the rig's `cold-start`"},
 		{"descriptors that a process may have", fdLimit, "", "the limit of the machine that measured"},
+		{"local ports of an address", portRange, "", "the kernel's usual range, 32,768 to 60,999"},
 	}
 }
 
@@ -108,6 +110,7 @@
 	amount
 	Limit     float64 // 0 where none is named
 	Mechanism string  // that carries it
+	Design    string  // what control machines change of it, by design; "" nothing
 }
 
 // Lack is how many times more it is than it may be; under 1 there is room.
@@ -191,54 +194,59 @@
 		role1 = "node, ordinary day"
 		role2 = "keeper of the budgets, ordinary day"
 		role3 = "list service, ordinary day"
+
+		spread = "yes: 178 children on the mean at each of 32, which are a group of 32 above"
+		later  = "no: lists are to go the same way, later"
 	)
 	control := controlCPU * 100.0
 	moved := func(lost, left float64) float64 { return lost * each / left } // clients that each other node gets
 	figures := []Figure{
-		{role1, "words of the budgets, in and out", "bytes/s", askWord.plus(ansWord).times(beatsEach), controlBytes, "an ask a beat to one keeper"},
-		{role1, "processor for them", "% of a core", at("follower.beat", nodes).times(beatsEach * us), control, "an ask a beat to one keeper"},
-		{role1, "changes of the list, if each of the 18,000 is one", "bytes/s", change.times(perChange), controlBytes, "a watch at the list service"},
-		{role1, "processor to take these in", "% of a core", at("list.change", servers).times(perChange * us), control, "the watch, `balance`"},
-		{role1, "processor to rank servers anew after each, for 298 shards that are met again before the next", "% of a core", first.times(shards / nodes * perChange * us), control, "rendezvous ranking of all servers"},
-		{role1, "processor to place those who come", "% of a core", first.times(clientEach * us), control, "rendezvous ranking of all servers"},
-		{role1, "memory for control: process, servers, 1,024 rankings, budgets", "bytes", at("start.memory", nodes).plus(at("memory.rankings", servers)).plus(at("follower.memory", nodes)), controlMemory, "maps and slices of one process"},
-		{role1, "of that, the rankings kept", "bytes", at("memory.rankings", servers), controlMemory, "1,024 rankings of all servers"},
-		{role1, "its file, which names all nodes", "bytes", at("start.bytes", nodes), 0, "`peers.nodes`, read at a start"},
-		{role1, "connections: memory (service, not control)", "bytes", held.times(each), 0, "two sockets and an exchange each"},
-		{role1, "connections: descriptors (service)", "", at("node.descriptors", 4000).times(each / 4000), fdLimit, "two sockets each"},
-		{role1, "deliveries: processor (service)", "% of a core", message.times(0.5 * deliveries / nodes * us), 0, "lines passed on; one way taken as half of there and back"},
-
-		{role2, "processor, if each ask wants a unit, against an ordinary node's 2.2%", "% of a core", ask.times(asks * us), control, "one keeper for all budgets: `free` and `majority` go through all followers, `reserved` through all grants"},
-		{role2, "the same, if none wants any", "% of a core", idle.times(asks * us), control, "the same: `majority` goes through all followers"},
-		{role2, "the same with wants, against a control machine's whole core", "% of a core", ask.times(asks * us), cores * 100, "one keeper for all budgets"},
-		{role2, "words sent and received", "1/s", at("words.busiest", nodes).times(2), 0, "one ask and one answer a node and beat"},
-		{role2, "bytes in and out", "bytes/s", askWord.plus(ansWord).times(asks), controlBytes, "one ask and one answer a node and beat"},
-		{role2, "memory for it", "bytes", at("keeper.memory", nodes), controlMemory, "a follower and its lent amounts each"},
-
-		{role3, "the whole list", "bytes", listSize, listBound, "one JSON line, at most 1 MiB"},
-		{role3, "writes of changes to watches", "1/s", exactly(nodes * perChange), 0, "each node watches the service itself"},
-		{role3, "bytes of these", "bytes/s", change.times(nodes * perChange), 0, "each node watches the service itself"},
-		{role3, "time until a node asks again after a first failed call", "s", at("pause.first", nodes), changeWithin, "a pause in proportion to the nodes, without words between them"},
-		{role3, "after a third", "s", at("pause.third", nodes), changeWithin, "the same"},
-
-		{"a node starts (1,500 a day)", "processor until it takes clients", "us", at("start.cpu", nodes), 0, "one process, one file"},
-		{"a node starts (1,500 a day)", "memory then", "bytes", at("start.memory", nodes), controlMemory, "one process, one file"},
-		{"a node starts (1,500 a day)", "files that name all nodes and change with it, a day", "", exactly((restarts + 18) * nodes), 0, "`peers.nodes`, by file and restart at each node: nothing carries it"},
-		{"a node starts (1,500 a day)", "its 45,600 clients come: processor", "s of a core", arrive.times(each * 1e-6), changeWithin, "placement among all servers; set-up"},
-		{"a change of settings", "bytes to all nodes, a day", "bytes", exactly(settings * nodes * changes), 0, "file and SIGHUP at each node: nothing between nodes carries it"},
-		{"a change of the list", "processor at a node to take it in", "us", at("list.change", servers), 0, "the watch, `balance`"},
-		{"a change of the list", "bytes out of the service, at once", "bytes", change.times(nodes), 0, "each node watches the service itself"},
-		{"600 restarts in ten minutes", "processor at every other node for their clients", "% of a core", arrive.times(600.0 / 600 * each / nodes * us), 0, "placement among all servers; set-up"},
-		{"a machine fails (18 a day)", "its clients at others of its zone: processor of each", "s of a core", arrive.times(moved(1, nodes/zones-1) * 1e-6), changeWithin, "placement among all servers; set-up"},
-		{"a rack fails (40 nodes)", "its clients at others of its region: processor of each", "s of a core", arrive.times(moved(rack, nodes/regions-rack) * 1e-6), changeWithin, "placement among all servers; set-up"},
-		{"a zone lost (335 nodes)", "its clients at others of its region: processor of each", "s of a core", arrive.times(moved(nodes/zones, nodes/regions-nodes/zones) * 1e-6), changeWithin, "placement among all servers; set-up"},
-		{"a zone lost (335 nodes)", "connections at each of these then: memory (service)", "bytes", held.times(each + moved(nodes/zones, nodes/regions-nodes/zones)), 0, "two sockets and an exchange each"},
-		{"a zone comes back", "calls for the whole list: time of the service", "s", exactly(nodes / zones / calls), changeWithin, "each node asks the service itself"},
-		{"all nodes cold", "a node that has an old list asks first after, at most", "s", at("pause.start", nodes), changeWithin, "a spread in proportion to the nodes"},
-		{"all nodes cold", "calls for the whole list: time of the service", "s", exactly(nodes / calls), changeWithin, "each node asks the service itself"},
-		{"all nodes cold", "bytes of these", "bytes", listSize.times(nodes), 0, "each node asks the service itself"},
-		{"all nodes cold", "a node reads it and takes it in", "us", at("list.whole", servers), 0, "`balance`"},
-		{"all nodes cold", "each places 45,600 clients: processor", "s of a core", arrive.times(each * 1e-6), changeWithin, "placement among all servers; set-up"},
+		{role1, "words of the budgets, in and out", "bytes/s", askWord.plus(ansWord).times(beatsEach), controlBytes, "an ask a beat to one keeper", "yes: to its parent, not to one keeper"},
+		{role1, "processor for them", "% of a core", at("follower.beat", nodes).times(beatsEach * us), control, "an ask a beat to one keeper", "yes: it knows at most 32 control machines, not all nodes"},
+		{role1, "changes of the list, if each of the 18,000 is one", "bytes/s", change.times(perChange), controlBytes, "a watch at the list service", later},
+		{role1, "processor to take these in", "% of a core", at("list.change", servers).times(perChange * us), control, "the watch, `balance`", ""},
+		{role1, "processor to place those who come, each by a ranking worked out anew", "% of a core", first.times(clientEach * us), control, "rendezvous ranking of all servers", ""},
+		{role1, "memory for control: process, servers, 1,024 rankings, budgets", "bytes", at("start.memory", nodes).plus(at("memory.rankings", servers)).plus(at("follower.memory", nodes)), controlMemory, "maps and slices of one process", "the budgets' part: it knows at most 32 control machines"},
+		{role1, "of that, the rankings kept", "bytes", at("memory.rankings", servers), controlMemory, "1,024 rankings of all servers", ""},
+		{role1, "its file, which names all nodes", "bytes", at("start.bytes", nodes), 0, "`peers.nodes`, read at a start", "yes: it names its control machines, at most 32"},
+		{role1, "connections: memory (service, not control)", "bytes", held.times(each), 0, "two sockets and an exchange each", ""},
+		{role1, "connections: descriptors (service)", "", at("node.descriptors", 4000).times(each / 4000), fdLimit, "two sockets each", ""},
+		{role1, "connections: local ports, where the key `source` is set (service)", "", at("ports.source", 4000).times(each / 4000), portRange, "one address, whose ports the servers share: a port is taken before it is known for which server", ""},
+		{role1, "deliveries: processor (service)", "% of a core", message.times(0.5 * deliveries / nodes * us), 0, "lines passed on; one way taken as half of there and back", ""},
+
+		{role2, "processor, if each ask wants a unit, against an ordinary node's 2.2%", "% of a core", ask.times(asks * us), control, "one keeper for all budgets: `free` and `majority` go through all followers, `reserved` through all grants", spread},
+		{role2, "the same, if none wants any", "% of a core", idle.times(asks * us), control, "the same: `majority` goes through all followers", spread},
+		{role2, "the same with wants, against a control machine's whole core", "% of a core", ask.times(asks * us), cores * 100, "one keeper for all budgets", spread},
+		{role2, "words sent and received", "1/s", exactly(2 * asks), 0, "one ask and one answer a node and beat", spread},
+		{role2, "bytes in and out", "bytes/s", askWord.plus(ansWord).times(asks), controlBytes, "one ask and one answer a node and beat", spread},
+		{role2, "memory for it", "bytes", at("keeper.memory", nodes), controlMemory, "a follower and its lent amounts each", spread},
+
+		{role3, "the whole list", "bytes", listSize, listBound, "one JSON line, at most 1 MiB", later},
+		{role3, "writes of changes to watches", "1/s", exactly(nodes * perChange), 0, "each node watches the service itself", later},
+		{role3, "bytes of these", "bytes/s", change.times(nodes * perChange), 0, "each node watches the service itself", later},
+		{role3, "time until a node asks again after a first failed call", "s", at("pause.first", nodes), changeWithin, "a pause in proportion to the nodes, without words between them", later},
+		{role3, "after a third", "s", at("pause.third", nodes), changeWithin, "the same", later},
+
+		{"a node starts (1,500 a day)", "processor until it takes clients", "us", at("start.cpu", nodes), 0, "one process, one file", ""},
+		{"a node starts (1,500 a day)", "memory then", "bytes", at("start.memory", nodes), controlMemory, "one process, one file", ""},
+		{"a node starts (1,500 a day)", "files that name all nodes and change with it, a day", "", exactly((restarts + 18) * nodes), 0, "`peers.nodes`, by file and restart at each node: nothing carries it", ""},
+		{"a node starts (1,500 a day)", "its 45,600 clients come: processor", "s of a core", arrive.times(each * 1e-6), changeWithin, "placement among all servers; set-up", ""},
+		{"a change of settings", "bytes to all nodes, a day", "bytes", exactly(settings * nodes * changes), 0, "file and SIGHUP at each node: nothing between nodes carries it", ""},
+		{"a change of the list", "processor at a node to take it in", "us", at("list.change", servers), 0, "the watch, `balance`", ""},
+		{"a change of the list", "bytes out of the service, at once", "bytes", change.times(nodes), 0, "each node watches the service itself", ""},
+		{"600 restarts in ten minutes", "processor at every other node for their clients", "% of a core", arrive.times(600.0 / 600 * each / nodes * us), 0, "placement among all servers; set-up", ""},
+		{"a machine fails (18 a day)", "its clients at others of its zone: processor of each", "s of a core", arrive.times(moved(1, nodes/zones-1) * 1e-6), changeWithin, "placement among all servers; set-up", ""},
+		{"a rack fails (40 nodes)", "its clients at others of its region: processor of each", "s of a core", arrive.times(moved(rack, nodes/regions-rack) * 1e-6), changeWithin, "placement among all servers; set-up", ""},
+		{"a zone lost (335 nodes)", "its clients at others of its region: processor of each", "s of a core", arrive.times(moved(nodes/zones, nodes/regions-nodes/zones) * 1e-6), changeWithin, "placement among all servers; set-up", ""},
+		{"a zone lost (335 nodes)", "connections at each of these then: memory (service)", "bytes", held.times(each + moved(nodes/zones, nodes/regions-nodes/zones)), 0, "two sockets and an exchange each", ""},
+		{"a zone comes back", "calls for the whole list: time of the service", "s", exactly(nodes / zones / calls), changeWithin, "each node asks the service itself", ""},
+		{"a fleet starts while six in ten servers are replaced", "words that the busiest node sends", "1/s", at("words.busiest", nodes), 0, "hellos until one keeper is found, asks at each need, one keeper's answers", ""},
+		{"a fleet starts while six in ten servers are replaced", "words that a node sends in the mean", "1/s", at("words.mean", nodes), 0, "the same", ""},
+		{"all nodes cold", "a node that has an old list asks first after, at most", "s", at("pause.start", nodes), changeWithin, "a spread in proportion to the nodes", ""},
+		{"all nodes cold", "calls for the whole list: time of the service", "s", exactly(nodes / calls), changeWithin, "each node asks the service itself", ""},
+		{"all nodes cold", "bytes of these", "bytes", listSize.times(nodes), 0, "each node asks the service itself", ""},
+		{"all nodes cold", "a node reads it and takes it in", "us", at("list.whole", servers), 0, "`balance`", ""},
+		{"all nodes cold", "each places 45,600 clients: processor", "s of a core", arrive.times(each * 1e-6), changeWithin, "placement among all servers; set-up", ""},
 	}
 	if len(missing) > 0 {
 		return nil, fmt.Errorf("not measured: %s", strings.Join(missing, ", "))
@@ -302,8 +310,12 @@
 		"roles":  func(f Figure) bool { return strings.Contains(f.Role, "ordinary day") },
 		"events": func(f Figure) bool { return !strings.Contains(f.Role, "ordinary day") },
 	} {
-		row("where", "what", "measured", "calculated (interval)", "from", "limit", "factor", "carried by")
-		row("---", "---", "---", "---", "---", "---", "---", "---")
+		head := []string{"where", "what", "measured", "calculated (interval)", "from", "limit", "factor", "carried by"}
+		if name == "roles" {
+			head = append(head, "changed by control machines (design)")
+		}
+		row(head...)
+		row(slices.Repeat([]string{"---"}, len(head))...)
 		for _, f := range figures {
 			if !in(f) {
 				continue
@@ -326,7 +338,11 @@
 			if f.form == slope.Faster {
 				from += " (faster than a line)"
 			}
-			row(f.Role, f.What, read, worked, from, limit, factor, f.Mechanism)
+			cells := []string{f.Role, f.What, read, worked, from, limit, factor, f.Mechanism}
+			if name == "roles" {
+				cells = append(cells, cmp.Or(f.Design, "no"))
+			}
+			row(cells...)
 		}
 		done(name)
 	}
