Budgets through control machines: the interface, in its simplest form

Seen: control is flat; whatever is done for all nodes is done at the one keeper that they all ask (104 us an ask with 300 followers, 3,039 us with 5,700). What is spent below is spent above first.

--- a/budget/budget.go
+++ b/budget/budget.go
@@ -68,6 +68,8 @@
 	Term         time.Duration // a grant must be used within it
 	Beat         time.Duration // between a node's words to its keeper
 	Drift        float64       // by which any two clocks run apart at most; 0 means 0.001
+	Keepers      int           // over 0: this node keeps for nobody and follows one of so many control machines, numbered from 0 in its order of preference (Parent); 0: flat
+	Below        float64       // part of each whole, 0 to 1, that is owned below this group, by the nodes of its control machines, and is not this group's to divide
 }
 
 // horizon is how long any grant may still be felt: its term and the window after its last use.
@@ -173,6 +175,7 @@
 	alone     time.Duration // another start has this node's number: it lends and spends nothing of its own until then
 	leaving   bool
 	wrong     flaw
+	wants     int               // units of one budget in one ask at the most
 	followers map[int]*follower // as keeper
 	grants    []*granted
 	number    uint64
@@ -275,8 +278,9 @@
 
 // Tell sends a word to another node. It may be late or lost.
 type Tell struct {
-	To   int
-	Word Word
+	To    int
+	Word  Word
+	Below bool // To is the number of a node below, that follows this control machine
 }
 
 // Wake asks for a call of Tick after a while.
@@ -294,11 +298,15 @@
 	set.Drift = cmp.Or(set.Drift, 0.001)
 	b := &Budgets{set: set, boot: max(boot, 1), now: now, born: now, specs: map[ID]*account{}, rules: map[uint8]Rule{}, heard: map[int]keeper{}, follows: -1,
 		asks: map[uint64]ask{}, followers: map[int]*follower{}, loans: map[loanKey]*loan{}}
+	b.wants = wantsMost
 	b.rest = now + set.Bound()
 	b.until = b.rest
-	for i := range set.Nodes {
+	for i := range cmp.Or(set.Keepers, set.Nodes) {
 		b.order = append(b.order, i)
 	}
+	if set.Keepers > 0 {
+		return b
+	}
 	rank := func(i int) uint64 { return xxhash.Sum64([]byte{'k', byte(i >> 8), byte(i)}) }
 	slices.SortFunc(b.order, func(x, y int) int { return cmp.Or(cmp.Compare(rank(y), rank(x)), cmp.Compare(x, y)) })
 	return b
@@ -429,6 +437,7 @@
 // floorsOf gives them for any node.
 func (b *Budgets) floorsOf(node int, a *account) (whole, own, all int) {
 	whole = a.whole(b.now)
+	whole -= int(math.Ceil(b.set.Below * float64(whole)))
 	all = int(math.Ceil(b.set.Floor * float64(whole)))
 	turn := xxhash.Sum64([]byte{a.ID.Kind, byte(a.ID.Of), byte(a.ID.Of >> 8), byte(a.ID.Of >> 16), byte(a.ID.Since), byte(a.ID.Since >> 8),
 		byte(a.ID.Since >> 16)})
@@ -483,21 +492,41 @@
 // Want asks for a unit where there is none to spend. It tells whether an answer is on its way, of which Settled will tell.
 // Tick sends the ask.
 func (b *Budgets) Want(now time.Duration, id ID) bool {
+	return b.want(now, id, 1)
+}
+
+// want is Want for so many units.
+func (b *Budgets) want(now time.Duration, id ID, n int) bool {
 	left := b.Left(now, id)
 	if a := b.specs[id]; a != nil && left <= 0 {
-		a.note(b.now)
-		b.Count.Short++
+		for range n {
+			a.note(b.now, b.wants)
+		}
+		b.Count.Short += int64(n)
 		if left < 0 {
-			a.short++
+			a.short += n
 			a.waits = true
 		}
 	}
 	return left < 0
 }
 
+// asking tells whether an ask is to go out for what is wanted.
+func (b *Budgets) asking() bool {
+	if b.follows < 0 {
+		return false
+	}
+	for _, a := range b.specs {
+		if a.waits && a.short > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // note remembers that the node has use for a unit.
-func (a *account) note(now time.Duration) {
-	if a.wanted = append(a.wanted, now); len(a.wanted) > 4*wantsMost {
+func (a *account) note(now time.Duration, most int) {
+	if a.wanted = append(a.wanted, now); len(a.wanted) > 4*most {
 		a.wanted = a.wanted[1:]
 	}
 }
@@ -513,7 +542,7 @@
 		return b.take(a)
 	case b.own(a) > 0:
 		a.spent = append(a.spent, b.now)
-		a.note(b.now)
+		a.note(b.now, b.wants)
 		b.Count.Own++
 		return true
 	}
@@ -530,11 +559,7 @@
 // Tick does what is due, and says when there is more. To call it again early does no harm.
 func (b *Budgets) Tick(now time.Duration) []Action {
 	b.begin(now)
-	wants := false
-	for _, a := range b.specs {
-		wants = wants || a.waits && a.short > 0
-	}
-	if b.now >= b.beat || wants && b.follows >= 0 {
+	if b.now >= b.beat || b.asking() {
 		b.ask()
 	}
 	b.over()
@@ -571,7 +596,7 @@
 
 func (b *Budgets) hear(from int, w Word) {
 	switch {
-	case from < 0 || from >= b.set.Nodes || w.Boot == 0:
+	case from < 0 || from >= cmp.Or(b.set.Keepers, b.set.Nodes) || w.Boot == 0 || b.set.Keepers > 0 && !w.Answer:
 		b.Count.Unknown++
 	case w.Answer:
 		b.answer(from, w)
@@ -582,12 +607,12 @@
 
 func (b *Budgets) tell(to int, w Word) {
 	w.Boot = b.boot
-	if to == b.set.Index {
+	if to == b.set.Index && b.set.Keepers == 0 {
 		b.hear(to, w)
 		return
 	}
 	b.Count.Words++
-	b.out = append(b.out, Tell{to, w})
+	b.out = append(b.out, Tell{To: to, Word: w})
 }
 
 // The side that asks.
@@ -600,7 +625,11 @@
 	if best >= 0 && !there(best) {
 		best = -1
 	}
-	if best < 0 || !b.heard[best].most {
+	if b.set.Keepers > 0 { // the first that is there
+		if first := slices.IndexFunc(b.order, there); first >= 0 {
+			best = first
+		}
+	} else if best < 0 || !b.heard[best].most {
 		for _, i := range b.order {
 			if !there(i) {
 				continue
@@ -667,7 +696,7 @@
 	for _, id := range b.Known() {
 		a := b.account(id)
 		if a.short > 0 && a.waits && len(w.Wants) < EntriesMost {
-			w.Wants = append(w.Wants, Amount{ID: id, N: min(a.short, wantsMost)})
+			w.Wants = append(w.Wants, Amount{ID: id, N: min(a.short, b.wants)})
 			a.short, a.asked = 0, b.seq+1
 		}
 		if w.To == 0 || a.keeps() || a.rule != nil && !w.All || a.rule == nil && len(w.Lends) >= most {
@@ -798,6 +827,44 @@
 // The side that keeps.
 
 func (b *Budgets) keep(from int, w Word) {
+	a, own, ok := b.taken(from, w)
+	if !ok {
+		return
+	} else if w.Leaves {
+		b.tell(from, a)
+		return
+	}
+	most := b.majority()
+	if own {
+		b.reported(from, w)
+		a.Renews = most
+	}
+	for _, want := range w.Wants {
+		if l := b.account(want.ID); l != nil && l.stands() {
+			if n := b.loan(from, w, want, l, most && own); n > 0 {
+				a.Grants = append(a.Grants, Grant{ID: want.ID, N: n})
+			}
+			continue
+		}
+		if n := min(want.N, b.wants, b.free(want.ID, most)); n > 0 {
+			a.Grants = append(a.Grants, Grant{ID: want.ID, N: n, No: b.grant(from, w.Boot, want.ID, n)})
+		}
+	}
+	a.Most = most
+	b.tell(from, a)
+}
+
+// grant reserves units for a node's start, and gives the grant's number.
+func (b *Budgets) grant(to int, boot uint64, id ID, n int) uint64 {
+	b.number++
+	b.Count.Given += int64(n)
+	b.grants = append(b.grants, &granted{b.number, id, to, boot, n, b.now + b.set.felt(b.specs[id].Window)})
+	return b.number
+}
+
+// taken takes in what an ask says of its sender, and gives the answer to which grants are to be added; own tells that it is of
+// the start that counts as the node. There is no answer to an ask that is late or repeated.
+func (b *Budgets) taken(from int, w Word) (answer Word, own, ok bool) {
 	f := b.followers[from]
 	if f == nil || f.boot != w.Boot && b.now >= f.until {
 		f = &follower{boot: w.Boot}
@@ -812,7 +879,7 @@
 	}
 	twin := f.boot != w.Boot && (f.twin || w.To != 0)
 	if f.boot == w.Boot && w.Seq <= f.seq {
-		return // late or repeated: what it says has been said anew
+		return answer, true, false // late or repeated: what it says has been said anew
 	} else if f.boot == w.Boot {
 		f.seq = w.Seq
 	}
@@ -825,34 +892,7 @@
 	for _, d := range w.Done {
 		b.back(from, w.Boot, d)
 	}
-	a := Word{Answer: true, Seq: w.Seq, Stamp: int64(b.now), To: w.Boot, Twin: twin}
-	if w.Leaves {
-		b.tell(from, a)
-		return
-	}
-	most := b.majority()
-	if f.boot == w.Boot {
-		b.reported(from, w)
-		a.Renews = most
-	}
-	for _, want := range w.Wants {
-		if l := b.account(want.ID); l != nil && l.stands() {
-			if n := b.loan(from, w, want, l, most && f.boot == w.Boot); n > 0 {
-				a.Grants = append(a.Grants, Grant{ID: want.ID, N: n})
-			}
-			continue
-		}
-		n := min(want.N, wantsMost, b.free(want.ID, most))
-		if n <= 0 {
-			continue
-		}
-		b.number++
-		b.Count.Given += int64(n)
-		b.grants = append(b.grants, &granted{b.number, want.ID, from, w.Boot, n, b.now + b.set.felt(b.specs[want.ID].Window)})
-		a.Grants = append(a.Grants, Grant{ID: want.ID, N: n, No: b.number})
-	}
-	a.Most = most
-	b.tell(from, a)
+	return Word{Answer: true, Seq: w.Seq, Stamp: int64(b.now), To: w.Boot, Twin: twin}, f.boot == w.Boot, true
 }
 
 // back takes in what became of a grant: what was used counts for a window from now on, at the most.
