An ask at the keeper costs the same however many nodes follow

Change: sums by budget that each word keeps up to date, grants in a heap by when they are felt no more, promises in their order for the majority.

--- a/budget/budget.go
+++ b/budget/budget.go
@@ -106,7 +106,8 @@
 	Got    uint64   // Ask: the latest answer that came
 	Renews bool     // Answer: to what was held
 	Wants  []Amount
-	Done   []Done // grants that are used up or given back
+	Done   []Done // grants of To, or else of By, that are used up or given back
+	By     uint64 // Ask: the keeper's start that Done is for, where To is none
 	Grants []Grant
 	Most   bool // Answer: more than half of the nodes follow
 	Twin   bool // Answer: another start has the asker's number
@@ -139,7 +140,10 @@
 const (
 	EntriesMost = 20 // of each kind in a word, so that it fits a datagram
 	wantsMost   = 16 // units of one budget in one ask
-	hellosMost  = 8  // nodes that are asked at once whether they are there
+	hellosMost  = 8  // nodes that are asked at once whether they are there; beats between two words to an earlier control machine
+	hellosBelow = 4  // control machines that a node asks at once whether they are there
+	backAfter   = 3  // answers one after another of an earlier control machine that have a node go back to it
+	askedFor    = 20 // a beat over it is the least time between two asks of a node to its control machine
 	asksKept    = 64 // asks that an answer may still come to
 
 	accountsMost = 1 << 16 // that go by rules
@@ -171,13 +175,23 @@
 	hello     int
 	seq       uint64
 	asks      map[uint64]ask
-	done      []Done
+	done      []told
+	wanting   map[ID]bool   // those that wait
+	missed    int           // beats without a control machine
+	whole     uint64        // the keeper's start that the last whole ask went to
+	pace      time.Duration // no ask for wants alone before
+	brief     bool          // asks between two beats are for wants alone
 	alone     time.Duration // another start has this node's number: it lends and spends nothing of its own until then
 	leaving   bool
 	wrong     flaw
 	wants     int               // units of one budget in one ask at the most
 	followers map[int]*follower // as keeper
-	grants    []*granted
+	promises  []end             // when those not past count no more, in order
+	lapsed    int               // so many of them count no more
+	lenders   tally             // nodes whose promise counts and lends all
+	grants    ended             // by when they are felt no more
+	numbered  map[uint64]*granted
+	pools     map[ID]*pool
 	number    uint64
 	got       uint64 // the latest answer that came
 	loans     map[loanKey]*loan
@@ -210,6 +224,7 @@
 	noRestOfKept
 	lateLoans
 	loansAtOnce
+	doneToAny
 )
 
 type account struct {
@@ -233,7 +248,27 @@
 	until time.Duration
 }
 
+// end is when a follower's promise counts no more.
+type end struct {
+	until time.Duration
+	node  int
+}
+
+// pool is what a keeper has of a budget, but for what is lent with one bit.
+type pool struct {
+	reserved int // granted, or ended, and may still be felt
+	named    int // lent by name
+	floors   int // of nodes that lend all, but named this
+}
+
+// told is what is to be told of a grant to the start that gave it.
+type told struct {
+	Done
+	by uint64
+}
+
 type held struct {
+	by    uint64
 	no    uint64
 	n     int
 	used  int
@@ -246,6 +281,7 @@
 	stamp int64
 	at    time.Duration
 	most  bool
+	run   int // answers one after another
 }
 
 type ask struct {
@@ -262,6 +298,8 @@
 	until time.Duration
 	lends map[ID]int
 	all   bool
+
+	counts bool // lends and all are among the keeper's sums
 }
 
 type granted struct {
@@ -271,6 +309,7 @@
 	boot  uint64
 	n     int
 	until time.Duration // reserved until then
+	at    int           // among ended
 }
 
 // Action is something to do now.
@@ -297,7 +336,8 @@
 func New(set Settings, boot uint64, now time.Duration) *Budgets {
 	set.Drift = cmp.Or(set.Drift, 0.001)
 	b := &Budgets{set: set, boot: max(boot, 1), now: now, born: now, specs: map[ID]*account{}, rules: map[uint8]Rule{}, heard: map[int]keeper{}, follows: -1,
-		asks: map[uint64]ask{}, followers: map[int]*follower{}, loans: map[loanKey]*loan{}}
+		asks: map[uint64]ask{}, followers: map[int]*follower{}, loans: map[loanKey]*loan{}, wanting: map[ID]bool{},
+		numbered: map[uint64]*granted{}, pools: map[ID]*pool{}, brief: set.Keepers > 0}
 	b.wants = wantsMost
 	b.rest = now + set.Bound()
 	b.until = b.rest
@@ -333,6 +373,12 @@
 
 // Rules takes in what goes for all budgets of a kind. It is told once, before any of them is asked for.
 func (b *Budgets) Rules(kind uint8, r Rule) {
+	for i, f := range b.followers { // their floors may be others by this rule
+		if f.counts {
+			b.count(i, f, -1)
+			defer b.count(i, f, 1)
+		}
+	}
 	b.rules[kind] = r
 	b.levels = b.levels || r.Lease > 0
 }
@@ -388,7 +434,10 @@
 }
 
 // Drop forgets a budget. What was spent of it is forgotten too, so it must not come again under its ID within its window.
-func (b *Budgets) Drop(id ID) { delete(b.specs, id) }
+func (b *Budgets) Drop(id ID) {
+	delete(b.specs, id)
+	delete(b.wanting, id)
+}
 
 // Window is the longest of any budget.
 func (b *Budgets) Window() time.Duration { return b.set.Window }
@@ -415,9 +464,8 @@
 		a.Spec, a.next = *a.next, nil
 	}
 	b.lapse(a)
-	past := func(at time.Duration) bool { return at <= b.now-b.set.stretch(a.Window) }
-	a.spent = slices.DeleteFunc(a.spent, past)
-	a.wanted = slices.DeleteFunc(a.wanted, func(at time.Duration) bool { return at <= b.now-2*a.Window })
+	a.spent = after(a.spent, b.now-b.set.stretch(a.Window))
+	a.wanted = after(a.wanted, b.now-2*a.Window)
 	a.lent = slices.DeleteFunc(a.lent, func(l lent) bool { return l.until <= b.now })
 	a.grants = slices.DeleteFunc(a.grants, func(h held) bool {
 		if h.until > b.now && h.used < h.n {
@@ -430,6 +478,14 @@
 	return a
 }
 
+// after gives the moments that are later than one, of a list in their order.
+func after(list []time.Duration, past time.Duration) []time.Duration {
+	for len(list) > 0 && list[0] <= past {
+		list = list[1:]
+	}
+	return list
+}
+
 // floors gives the whole, this node's own part of it, and all nodes' own parts together. Parts are whole units: which nodes
 // have one more is by a hash of the budget, so that small ones are not all at the same nodes.
 func (b *Budgets) floors(a *account) (whole, own, all int) { return b.floorsOf(b.set.Index, a) }
@@ -439,16 +495,19 @@
 	whole = a.whole(b.now)
 	whole -= int(math.Ceil(b.set.Below * float64(whole)))
 	all = int(math.Ceil(b.set.Floor * float64(whole)))
-	turn := xxhash.Sum64([]byte{a.ID.Kind, byte(a.ID.Of), byte(a.ID.Of >> 8), byte(a.ID.Of >> 16), byte(a.ID.Since), byte(a.ID.Since >> 8),
-		byte(a.ID.Since >> 16)})
-	at := (node + int(turn%uint64(b.set.Nodes))) % b.set.Nodes
 	own = all / b.set.Nodes
-	if at < all%b.set.Nodes {
+	if (node+b.turn(a.ID))%b.set.Nodes < all%b.set.Nodes {
 		own++
 	}
 	return whole, own, all
 }
 
+// turn says where the nodes begin that have one more.
+func (b *Budgets) turn(id ID) int {
+	turn := xxhash.Sum64([]byte{id.Kind, byte(id.Of), byte(id.Of >> 8), byte(id.Of >> 16), byte(id.Since), byte(id.Since >> 8), byte(id.Since >> 16)})
+	return int(turn % uint64(b.set.Nodes))
+}
+
 // own is what this node may spend of its own part now.
 func (b *Budgets) own(a *account) int {
 	rest := b.rest
@@ -506,6 +565,7 @@
 		if left < 0 {
 			a.short += n
 			a.waits = true
+			b.wanting[id] = true
 		}
 	}
 	return left < 0
@@ -513,12 +573,11 @@
 
 // asking tells whether an ask is to go out for what is wanted.
 func (b *Budgets) asking() bool {
-	if b.follows < 0 {
-		return false
-	}
-	for _, a := range b.specs {
-		if a.waits && a.short > 0 {
-			return true
+	if b.follows >= 0 {
+		for id := range b.wanting {
+			if b.specs[id].short > 0 {
+				return true
+			}
 		}
 	}
 	return false
@@ -559,11 +618,15 @@
 // Tick does what is due, and says when there is more. To call it again early does no harm.
 func (b *Budgets) Tick(now time.Duration) []Action {
 	b.begin(now)
-	if b.now >= b.beat || b.asking() {
+	if b.now >= b.beat || b.asking() && b.now >= b.pace {
 		b.ask()
 	}
 	b.over()
-	b.out = append(b.out, Wake{After: max(b.beat-b.now, time.Millisecond)})
+	due := b.beat
+	if b.asking() {
+		due = min(due, b.pace)
+	}
+	b.out = append(b.out, Wake{After: max(due-b.now, time.Millisecond)})
 	return b.out
 }
 
@@ -625,8 +688,8 @@
 	if best >= 0 && !there(best) {
 		best = -1
 	}
-	if b.set.Keepers > 0 { // the first that is there
-		if first := slices.IndexFunc(b.order, there); first >= 0 {
+	if b.set.Keepers > 0 { // the first that is there, but before the one at hand only one that goes on answering
+		if first := slices.IndexFunc(b.order, func(i int) bool { return there(i) && (best < 0 || i >= best || b.heard[i].run >= backAfter) }); first >= 0 {
 			best = first
 		}
 	} else if best < 0 || !b.heard[best].most {
@@ -644,34 +707,37 @@
 	if best != b.follows {
 		b.follows = best
 		b.Count.Keepers++
+		if b.missed, b.hello = 0, 0; best >= 0 && b.set.Keepers > 0 { // not all probe at once
+			b.hello = b.set.Index % hellosMost
+		}
 	}
 }
 
 func (b *Budgets) ask() {
-	if b.now >= b.beat {
+	beat := b.now >= b.beat
+	if beat {
 		b.beat = b.now + b.set.Beat
 		b.choose()
-		hellos := 1 // guards against nodes that follow two keepers for ever after a split has healed
-		if b.follows < 0 {
-			hellos = hellosMost
-		}
-		if k := b.heard[b.follows]; b.follows >= 0 && k.most {
-			hellos = 0
-		}
-		for range min(hellos, b.set.Nodes) {
-			// The first few in the ranking are asked more often: all nodes are to meet there.
-			to := b.order[b.hello%min(b.set.Nodes, hellosMost)]
-			if b.hello++; hellos == 1 && b.hello%3 == 0 {
-				to = b.order[b.hello/3%b.set.Nodes]
-			}
-			if to != b.follows {
-				b.send(to, Word{})
-			}
+		if b.set.Keepers > 0 {
+			b.greetAbove()
+		} else {
+			b.greet()
 		}
 	}
 	if b.follows < 0 {
 		return
 	}
+	b.pace = b.now
+	if b.set.Keepers > 0 {
+		b.pace += b.set.Beat / askedFor
+	}
+	if k := b.heard[b.follows]; b.brief && !beat && !b.leaving && b.whole == k.boot {
+		w := Word{Stamp: k.stamp, Got: b.got, By: k.boot}
+		b.wantIn(&w)
+		b.doneIn(&w, k.boot)
+		b.send(b.follows, w)
+		return
+	}
 	k := b.heard[b.follows]
 	w := Word{Stamp: k.stamp, Leaves: b.leaving, Got: b.got}
 	if !b.leaving { // else what stands ends in the next seconds, and its leases run out
@@ -693,12 +759,9 @@
 	if w.All = w.To != 0 && busy <= EntriesMost/2; w.All {
 		most -= busy // they are to be named too
 	}
+	b.wantIn(&w)
 	for _, id := range b.Known() {
 		a := b.account(id)
-		if a.short > 0 && a.waits && len(w.Wants) < EntriesMost {
-			w.Wants = append(w.Wants, Amount{ID: id, N: min(a.short, b.wants)})
-			a.short, a.asked = 0, b.seq+1
-		}
 		if w.To == 0 || a.keeps() || a.rule != nil && !w.All || a.rule == nil && len(w.Lends) >= most {
 			continue
 		}
@@ -730,17 +793,84 @@
 			a.grants = nil
 		}
 	}
+	b.whole = k.boot
+	if b.doneIn(&w, k.boot); w.To == 0 && len(w.Done) > 0 {
+		w.By = k.boot
+	}
+	b.send(b.follows, w)
+}
+
+// greet asks others whether they are there.
+func (b *Budgets) greet() {
+	hellos := 1 // guards against nodes that follow two keepers for ever after a split has healed
+	if b.follows < 0 {
+		hellos = hellosMost
+	}
+	if k := b.heard[b.follows]; b.follows >= 0 && k.most {
+		hellos = 0
+	}
+	for range min(hellos, b.set.Nodes) {
+		// The first few in the ranking are asked more often: all nodes are to meet there.
+		to := b.order[b.hello%min(b.set.Nodes, hellosMost)]
+		if b.hello++; hellos == 1 && b.hello%3 == 0 {
+			to = b.order[b.hello/3%b.set.Nodes]
+		}
+		if to != b.follows {
+			b.send(to, Word{})
+		}
+	}
+}
+
+// greetAbove asks control machines whether they are there: without one the first, and with each beat more of the next; else now
+// and then one of those before the one at hand, and each beat one of them that has answered.
+func (b *Budgets) greetAbove() {
+	if b.follows < 0 {
+		for range min(1<<min(b.missed, 2), hellosBelow, b.set.Keepers) {
+			if k, ok := b.heard[b.hello%b.set.Keepers]; ok && b.missed == 0 && b.now < k.at+2*b.set.silent() {
+				b.hello++ // the one that was lost
+			}
+			b.send(b.hello%b.set.Keepers, Word{})
+			b.hello++
+		}
+		b.missed++
+		return
+	}
+	b.missed = 0
+	if b.hello++; b.follows == 0 {
+		return
+	}
+	probe := b.order[b.hello/hellosMost%b.follows]
+	if k, ok := b.heard[probe]; b.hello%hellosMost == 0 || ok && b.now < k.at+b.set.silent() {
+		b.send(probe, Word{})
+	}
+}
+
+// wantIn adds to an ask what is wanted, as far as it has room.
+func (b *Budgets) wantIn(w *Word) {
+	for _, id := range slices.SortedFunc(maps.Keys(b.wanting), ID.Compare) {
+		if a := b.account(id); a.short > 0 && len(w.Wants) < EntriesMost {
+			w.Wants = append(w.Wants, Amount{ID: id, N: min(a.short, b.wants)})
+			a.short, a.asked = 0, b.seq+1
+		}
+	}
+}
+
+// doneIn adds what became of the grants of the start that is asked. Guards against numbers of grants that two keepers gave: what is told of
+// the one's would have the other forget what it granted.
+func (b *Budgets) doneIn(w *Word, to uint64) {
+	if b.wrong != doneToAny {
+		b.done = slices.DeleteFunc(b.done, func(d told) bool { return d.by != to })
+	}
 	n := min(len(b.done), EntriesMost)
-	w.Done = slices.Clone(b.done[:n])
-	for i := range w.Done { // a moment until here
-		w.Done[i].Ago = int64(b.now) - w.Done[i].Ago
+	for _, d := range b.done[:n] {
+		d.Ago = int64(b.now) - d.Ago // a moment until here
+		w.Done = append(w.Done, d.Done)
 	}
 	b.done = b.done[n:]
-	b.send(b.follows, w)
 }
 
 // done is told of a grant, with the moment of its last use.
-func (h held) done() Done { return Done{No: h.no, Used: h.used, Ago: int64(h.last)} }
+func (h held) done() told { return told{Done{No: h.no, Used: h.used, Ago: int64(h.last)}, h.by} }
 
 func (b *Budgets) send(to int, w Word) {
 	b.seq++
@@ -764,7 +894,11 @@
 		delete(b.asks, w.Seq)
 	}
 	if k := b.heard[from]; k.boot != w.Boot || w.Stamp >= k.stamp {
-		b.heard[from] = keeper{w.Boot, w.Stamp, b.now, w.Most}
+		run := 1
+		if k.boot == w.Boot && b.now < k.at+b.set.silent() {
+			run += k.run
+		}
+		b.heard[from] = keeper{w.Boot, w.Stamp, b.now, w.Most, run}
 	}
 	if w.Twin {
 		b.Count.Twins++
@@ -772,6 +906,10 @@
 	}
 	if b.follows < 0 {
 		b.choose()
+		if b.set.Keepers > 0 && b.follows >= 0 {
+			b.beat = b.now // what is wanted need not wait for the next beat
+			defer b.ask()
+		}
 	}
 	b.renewed(q, w)
 	end := q.at + b.set.Term // since the ask, which was before the grant
@@ -786,18 +924,18 @@
 			continue
 		}
 		if a == nil || g.N <= 0 || end <= b.now {
-			b.done = append(b.done, Done{No: g.No})
+			b.done = append(b.done, told{Done{No: g.No}, w.Boot})
 			continue
 		}
 		a.refused = 0
-		a.grants = append(a.grants, held{no: g.No, n: g.N, until: end})
+		a.grants = append(a.grants, held{by: w.Boot, no: g.No, n: g.N, until: end})
 	}
 	if from != b.follows {
 		return
 	}
-	for _, id := range b.Known() {
-		a := b.specs[id]
-		if a.waits && a.short == 0 && w.Seq >= a.asked {
+	for _, id := range slices.SortedFunc(maps.Keys(b.wanting), ID.Compare) {
+		if a := b.specs[id]; a.short == 0 && w.Seq >= a.asked {
+			delete(b.wanting, id)
 			if a.waits = false; a.granted()+a.level.spare == 0 {
 				a.refused = b.now
 			}
@@ -821,7 +959,9 @@
 			}
 		}
 	}
-	b.beat = b.now
+	if b.beat = b.now; b.set.Keepers > 0 { // not all that followed it at once
+		b.beat += b.set.Beat / 2 * time.Duration(b.set.Index%16) / 16
+	}
 }
 
 // The side that keeps.
@@ -858,13 +998,16 @@
 func (b *Budgets) grant(to int, boot uint64, id ID, n int) uint64 {
 	b.number++
 	b.Count.Given += int64(n)
-	b.grants = append(b.grants, &granted{b.number, id, to, boot, n, b.now + b.set.felt(b.specs[id].Window)})
+	if n > 0 {
+		b.reserve(&granted{no: b.number, id: id, node: to, boot: boot, n: n, until: b.now + b.set.felt(b.specs[id].Window)})
+	}
 	return b.number
 }
 
 // taken takes in what an ask says of its sender, and gives the answer to which grants are to be added; own tells that it is of
 // the start that counts as the node. There is no answer to an ask that is late or repeated.
 func (b *Budgets) taken(from int, w Word) (answer Word, own, ok bool) {
+	b.expire()
 	f := b.followers[from]
 	if f == nil || f.boot != w.Boot && b.now >= f.until {
 		f = &follower{boot: w.Boot}
@@ -884,66 +1027,19 @@
 		f.seq = w.Seq
 	}
 	if counts := time.Duration(w.Stamp) + b.set.counts(); w.To == b.boot && !twin && f.boot == w.Boot && counts > b.now {
+		b.leaveOut(from, f)
 		f.until, f.lends, f.all = counts, map[ID]int{}, w.All
 		for _, l := range w.Lends {
 			f.lends[l.ID] = max(l.N, 0)
 		}
+		b.takeIn(from, f)
 	}
-	for _, d := range w.Done {
-		b.back(from, w.Boot, d)
-	}
-	return Word{Answer: true, Seq: w.Seq, Stamp: int64(b.now), To: w.Boot, Twin: twin}, f.boot == w.Boot, true
-}
-
-// back takes in what became of a grant: what was used counts for a window from now on, at the most.
-func (b *Budgets) back(from int, boot uint64, d Done) {
-	for _, g := range b.grants {
-		if g.no == d.No && g.node == from && g.boot == boot {
-			g.n = min(max(d.Used, 0), g.n)
-			if a := b.account(g.id); a != nil {
-				ago := max(time.Duration(d.Ago), 0) // it was used before the word was sent, which was before now
-				g.until = min(g.until, b.now+b.set.stretch(a.Window)-time.Duration(float64(ago)*(1-4*b.set.Drift)))
-			}
-		}
-	}
-}
-
-// reserved is what of a budget is granted, or has ended, and may still be felt. What is felt no more is forgotten.
-func (b *Budgets) reserved(id ID) (n int) {
-	b.grants = slices.DeleteFunc(b.grants, func(g *granted) bool {
-		return g.until <= b.now || b.wrong == detectorTrusted && b.followers[g.node] != nil && b.followers[g.node].until < b.now+b.set.horizon()
-	})
-	for _, g := range b.grants {
-		if g.id == id {
-			n += g.n
+	if by := cmp.Or(w.To, w.By); by == b.boot || b.wrong == doneToAny {
+		for _, d := range w.Done {
+			b.back(from, w.Boot, d)
 		}
 	}
-	return n
-}
-
-// free is what a keeper may give of a budget: what is lent to it for at least as long as a grant may be felt, and where more than half
-// of the nodes follow it for as long, what is nobody's own part; less what it has given that may still be felt.
-func (b *Budgets) free(id ID, most bool) int {
-	a := b.account(id)
-	if a == nil {
-		return 0
-	}
-	whole, _, all := b.floors(a)
-	pool := 0
-	for i, f := range b.followers {
-		if f.until < b.now+b.set.horizon() {
-			continue
-		}
-		lends, named := f.lends[id]
-		if f.all && !named && a.rule != nil && !a.keeps() {
-			_, lends, _ = b.floorsOf(i, a)
-		}
-		pool += lends
-	}
-	if pool = min(pool, all); most {
-		pool += whole - all
-	}
-	return pool - b.reserved(id)
+	return Word{Answer: true, Seq: w.Seq, Stamp: int64(b.now), To: w.Boot, Twin: twin}, f.boot == w.Boot, true
 }
 
 // State tells what the people on call want to know.
@@ -958,10 +1054,7 @@
 func (b *Budgets) State(now time.Duration) State {
 	b.now = max(b.now, now)
 	s := State{Keeper: b.follows, Followed: b.heard[b.follows].most, Waits: b.now < b.rest}
-	for _, f := range b.followers {
-		if f.until > b.now {
-			s.Followers++
-		}
-	}
+	b.expire()
+	s.Followers = len(b.promises)
 	return s
 }
--- a/budget/level.go
+++ b/budget/level.go
@@ -195,22 +195,21 @@
 // majority tells whether more than half follow for as long as a grant may be felt, and notes since when more than half have followed
 // without a break: until it breaks no other node keeps for more than half.
 func (b *Budgets) majority() bool {
-	var ends []time.Duration
-	for _, f := range b.followers {
-		ends = append(ends, f.until)
-	}
-	slices.Sort(ends)
-	last := len(ends) - 1 - b.set.Nodes/2
+	b.expire()
+	last := len(b.promises) - 1 - b.set.Nodes/2
 	if last < 0 {
+		b.mostUntil = min(b.mostUntil, b.now)
 		return false
 	}
-	if long := ends[last] >= b.now+b.set.horizon(); b.now >= b.mostUntil && !long {
+	until := b.promises[last].until
+	long := until >= b.now+b.set.horizon()
+	if b.now >= b.mostUntil && !long {
 		return false
 	} else if b.now >= b.mostUntil {
 		b.mostSince = b.now
 	}
-	b.mostUntil = ends[last]
-	return ends[last] >= b.now+b.set.horizon()
+	b.mostUntil = until
+	return long
 }
 
 // lentOut is what of a level is lent or may still stand.
@@ -249,7 +248,7 @@
 		was := l.all()
 		l.n, l.pending = h.N, slices.DeleteFunc(l.pending, func(p pendingLoan) bool { return p.seq <= w.Got })
 		if ended := was - l.all(); ended > 0 { // the node let go of it before it said so
-			b.grants = append(b.grants, &granted{0, h.ID, from, w.Boot, ended, b.now + b.set.stretch(a.Window)})
+			b.reserve(&granted{id: h.ID, node: from, boot: w.Boot, n: ended, until: b.now + b.set.stretch(a.Window)})
 		}
 		if l.all() > 0 {
 			l.until = b.now + b.set.stretch(a.rule.Lease+a.Window)
--- a/budget/model_test.go
+++ b/budget/model_test.go
@@ -63,30 +63,44 @@
 	c.nodes, c.wakes, c.paused = nil, slices.Clone(m.wakes), slices.Clone(m.paused)
 	c.mail, c.spends, c.trace = slices.Clone(m.mail), slices.Clone(m.spends), slices.Clone(m.trace)
 	for _, b := range m.nodes {
-		d := *b
-		d.out = nil
-		d.heard, d.asks, d.done = maps.Clone(b.heard), maps.Clone(b.asks), slices.Clone(b.done)
-		d.specs, d.followers, d.grants = map[ID]*account{}, map[int]*follower{}, nil
-		for id, a := range b.specs {
-			e := *a
-			e.spent, e.lent, e.grants, e.wanted = slices.Clone(a.spent), slices.Clone(a.lent), slices.Clone(a.grants), slices.Clone(a.wanted)
-			d.specs[id] = &e
-		}
-		for i, f := range b.followers {
-			g := *f
-			g.lends = maps.Clone(f.lends)
-			d.followers[i] = &g
-		}
-		d.loans = maps.Clone(b.loans) // no level is played here
-		for _, g := range b.grants {
-			h := *g
-			d.grants = append(d.grants, &h)
-		}
-		c.nodes = append(c.nodes, &d)
+		c.nodes = append(c.nodes, b.clone())
 	}
 	return &c
 }
 
+// clone gives a copy that goes on by itself.
+func (b *Budgets) clone() *Budgets {
+	d := *b
+	d.out = nil
+	d.heard, d.asks, d.done, d.wanting = maps.Clone(b.heard), maps.Clone(b.asks), slices.Clone(b.done), maps.Clone(b.wanting)
+	d.specs, d.followers, d.grants = map[ID]*account{}, map[int]*follower{}, nil
+	for id, a := range b.specs {
+		e := *a
+		e.spent, e.lent, e.grants, e.wanted = slices.Clone(a.spent), slices.Clone(a.lent), slices.Clone(a.grants), slices.Clone(a.wanted)
+		d.specs[id] = &e
+	}
+	for i, f := range b.followers {
+		g := *f
+		g.lends = maps.Clone(f.lends)
+		d.followers[i] = &g
+	}
+	d.loans = maps.Clone(b.loans) // no level is played here
+	d.promises, d.lenders = slices.Clone(b.promises), slices.Clone(b.lenders)
+	d.numbered, d.pools = map[uint64]*granted{}, map[ID]*pool{}
+	for id, p := range b.pools {
+		q := *p
+		d.pools[id] = &q
+	}
+	for _, g := range b.grants {
+		h := *g
+		d.grants = append(d.grants, &h)
+		if h.no != 0 {
+			d.numbered[h.no] = &h
+		}
+	}
+	return &d
+}
+
 // key is the same for states that go on alike: times are from now, starts and numbers from the latest.
 func (m *model) key() string {
 	var s strings.Builder
@@ -137,7 +151,7 @@
 			f := b.followers[j]
 			fmt.Fprint(&s, "f", j, name(f.boot), seqs(f.boot, f.seq), at(f.until), f.lends[modelID], len(f.lends), f.all, name(f.rival), f.twin)
 		}
-		for _, g := range b.grants {
+		for _, g := range slices.SortedFunc(slices.Values(b.grants), func(x, y *granted) int { return int(x.no) - int(y.no) }) {
 			if at(g.until) > 0 {
 				fmt.Fprint(&s, "g", b.number-g.no, g.node, name(g.boot), g.n, at(g.until))
 			}
--- a/budget/parent.go
+++ b/budget/parent.go
@@ -59,7 +59,7 @@
 	p := &Parent{low: New(below, boot, now), up: up, waits: map[int]int{}}
 	up.set.Below = below.Floor
 	up.set.Window = max(up.set.Window, p.above(below.Window))
-	up.wants = wantsAbove
+	up.wants, up.brief = wantsAbove, true
 	up.rest = up.born + up.set.Bound()
 	up.until = up.rest
 	return p
@@ -135,6 +135,7 @@
 		p.held = append(p.held, h)
 	}
 	p.next()
+	p.settle() // it may be the keeper above itself
 	return p.out
 }
 
@@ -153,8 +154,8 @@
 	if now >= p.up.beat {
 		p.passed(p.up.Tick(now))
 	}
-	p.settle()
 	p.next()
+	p.settle()
 	p.out = append(p.out, Wake{After: max(p.due()-p.low.now, time.Millisecond)})
 	return p.out
 }
