The adversary plays control machines and the nodes that follow them

The proof of docs/budgets.md gets a second level, and so does what plays against it: words lost, repeated, late and reordered, processes paused, killed and started, zones and regions cut off, nodes moved to other control machines, two processes with one number. The referee counts what nodes use in every window. Wrong variants are caught: a window above without the term below, units granted below that were not spent above, and others (see the test).

--- a/budget/budget.go
+++ b/budget/budget.go
@@ -225,6 +225,11 @@
 	lateLoans
 	loansAtOnce
 	doneToAny
+	termFromSending
+	windowAboveShort
+	unspentAbove
+	grantedAgain
+	belowForgotten
 )
 
 type account struct {
@@ -493,7 +498,9 @@
 // floorsOf gives them for any node.
 func (b *Budgets) floorsOf(node int, a *account) (whole, own, all int) {
 	whole = a.whole(b.now)
-	whole -= int(math.Ceil(b.set.Below * float64(whole)))
+	if b.wrong != belowForgotten {
+		whole -= int(math.Ceil(b.set.Below * float64(whole)))
+	}
 	all = int(math.Ceil(b.set.Floor * float64(whole)))
 	own = all / b.set.Nodes
 	if (node+b.turn(a.ID))%b.set.Nodes < all%b.set.Nodes {
@@ -893,7 +900,8 @@
 	if b.wrong != repeatsCounted {
 		delete(b.asks, w.Seq)
 	}
-	if k := b.heard[from]; k.boot != w.Boot || w.Stamp >= k.stamp {
+	before := b.heard[from]
+	if k := before; k.boot != w.Boot || w.Stamp >= k.stamp {
 		run := 1
 		if k.boot == w.Boot && b.now < k.at+b.set.silent() {
 			run += k.run
@@ -915,6 +923,8 @@
 	end := q.at + b.set.Term // since the ask, which was before the grant
 	if b.wrong == termFromReceipt {
 		end = b.now + b.set.Term
+	} else if b.wrong == termFromSending && before.boot == w.Boot {
+		end = before.at + time.Duration(w.Stamp-before.stamp) + b.set.Term
 	} else if b.wrong == termByWallClock {
 		end = time.Duration(w.Stamp) + b.set.Term
 	}
--- a/budget/parent.go
+++ b/budget/parent.go
@@ -18,16 +18,18 @@
 	waits   map[int]int   // answers held back, by node
 	pace    time.Duration // no want goes up before
 	Count   ParentCounts
+
+	wrong flaw
+	again map[ID]int // of the wrong variant that grants again what came back
 }
 
 // heldAnswer is an answer to a node that waits for the upper group's.
 type heldAnswer struct {
-	to     int
-	boot   uint64
-	word   Word
-	wants  []Amount // what is still wanted
-	number []uint64
-	until  time.Duration
+	to    int
+	boot  uint64
+	word  Word
+	wants []Amount // what is still wanted
+	until time.Duration
 }
 
 // ParentCounts counts what a control machine does for the nodes below it.
@@ -66,7 +68,12 @@
 }
 
 // above is the window above in which what is used below in a window was spent.
-func (p *Parent) above(window time.Duration) time.Duration { return p.low.set.felt(window) }
+func (p *Parent) above(window time.Duration) time.Duration {
+	if p.wrong == windowAboveShort {
+		return window
+	}
+	return p.low.set.felt(window)
+}
 
 // Define takes in a budget, or another whole for one that is known, for the nodes below and for the upper group.
 func (p *Parent) Define(now time.Duration, s Spec) {
@@ -209,7 +216,7 @@
 		}
 		lent := max(min(want.N, p.low.free(want.ID, false)), 0)
 		passed := 0
-		for lent+passed < want.N && p.up.Spend(now, want.ID) {
+		for lent+passed < want.N && p.spend(now, want.ID) {
 			passed++
 		}
 		if lent+passed > 0 {
@@ -230,6 +237,18 @@
 	return open
 }
 
+// spend takes a unit above.
+func (p *Parent) spend(now time.Duration, id ID) bool {
+	switch {
+	case p.wrong == unspentAbove && p.up.Left(now, id) > 0:
+		return true
+	case p.wrong == grantedAgain && p.again[id] > 0:
+		p.again[id]--
+		return true
+	}
+	return p.up.Spend(now, id)
+}
+
 // settle answers what need not or cannot wait longer.
 func (p *Parent) settle() {
 	p.held = slices.DeleteFunc(p.held, func(h *heldAnswer) bool {
--- /dev/null
+++ b/budget/tree_test.go
@@ -0,0 +1,410 @@
+package budget
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+)
+
+// tree plays control machines and the nodes that follow them against the adversary of world, on both levels: words are lost, repeated,
+// late and reordered, processes are paused, killed and started, zones and regions are cut off, nodes are moved to other control machines, and two
+// processes have one number. The referee counts what nodes use.
+type tree struct {
+	rng     *rand.Rand
+	below   Settings
+	above   Settings
+	now     time.Duration // true time
+	kids    []*kid
+	parents []*control
+	mail    []treeLetter
+	spends  [][]time.Duration
+	rule    *Rule
+	spec    Spec
+	boots   uint64
+	wrong   flaw
+	link    time.Duration // each word takes so long
+
+	odds        float64
+	lose, twice float64
+	late, pause time.Duration
+	cut         func(from, to place) bool
+
+	words, full int // heard, and their entries that were as many as fit
+}
+
+// place is where a process is: a node's, or a control machine's.
+type place struct {
+	control bool
+	at      int
+}
+
+// process is what a kid and a control machine have in common.
+type process struct {
+	rate   float64
+	zero   time.Duration
+	paused time.Duration // until
+	dead   bool
+	wake   time.Duration // true time
+	heard  int           // words
+}
+
+type kid struct {
+	process
+	b      *Budgets
+	number int
+	order  []int // of control machines
+}
+
+type control struct {
+	process
+	p    *Parent
+	from map[int]int // where each number's last word came from
+}
+
+type treeLetter struct {
+	at       time.Duration
+	from, to place
+	number   int // of the node that says it to a control machine
+	word     Word
+}
+
+func newTree(seed uint64, parents, kids int, floor, controlFloor float64, whole int, wrong flaw, rule *Rule) *tree {
+	t := &tree{rng: rand.New(rand.NewPCG(seed, 11)), wrong: wrong, rule: rule, spends: make([][]time.Duration, 1), odds: 0.012, pause: 10 * time.Second,
+		below: Settings{Nodes: kids, Floor: floor, Window: 2 * time.Second, Term: 250 * time.Millisecond, Beat: 400 * time.Millisecond, Drift: 0.0002, Keepers: parents},
+		above: Settings{Nodes: parents, Floor: controlFloor, Window: 2 * time.Second, Term: time.Second, Beat: 400 * time.Millisecond, Drift: 0.0002},
+		spec:  Spec{ID: ID{Kind: 1, Of: 7}, Least: whole, Window: 2 * time.Second}, link: time.Millisecond}
+	some := func() process {
+		return process{rate: 1 + (t.rng.Float64()*2-1)*0.0001, zero: time.Duration(t.rng.Int64N(int64(60 * time.Second)))}
+	}
+	for i := range parents {
+		t.parents = append(t.parents, &control{process: some()})
+		t.startControl(i)
+	}
+	for i := range kids {
+		t.kids = append(t.kids, &kid{process: some(), number: i})
+		t.move(i, i%parents)
+		t.start(i)
+	}
+	return t
+}
+
+// move has a node's file name the control machines from one on.
+func (t *tree) move(i, first int) {
+	k := t.kids[i]
+	k.order = nil
+	for j := range t.parents {
+		k.order = append(k.order, (first+j)%len(t.parents))
+	}
+}
+
+func (t *tree) clock(p *process) time.Duration {
+	return p.zero + time.Duration(float64(t.now)*p.rate)
+}
+
+func (t *tree) start(i int) {
+	k := t.kids[i]
+	t.boots++
+	set := t.below
+	set.Index = k.number
+	k.b, k.dead, k.wake, k.paused = New(set, t.boots, t.clock(&k.process)), false, t.now, 0
+	k.b.wrong = t.wrong
+	if t.rule != nil {
+		k.b.Rules(t.spec.ID.Kind, *t.rule)
+	} else {
+		k.b.Define(t.clock(&k.process), t.spec)
+	}
+}
+
+func (t *tree) startControl(i int) {
+	c := t.parents[i]
+	t.boots += 2
+	set, now := t.above, t.clock(&c.process)
+	set.Index = i
+	up := New(set, t.boots, now)
+	up.wrong = t.wrong
+	c.p, c.dead, c.wake, c.paused, c.from = NewParent(t.below, up, t.boots-1, now), false, t.now, 0, map[int]int{}
+	c.p.wrong, c.p.low.wrong, c.p.again = t.wrong, t.wrong, map[ID]int{}
+	if t.rule != nil {
+		c.p.Rules(t.spec.ID.Kind, *t.rule)
+	} else {
+		c.p.Define(now, t.spec)
+	}
+}
+
+func (t *tree) process(p place) *process {
+	if p.control {
+		return &t.parents[p.at].process
+	}
+	return &t.kids[p.at].process
+}
+
+func (t *tree) post(l treeLetter) {
+	if t.rng.Float64() < t.lose || t.cut != nil && t.cut(l.from, l.to) {
+		return
+	}
+	copies := 1
+	if t.rng.Float64() < t.twice {
+		copies = 2
+	}
+	for range copies {
+		l.at = t.now + t.link + time.Duration(t.rng.Float64()*float64(t.late))
+		t.mail = append(t.mail, l)
+	}
+}
+
+func (t *tree) do(i int, out []Action) {
+	for _, a := range slices.Clone(out) {
+		switch a := a.(type) {
+		case Wake:
+			t.kids[i].wake = t.now + a.After
+		case Tell:
+			k := t.kids[i]
+			t.post(treeLetter{from: place{false, i}, to: place{true, k.order[a.To]}, number: k.number, word: a.Word})
+		}
+	}
+}
+
+func (t *tree) doControl(i int, out []Action) {
+	for _, a := range slices.Clone(out) {
+		switch a := a.(type) {
+		case Wake:
+			t.parents[i].wake = t.now + a.After
+		case Tell:
+			to := place{true, a.To}
+			if a.Below {
+				to = place{false, t.parents[i].from[a.To]}
+			}
+			t.post(treeLetter{from: place{true, i}, to: to, word: a.Word})
+		}
+	}
+}
+
+func (t *tree) deliver(l treeLetter) {
+	t.words++
+	p := t.process(l.to)
+	p.heard++
+	now := t.clock(p)
+	switch {
+	case !l.to.control:
+		k := t.kids[l.to.at]
+		t.do(l.to.at, k.b.Heard(now, slices.Index(k.order, l.from.at), l.word))
+	case l.from.control:
+		t.doControl(l.to.at, t.parents[l.to.at].p.HeardAbove(now, l.from.at, l.word))
+	default:
+		c := t.parents[l.to.at]
+		c.from[l.number] = l.from.at
+		if t.wrong == grantedAgain {
+			for _, d := range l.word.Done {
+				if d.Used == 0 {
+					c.p.again[t.spec.ID]++
+				}
+			}
+		}
+		t.doControl(l.to.at, c.p.HeardBelow(now, l.number, l.word))
+	}
+}
+
+// step goes on by a while, in which words arrive and timers fire.
+func (t *tree) step(d time.Duration) {
+	t.now += d
+	due := t.mail
+	t.mail = nil
+	var later []treeLetter
+	for _, l := range due {
+		if p := t.process(l.to); l.at > t.now || t.now < p.paused {
+			later = append(later, l)
+		} else if !p.dead {
+			t.deliver(l)
+		}
+	}
+	t.mail = append(t.mail, later...)
+	for i, k := range t.kids {
+		if !k.dead && t.now >= k.paused && t.now >= k.wake {
+			t.do(i, k.b.Tick(t.clock(&k.process)))
+		}
+	}
+	for i, c := range t.parents {
+		if !c.dead && t.now >= c.paused && t.now >= c.wake {
+			t.doControl(i, c.p.Tick(t.clock(&c.process)))
+		}
+	}
+}
+
+// spend has a node try once, at any of the budgets, or at one.
+func (t *tree) spend(i int) bool { return t.spendOf(i, t.rng.IntN(len(t.spends))) }
+
+func (t *tree) spendOf(i, of int) bool {
+	k := t.kids[i]
+	id := t.spec.ID
+	id.Of += uint64(of)
+	if k.dead || t.now < k.paused {
+		return false
+	}
+	now := t.clock(&k.process)
+	if k.b.Spend(now, id) {
+		t.spends[of] = append(t.spends[of], t.now)
+		return true
+	} else if k.b.Want(now, id) {
+		t.do(i, k.b.Tick(now))
+	}
+	return false
+}
+
+// over gives the most that was spent of a budget in a window.
+func (t *tree) over() int {
+	return (&world{spends: t.spends, spec: t.spec}).over()
+}
+
+func (t *tree) spent() int { return (&world{spends: t.spends}).spent() }
+
+// zone is where a process stands: control machines and the nodes that ask them first.
+func (t *tree) zone(p place) int {
+	if p.control {
+		return p.at
+	}
+	return t.kids[p.at].order[0]
+}
+
+func (t *tree) trouble() {
+	some := place{t.rng.IntN(3) == 0, 0}
+	if some.at = t.rng.IntN(len(t.kids)); some.control {
+		some.at = t.rng.IntN(len(t.parents))
+	}
+	start := func(p place) {
+		if p.control {
+			t.startControl(p.at)
+		} else {
+			t.start(p.at)
+		}
+	}
+	p := t.process(some)
+	switch t.rng.IntN(16) {
+	case 0, 1:
+		p.dead = true
+	case 2, 3, 4:
+		start(some)
+	case 5:
+		p.paused = t.now + time.Duration(t.rng.Float64()*float64(t.pause))
+	case 6, 7:
+		t.lose, t.twice, t.late = t.rng.Float64()*0.6, t.rng.Float64()*0.5, time.Duration(t.rng.Float64()*float64(3*time.Second))
+	case 8:
+		t.lose, t.twice, t.late = 0, 0, 0
+	case 9: // zones apart
+		half := t.rng.IntN(len(t.parents) + 1)
+		t.cut = func(from, to place) bool { return (t.zone(from) < half) != (t.zone(to) < half) }
+	case 10: // a control machine has lost the others, or one hears all and reaches nobody
+		both := t.rng.IntN(2) == 0
+		t.cut = func(from, to place) bool { return from == some && (both || to.control) }
+	case 11:
+		t.cut = nil
+	case 12: // seven in ten at once
+		for i := range len(t.kids) + len(t.parents) {
+			q := place{i >= len(t.kids), i}
+			if q.control {
+				q.at -= len(t.kids)
+			}
+			if t.rng.Float64() < 0.7 {
+				t.process(q).dead = true
+				if t.rng.Float64() < 0.6 {
+					start(q)
+				}
+			}
+		}
+	case 13: // a node starts with another order
+		if i := t.rng.IntN(len(t.kids)); true {
+			t.move(i, t.rng.IntN(len(t.parents)))
+			t.start(i)
+		}
+	case 14: // a process leaves in order
+		if p.dead || t.now < p.paused {
+			break
+		}
+		if some.control {
+			t.doControl(some.at, t.parents[some.at].p.Leave(t.clock(p)))
+		} else {
+			t.do(some.at, t.kids[some.at].b.Leave(t.clock(p)))
+		}
+		p.dead = true
+	case 15: // where nodes own nothing: another process has a number
+		if t.below.Floor == 0 {
+			t.kids[t.rng.IntN(len(t.kids))].number = t.rng.IntN(t.below.Nodes)
+		}
+	}
+}
+
+func (t *tree) play(length time.Duration) {
+	eager := 1 + t.rng.IntN(len(t.kids))
+	for end := t.now + length; t.now < end; {
+		t.step(20 * time.Millisecond)
+		if t.rng.Float64() < t.odds {
+			t.trouble()
+		}
+		if t.rng.Float64() < 0.01 {
+			eager = 1 + t.rng.IntN(len(t.kids))
+		}
+		for range eager {
+			t.spend(t.rng.IntN(len(t.kids)))
+		}
+	}
+}
+
+func treeAdversary(seed uint64, wrong flaw) (*tree, string) {
+	rng := rand.New(rand.NewPCG(seed, 13))
+	parents, kids := 2+rng.IntN(3), 2+rng.IntN(9)
+	floor, above, whole := []float64{0, 0.3, 0.6, 1}[rng.IntN(4)], []float64{0, 0.5, 1}[rng.IntN(3)], 1+rng.IntN(12)
+	var rule *Rule
+	if kind := rng.IntN(3); kind > 0 {
+		rule = &Rule{Whole: whole, Window: 2 * time.Second, Keeps: kind == 2}
+	}
+	t := newTree(seed, parents, kids, floor, above, whole, wrong, rule)
+	if rule != nil {
+		t.spends = make([][]time.Duration, []int{1, 4, 2 * EntriesMost}[rng.IntN(3)])
+	}
+	t.play(60 * time.Second)
+	return t, fmt.Sprintf("seed %d: %d nodes at %d, floors %v and %v, whole %d, most %d, rule %+v", seed, kids, parents, floor, above, whole, t.over(), rule)
+}
+
+// Never more than the whole in any window through control machines, whatever the adversary does.
+func TestNoAdversaryGetsMoreThanTheWholeOfATree(t *testing.T) {
+	const days = 60
+	spent, full, passed, lent, held := 0, 0, int64(0), int64(0), int64(0)
+	for seed := range uint64(days) {
+		w, text := treeAdversary(seed, 0)
+		if w.over() > w.spec.Least {
+			t.Error(text)
+		} else if w.over() == w.spec.Least {
+			full++
+		}
+		spent += w.spent()
+		for _, c := range w.parents {
+			passed, lent, held = passed+c.p.Count.Passed, lent+c.p.Count.Lent, held+c.p.Count.Held
+		}
+	}
+	t.Logf("%d spent, the whole on %d days; %d passed on, %d lent, %d held back by the last starts", spent, full, passed, lent, held)
+	if spent < days*20 || passed == 0 || lent == 0 || held == 0 {
+		t.Errorf("%d spent: the adversary proves nothing", spent)
+	}
+}
+
+// The same adversary finds each wrong variant of the two levels out.
+func TestWrongVariantsOfATreeAreCaught(t *testing.T) {
+	for name, wrong := range map[string]flaw{"no rest after a start": noRestAfterStart, "a term from the receipt": termFromReceipt,
+		"a term from the sending of an answer that was held back": termFromSending, "a term by the wall clock": termByWallClock,
+		"a window's spends given away": windowGivenAway, "the detector trusted": detectorTrusted, "repeated grants counted twice": repeatsCounted,
+		"floors lent at two parents": promisesToTwo, "what was lent with all forgotten": allForgotten, "no rest of what is kept": noRestOfKept,
+		"a window above without the term": windowAboveShort, "granted below and not spent above": unspentAbove,
+		"what came back granted again": grantedAgain, "what is owned below divided above": belowForgotten} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for seed := range uint64(900) {
+				if w, text := treeAdversary(seed, wrong); w.over() > w.spec.Least {
+					t.Log(text)
+					return
+				}
+			}
+			t.Error("never caught")
+		})
+	}
+}
