Control machines in the program: keys, roles, the way to the nodes, reload, rig

Cause: every node named all nodes and asked one keeper, so control was flat. Change: an ordinary node names its control machines (peers.control); a control machine names the others and where it hears its children (peers.children, peers.index). internal/peers has an end for either: a child is known by its number and answered where it asked from, by start, so that two processes with one number each get their own answers; a node heeds its control machines' addresses alone. Faulty keys are named by check, at a start and on a reload; open_per_customer is refused with control machines. A changed peers.control is followed on a reload (budget.Replace). Parent.Next says when an answer held back is due, and Settled goes on to the loop, for clients of a control machine itself. The peers test's callback has lost its kind, which the end itself checks now; a word of another kind has its own case. Off without the keys.

--- a/budget/parent.go
+++ b/budget/parent.go
@@ -283,8 +283,11 @@
 // passed hands on what the upper side is to do.
 func (p *Parent) passed(actions []Action) {
 	for _, a := range actions {
-		if t, ok := a.(Tell); ok {
-			p.out = append(p.out, t)
+		if _, ok := a.(Wake); !ok {
+			p.out = append(p.out, a)
 		}
 	}
 }
+
+// Next gives how soon Tick is to be called after a word was taken in: sooner than said before where an answer is held back.
+func (p *Parent) Next() time.Duration { return max(p.due()-p.low.now, time.Millisecond) }
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -31,10 +31,10 @@
 	ctx, stop := context.WithCancel(t.Context())
 	defer stop()
 	words := make(chan budget.Word, 10)
-	go c.Serve(ctx, func(from int, kind Kind, body []byte) {
+	go c.Serve(ctx, func(from int, _ netip.AddrPort, body []byte) {
 		var w budget.Word
-		if err := Read(body, &w); err != nil || from != 1 || kind != Budget {
-			t.Errorf("from %d, kind %d: %v", from, kind, err)
+		if err := Read(body, &w); err != nil || from != 1 {
+			t.Errorf("from %d: %v", from, err)
 		}
 		words <- w
 	})
@@ -66,15 +66,15 @@
 		t.Errorf("%d unknown, %d of another version, %d unreadable, %d received", n.Unknown.Load(), n.Version.Load(), n.Unreadable.Load(),
 			n.Received.Load())
 	}
-	c.Tell(1, Budget, word)
+	c.Tell(1, word)
 	friend.SetReadDeadline(time.Now().Add(10 * time.Second))
 	buf := make([]byte, 2000)
 	if got, _, err := friend.ReadFrom(buf); err != nil || got > 60 {
 		t.Errorf("%d bytes, %v", got, err)
 	}
-	c.Tell(0, Budget, word) // itself
-	c.Tell(2, Budget, word) // nobody
-	c.Tell(1, Budget, budget.Word{Done: make([]budget.Done, 2000)})
+	c.Tell(0, word) // itself
+	c.Tell(2, word) // nobody
+	c.Tell(1, budget.Word{Done: make([]budget.Done, 2000)})
 	if n.Dropped.Load() != 3 {
 		t.Errorf("%d dropped", n.Dropped.Load())
 	}
@@ -89,8 +89,79 @@
 		w.Wants = append(w.Wants, budget.Amount{ID: id, N: 100})
 		w.Done = append(w.Done, budget.Done{No: 1 << 40, Used: 100})
 	}
-	c := &Conn{cfg: Config{Index: 0}, nodes: make([]netip.AddrPort, 2), log: zap.NewNop(), queue: make(chan letter, 1)}
-	if c.Tell(1, Budget, w); c.Count.Dropped.Load() != 0 {
+	c := &Conn{cfg: Config{Index: 0}, log: zap.NewNop(), queue: make(chan letter, 1)}
+	c.known.Store(&known{nodes: make([]netip.AddrPort, 2)})
+	if c.Tell(1, w); c.Count.Dropped.Load() != 0 {
 		t.Error("too long")
 	}
 }
+
+// A control machine hears its children by number from wherever they are and answers there; a node heeds its control machines'
+// addresses alone. All else is counted by what is wrong with it and dropped: also a word of the group, one of a number that no
+// child has, and one longer than any of ours, even where its first part reads well.
+func TestChildrenAndTheirControlMachines(t *testing.T) {
+	start := func(cfg Config) (*Conn, netip.AddrPort, chan [2]any) {
+		cfg.Listen = "127.0.0.1:0"
+		c, err := New(cfg, zap.NewNop())
+		if err != nil {
+			t.Fatal(err)
+		}
+		ctx, stop := context.WithCancel(context.Background())
+		t.Cleanup(stop)
+		heard := make(chan [2]any, 10)
+		go c.Serve(ctx, func(from int, at netip.AddrPort, body []byte) { heard <- [2]any{from, at} })
+		return c, c.conn.Load().LocalAddr().(*net.UDPAddr).AddrPort(), heard
+	}
+	next := func(what string, heard chan [2]any, want [2]any) {
+		t.Helper()
+		select {
+		case got := <-heard:
+			if got != want {
+				t.Errorf("%s: got %v, want %v", what, got, want)
+			}
+		case <-time.After(10 * time.Second):
+			t.Fatalf("%s: no word", what)
+		}
+	}
+	parent, above, asks := start(Config{Role: Above, Index: 1, Children: 10})
+	unused := "127.0.0.1:1"
+	child, below, answers := start(Config{Role: Below, Nodes: []string{unused, above.String()}, Index: 9})
+	child.Tell(1, budget.Word{Boot: 5})
+	next("ask", asks, [2]any{9, below})
+	parent.TellAt(below, budget.Word{Answer: true, Boot: 6})
+	next("answer", answers, [2]any{1, above})
+
+	body, _ := cbor.Marshal(budget.Word{Boot: 7})
+	stranger, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer stranger.Close()
+	send := func(to netip.AddrPort, f frame, more int) {
+		data, err := cbor.Marshal(f)
+		if err != nil {
+			t.Fatal(err)
+		}
+		stranger.WriteToUDPAddrPort(append(data, make([]byte, more)...), to)
+	}
+	good := frame{Version: Version, Kind: Child, From: 3, Body: body}
+	for _, change := range []func(f *frame){
+		func(f *frame) { f.From = 10 }, func(f *frame) { f.From = -1 }, func(f *frame) { f.Kind = Budget }, func(f *frame) { f.Version++ }} {
+		f := good
+		change(&f)
+		send(above, f, 0)
+	}
+	send(above, good, WordMost)
+	send(below, good, 0)
+	send(above, good, 0)
+	next("after all the bad ones", asks, [2]any{3, stranger.LocalAddr().(*net.UDPAddr).AddrPort()})
+	parent.TellAt(below, budget.Word{Answer: true, Boot: 6})
+	next("after a stranger's", answers, [2]any{1, above})
+	if n := &parent.Count; n.Unknown.Load() != 2 || n.Unreadable.Load() != 1 || n.Version.Load() != 1 || n.TooLong.Load() != 1 || n.Received.Load() != 2 {
+		t.Errorf("%d of unknown numbers, %d unreadable, %d of another version, %d too long, %d received", n.Unknown.Load(), n.Unreadable.Load(),
+			n.Version.Load(), n.TooLong.Load(), n.Received.Load())
+	}
+	if n := &child.Count; n.Unknown.Load() != 1 || n.Received.Load() != 2 {
+		t.Errorf("at the node %d of unknown addresses, %d received", n.Unknown.Load(), n.Received.Load())
+	}
+}
--- a/lab/rig/client.go
+++ b/lab/rig/client.go
@@ -96,7 +96,8 @@
 func (r *rig) front() (*node, string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	busy := max(len(r.nodes)/10, 1)
+	nodes := r.nodes[:r.s.Nodes] // nobody is sent to a control machine
+	busy := max(len(nodes)/10, 1)
 	weight := func(i int) float64 {
 		if i < busy && r.s.Clients.Uneven > 1 {
 			return r.s.Clients.Uneven
@@ -104,7 +105,7 @@
 		return 1
 	}
 	sum := 0.0
-	for i, n := range r.nodes {
+	for i, n := range nodes {
 		if n.now != nil {
 			if _, up := n.now.serving(); up {
 				sum += weight(i)
@@ -112,7 +113,7 @@
 		}
 	}
 	at := r.rng.Float64() * sum
-	for i, n := range r.nodes {
+	for i, n := range nodes {
 		if n.now == nil {
 			continue
 		}
--- a/lab/rig/rig.go
+++ b/lab/rig/rig.go
@@ -90,7 +90,8 @@
 	o       Options
 	starter *starter
 	list    *emulator.List
-	words   *emulator.Words
+	words   *emulator.Words // among the nodes, or among the control machines
+	below   *emulator.Words // between the nodes and the control machines, by the processes' numbers; nil where there are none
 	ref     *referee.Referee
 	begun   time.Time
 	over    chan struct{} // closed when the day is
@@ -145,7 +146,7 @@
 	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err == nil {
 		limit.Cur = limit.Max
 		syscall.Setrlimit(syscall.RLIMIT_NOFILE, &limit)
-		if need := uint64(s.Nodes*(8+s.Servers) + 4*s.Clients.Standing + 500); need > limit.Cur {
+		if need := uint64((s.Nodes+s.Control)*(8+s.Servers) + 4*s.Clients.Standing + 500); need > limit.Cur {
 			return nil, fmt.Errorf("%d descriptors are wanted, %d are allowed", need, limit.Cur)
 		}
 	}
@@ -164,7 +165,13 @@
 				(float64(s.Servers) * time.Duration(v.ColdFor).Seconds())
 		}})
 	var err error
-	if r.words, err = emulator.NewWords(s.Nodes, o.Seed); err != nil {
+	if s.Control > 0 {
+		if r.below, err = emulator.NewWords(s.Nodes+s.Control, o.Seed^1<<32); err != nil {
+			return nil, err
+		}
+		defer r.below.Close()
+	}
+	if r.words, err = emulator.NewWords(s.group(), o.Seed); err != nil {
 		return nil, err
 	}
 	defer r.words.Close()
@@ -185,7 +192,7 @@
 	}
 	defer r.killAll()
 	var ready sync.WaitGroup
-	for i := range s.Nodes {
+	for i := range s.Nodes + s.Control {
 		r.nodes = append(r.nodes, &node{index: i})
 	}
 	for _, n := range r.nodes {
@@ -417,11 +424,7 @@
 		cfg["lab"] = map[string]any{"clock_off_ms": clock.Milliseconds()}
 	}
 	if r.s.Budgets.Lease {
-		var addrs []string
-		for i := range r.s.Nodes {
-			addrs = append(addrs, r.words.Addr(i))
-		}
-		cfg["peers"] = map[string]any{"listen": "127.0.0.1:0", "nodes": addrs}
+		cfg["peers"] = r.peers(n.index)
 		cfg["budgets"] = map[string]any{"lease": true, "floor": r.s.Budgets.Floor}
 		for key, n := range r.s.Budgets.rates() {
 			cfg["budgets"].(map[string]any)[key] = n
@@ -431,6 +434,26 @@
 	return cfg
 }
 
+// peers are the ways between the processes as one of them is told.
+func (r *rig) peers(index int) map[string]any {
+	s, p, addrs := r.s, map[string]any{"listen": "127.0.0.1:0"}, []string{}
+	if s.Control > 0 && index < s.Nodes {
+		for _, c := range s.preference(index) {
+			addrs = append(addrs, r.below.Addr(c))
+		}
+		p["control"] = addrs
+		return p
+	}
+	for i := range s.group() {
+		addrs = append(addrs, r.words.Addr(i))
+	}
+	p["nodes"] = addrs
+	if s.Control > 0 {
+		p["children"], p["index"] = "127.0.0.1:0", index-s.Nodes
+	}
+	return p
+}
+
 // clockError is by how much any node's wall clock may be off.
 func (r *rig) clockError() (most time.Duration) {
 	for _, e := range r.s.Events {
@@ -458,9 +481,20 @@
 		}
 	}
 	p, err := r.starter.start(r.o.Binary, n.index, cfg, func(p *process, line map[string]any) {
-		if at, ok := line["peers"].(string); ok && line["msg"] == "peers" {
-			if addr, err := netip.ParseAddrPort(at); err == nil {
+		for _, kind := range []string{"peers", "children"} {
+			at, ok := line[kind].(string)
+			if !ok || line["msg"] != kind {
+				continue
+			}
+			addr, err := netip.ParseAddrPort(at)
+			switch {
+			case err != nil:
+			case r.s.Control == 0:
 				r.words.At(n.index, addr, second)
+			case n.index < r.s.Nodes || kind == "children":
+				r.below.At(n.index, addr, second)
+			default:
+				r.words.At(n.index-r.s.Nodes, addr, second)
 			}
 		}
 	})
@@ -634,7 +668,7 @@
 	}
 	seconds := time.Duration(r.s.Length).Seconds()
 	for i := range r.nodes {
-		w, b := r.words.Sent(i)
+		w, b := r.sent(i)
 		res.Words.All, res.Words.Bytes = res.Words.All+float64(w)/seconds, res.Words.Bytes+float64(b)/seconds
 		res.Words.BusiestWords = max(res.Words.BusiestWords, float64(w)/seconds)
 		res.Words.BusiestBytes = max(res.Words.BusiestBytes, float64(b)/seconds)
@@ -650,6 +684,19 @@
 	return res
 }
 
+// sent gives the words and bytes that a process sent to others.
+func (r *rig) sent(i int) (words, bytes int64) {
+	if r.s.Control == 0 {
+		return r.words.Sent(i)
+	}
+	words, bytes = r.below.Sent(i)
+	if i >= r.s.Nodes {
+		w, b := r.words.Sent(i - r.s.Nodes)
+		words, bytes = words+w, bytes+b
+	}
+	return words, bytes
+}
+
 // told tells whether the process has told its counters, or never will.
 func (p *process) told() bool {
 	p.mu.Lock()
--- a/lab/rig/scenario.go
+++ b/lab/rig/scenario.go
@@ -18,6 +18,8 @@
 	About   string  `toml:"about"`
 	Length  Dur     `toml:"length"`
 	Nodes   int     `toml:"nodes"`
+	Control int     `toml:"control"` // control machines beside the nodes, numbered after them; 0 means that the nodes deal with one another
+	Zones   int     `toml:"zones"`   // nodes and control machines are spread over them; 0 means 1
 	Servers int     `toml:"servers"`
 	Clients Clients `toml:"clients"`
 	Server  Server  `toml:"server"`
@@ -90,8 +92,9 @@
 	For   Dur     `toml:"for"`
 	Nodes []int   `toml:"nodes"` // these, in place of a part
 	Ready bool    `toml:"ready"` // kill, stop: each only once its process is ready, or has had the time for it
+	Of    string  `toml:"of"`    // "control": a part of the control machines, in place of the nodes
 
-	Link  string  `toml:"link"` // peers, list, servers or clients
+	Link  string  `toml:"link"` // peers, children, list, servers or clients
 	Way   string  `toml:"way"`  // to the node, from it, or both
 	Mode  string  `toml:"mode"` // pass, drop, stall, reset, cut
 	Delay Dur     `toml:"delay"`
@@ -101,6 +104,36 @@
 	Clock Dur     `toml:"clock"` // by which a restarted node's wall clock is off
 }
 
+// group is how many deal with one another as equals: the control machines, or the nodes where there are none.
+func (s *Scenario) group() int {
+	if s.Control > 0 {
+		return s.Control
+	}
+	return s.Nodes
+}
+
+// zone is that of a process: nodes lie in blocks, control machines in turn.
+func (s *Scenario) zone(index int) int {
+	if zones := max(s.Zones, 1); index >= s.Nodes {
+		return (index - s.Nodes) % zones
+	} else {
+		return index * zones / s.Nodes
+	}
+}
+
+// preference gives the control machines of a node, as processes: first those of its zone, each node beginning with another.
+func (s *Scenario) preference(index int) (near []int) {
+	var far []int
+	for i := range s.Control {
+		if c := s.Nodes + (index+i)%s.Control; s.zone(c) == s.zone(index) {
+			near = append(near, c)
+		} else {
+			far = append(far, c)
+		}
+	}
+	return append(near, far...)
+}
+
 var kinds = []string{"kill", "stop", "pause", "twin", "split", "link", "replace_servers", "crash_servers", "hang_servers", "list_down", "list_stuck"}
 
 //go:embed scenarios/*.toml
@@ -126,6 +159,8 @@
 		{"name", s.Name != "", "a text"},
 		{"length", s.Length > 0 && s.Length <= Dur(time.Hour), "over 0, at most 1h"},
 		{"nodes", s.Nodes >= 2 && s.Nodes <= 300, "2 to 300"},
+		{"control", s.Control >= 0 && s.Control <= 32 && (s.Control == 0 || s.Budgets.Lease), "0 to 32, and 0 without budgets.lease"},
+		{"zones", s.Zones >= 0 && s.Zones <= s.Nodes, "0 to the nodes"},
 		{"servers", s.Servers > 0 && s.Servers <= 300, "1 to 300"},
 		{"clients.standing", c.Standing >= 0 && c.Standing <= 4000, "0 to 4000"},
 		{"clients.customers", c.Customers >= 0, "0 or more"},
@@ -167,19 +202,25 @@
 			return fmt.Errorf("events[%d].steps: must be 0 or more", i)
 		case e.For < 0 || e.Over < 0 || e.Delay < 0:
 			return fmt.Errorf("events[%d]: times must be 0 or more", i)
-		case slices.ContainsFunc(e.Nodes, func(n int) bool { return n < 0 || n >= s.Nodes }):
-			return fmt.Errorf("events[%d].nodes: must be 0 to %d", i, s.Nodes-1)
+		case slices.ContainsFunc(e.Nodes, func(n int) bool { return n < 0 || n >= s.Nodes+s.Control }):
+			return fmt.Errorf("events[%d].nodes: must be 0 to %d", i, s.Nodes+s.Control-1)
+		case e.Of != "" && (e.Of != "control" || s.Control == 0):
+			return fmt.Errorf("events[%d].of: %q is not control, of which there are %d", i, e.Of, s.Control)
 		case odds > 1 || min(e.Lose, e.Twice, e.Late) < 0:
 			return fmt.Errorf("events[%d]: lose, twice and late must be 0 to 1", i)
 		case e.Do != "link":
-		case !slices.Contains([]string{"peers", "list", "servers", "clients"}, e.Link):
-			return fmt.Errorf("events[%d].link: %q is none of peers, list, servers, clients", i, e.Link)
+		case !slices.Contains([]string{"peers", "children", "list", "servers", "clients"}, e.Link):
+			return fmt.Errorf("events[%d].link: %q is none of peers, children, list, servers, clients", i, e.Link)
+		case e.Link == "children" && s.Control == 0:
+			return fmt.Errorf("events[%d].link: children are those of control machines, and there are none", i)
+		case e.Link == "peers" && s.Control > 0 && e.Of != "control" && len(e.Nodes) == 0, e.Link == "peers" && slices.ContainsFunc(e.Nodes, func(n int) bool { return s.Control > 0 && n < s.Nodes }):
+			return fmt.Errorf("events[%d].link: peers are the control machines, where there are any", i)
 		case !slices.Contains([]string{"to", "from", "both"}, e.Way):
 			return fmt.Errorf("events[%d].way: %q is none of to, from, both", i, e.Way)
 		case modes[e.Mode] == 0 && e.Mode != "pass":
 			return fmt.Errorf("events[%d].mode: %q is none of pass, drop, stall, reset, cut", i, e.Mode)
-		case odds > 0 && e.Link != "peers":
-			return fmt.Errorf("events[%d]: lose, twice and late are for peers, whose words are datagrams", i)
+		case odds > 0 && e.Link != "peers" && e.Link != "children":
+			return fmt.Errorf("events[%d]: lose, twice and late are for peers and children, whose words are datagrams", i)
 		}
 	}
 	return nil
--- a/lab/rig/trouble.go
+++ b/lab/rig/trouble.go
@@ -24,8 +24,12 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for _, i := range r.rng.Perm(len(r.nodes))[:part(len(r.nodes), e.Part)] {
-		nodes = append(nodes, r.nodes[i])
+	of := r.nodes[:r.s.Nodes]
+	if e.Of == "control" {
+		of = r.nodes[r.s.Nodes:]
+	}
+	for _, i := range r.rng.Perm(len(of))[:part(len(of), e.Part)] {
+		nodes = append(nodes, of[i])
 	}
 	return nodes
 }
@@ -94,11 +98,12 @@
 			})
 		}
 	case "split": // words between the two halves
-		half := len(r.nodes) / 2
 		var ways []*emulator.Way
-		for i := range half {
-			for j := half; j < len(r.nodes); j++ {
-				ways = append(ways, r.words.Way(i, j), r.words.Way(j, i))
+		for i := range r.nodes {
+			for j := range i {
+				if r.half(i) != r.half(j) {
+					ways = append(append(ways, r.wordWay(i, j)...), r.wordWay(j, i)...)
+				}
 			}
 		}
 		r.fault(at, ways, func(w *emulator.Way, on bool) { w.Set(mode(on, emulator.Drop), 0) }, lasts)
@@ -151,6 +156,35 @@
 	}
 }
 
+// half tells on which side of a split a process is: that of the first zones, or of the first nodes where there is one zone.
+func (r *rig) half(index int) bool {
+	s := r.s
+	if s.Zones > 1 {
+		return s.zone(index) < s.Zones/2
+	} else if index >= s.Nodes {
+		return index-s.Nodes < s.Control/2
+	}
+	return index < s.Nodes/2
+}
+
+// generations tells that one of two processes is the other's control machine.
+func (r *rig) generations(i, j int) bool {
+	return r.s.Control > 0 && (i < r.s.Nodes) != (j < r.s.Nodes)
+}
+
+// wordWay is the way of words from one process to another, where there is one.
+func (r *rig) wordWay(from, to int) []*emulator.Way {
+	switch n := r.s.Nodes; {
+	case r.generations(from, to):
+		return []*emulator.Way{r.below.Way(from, to)}
+	case r.s.Control == 0:
+		return []*emulator.Way{r.words.Way(from, to)}
+	case from >= n:
+		return []*emulator.Way{r.words.Way(from-n, to-n)}
+	}
+	return nil // two nodes below control machines
+}
+
 func mode(on bool, m emulator.Mode) emulator.Mode {
 	if on {
 		return m
@@ -188,17 +222,17 @@
 			if to && e.Way == "from" || !to && e.Way == "to" {
 				continue
 			}
-			if e.Link != "peers" {
+			if e.Link != "peers" && e.Link != "children" {
 				ways = append(ways, r.way(e.Link, n.index, to))
 				continue
 			}
 			for other := range r.nodes {
-				if other == n.index {
+				if other == n.index || e.Link == "children" != r.generations(other, n.index) {
 					continue
 				} else if to {
-					ways = append(ways, r.words.Way(other, n.index))
+					ways = append(ways, r.wordWay(other, n.index)...)
 				} else {
-					ways = append(ways, r.words.Way(n.index, other))
+					ways = append(ways, r.wordWay(n.index, other)...)
 				}
 			}
 		}
--- a/node/config.go
+++ b/node/config.go
@@ -40,16 +40,27 @@
 	HandoverIn string `json:"-"` // the folder where two processes of this node meet in an upgrade; "" where none do
 }
 
-// Peers says where the nodes reach one another, by datagrams. Without Nodes nothing listens and nothing is sent.
+// Peers says where the nodes reach one another, by datagrams. Without Nodes and Control nothing listens and nothing is sent.
 type Peers struct {
-	Listen string   `json:"listen"` // this node's own address
-	Nodes  []string `json:"nodes"`  // of all nodes by number, this one's too: where each is reached and its words come from
+	Listen   string   `json:"listen"`   // this node's own address
+	Nodes    []string `json:"nodes"`    // of all nodes by number, this one's too, or of all control machines: where each is reached and its words come from
+	Control  []string `json:"control"`  // the control machines of an ordinary node, by preference: where they hear their children
+	Children string   `json:"children"` // where a control machine hears its children
+	Index    int      `json:"index"`    // a control machine's number among those
 }
 
+// controlMost bounds the control machines.
+const controlMost = 32
+
+// childrenMost bounds the nodes below control machines.
+const childrenMost = 1 << 16
+
 // Budgets says how the nodes share what all of them together may do.
 type Budgets struct {
 	Lease     bool    `json:"lease"`             // among one another; else each has its fixed part
 	Floor     float64 `json:"floor"`             // part of each whole that is fixed parts, which a node has whoever is there
+	Control   float64 `json:"control_floor"`     // the same of what is not the nodes' own, for the control machines
+	ChildTerm int64   `json:"child_term_ms"`     // what a control machine grants must be used within it
 	Retries   int     `json:"retries_per_s"`     // further attempts of requests, of all nodes in any second; 0 means no bound, here and below
 	Calls     int     `json:"list_calls_per_s"`  // for the list of servers
 	Probes    int     `json:"probes_per_s"`      // of each server
@@ -252,12 +263,16 @@
 	if b.Floor == 0 {
 		b.Floor = 0.5
 	}
+	if b.Control == 0 {
+		b.Control = 0.5
+	}
 	for _, d := range []struct {
 		key                 string
 		value               *int64
 		preset, least, most int64
 	}{
 		{"open_lease_ms", &b.OpenLease, 30_000, 5_000, 600_000},
+		{"child_term_ms", &b.ChildTerm, 250, 50, 10_000},
 		{"term_ms", &b.Term, 1000, 50, 10_000}, {"beat_ms", &b.Beat, 400, 20, 10_000}, {"drift_ppm", &b.Drift, 1000, 1, 50_000},
 	} {
 		if *d.value == 0 {
@@ -270,17 +285,10 @@
 	if b.Floor < 0 || b.Floor > 1 {
 		fault("config: budgets.floor: %v is not over 0 and at most 1: fixed parts over the whole cannot be", b.Floor)
 	}
-	if len(c.Peers.Nodes) > 0 || c.Peers.Listen != "" {
-		if err := peers.Check(c.Peers.Listen, c.Peers.Nodes); err != nil {
-			fault("config: peers.%w", err)
-		}
-		if n := len(c.Peers.Nodes); n != in.Balancers || in.Index >= n {
-			fault("config: peers.nodes: %d addresses for %d nodes (settings.balancers), of which this one is number %d", n, in.Balancers, in.Index)
-		}
-		if !in.Ceilings.Peers {
-			fault("config: peers: this site bars talk between nodes (settings.ceilings.peers)")
-		}
+	if b.Control < 0 || b.Control > 1 {
+		fault("config: budgets.control_floor: %v is not over 0 and at most 1: fixed parts over the whole cannot be", b.Control)
 	}
+	faults = append(faults, c.peerFaults()...)
 	for _, r := range b.rates() {
 		if r.whole < 0 || r.whole > 1_000_000 {
 			fault("config: budgets.%s: %d is not 0 to 1000000", r.key, r.whole)
@@ -291,8 +299,11 @@
 	if !b.Lease {
 		return faults
 	}
-	if len(c.Peers.Nodes) == 0 {
-		fault("config: budgets.lease: needs peers.nodes, to have whom to lend to")
+	if len(c.Peers.Nodes)+len(c.Peers.Control) == 0 {
+		fault("config: budgets.lease: needs peers.nodes or peers.control, to have whom to lend to")
+	}
+	if b.Open > 0 && (len(c.Peers.Control) > 0 || c.Peers.Children != "") {
+		fault("config: budgets.open_per_customer: is not divided through control machines (peers.control, peers.children)")
 	}
 	if s := in.Settings(); s.Connections <= 0 || s.ColdFor <= 0 || s.FallMultiple <= 0 || s.FallWindow <= 0 {
 		fault("config: budgets.lease: needs settings.family_info.tenant_quota_connections, settings.rules.cold_us, fall_multiple and fall_us, to know the whole")
@@ -300,6 +311,64 @@
 	return faults
 }
 
+// peerFaults names every key of the ways between nodes that is faulty.
+func (c *Config) peerFaults() (faults []error) {
+	fault := func(format string, args ...any) { faults = append(faults, fmt.Errorf("config: peers"+format, args...)) }
+	p, in := &c.Peers, &c.Settings
+	if len(p.Nodes)+len(p.Control)+p.Index == 0 && p.Listen == "" && p.Children == "" {
+		return nil
+	}
+	if !in.Ceilings.Peers {
+		fault(": this site bars talk between nodes (settings.ceilings.peers)")
+	}
+	if err := peers.CheckListen("listen", p.Listen); err != nil {
+		fault(".%w", err)
+	}
+	for _, others := range []struct {
+		key   string
+		addrs []string
+	}{{"nodes", p.Nodes}, {"control", p.Control}} {
+		if err := peers.Check(others.key, others.addrs); err != nil {
+			fault(".%w", err)
+		}
+	}
+	switch n := len(p.Nodes); {
+	case len(p.Control) > 0:
+		if n > 0 {
+			fault(".nodes: a node with peers.control names no other nodes")
+		}
+		if p.Children != "" {
+			fault(".children: a node with peers.control is no control machine")
+		}
+		if len(p.Control) > controlMost {
+			fault(".control: %d addresses, %d are the most", len(p.Control), controlMost)
+		}
+	case p.Children != "":
+		if err := peers.CheckListen("children", p.Children); err != nil {
+			fault(".%w", err)
+		}
+		if n == 0 || n > controlMost {
+			fault(".nodes: %d addresses of control machines, 1 to %d may be", n, controlMost)
+		}
+		if p.Index < 0 || p.Index >= n {
+			fault(".index: %d is none of the %d control machines' (peers.nodes)", p.Index, n)
+		}
+		if in.Balancers > childrenMost {
+			fault(".children: %d nodes (settings.balancers), %d are the most", in.Balancers, childrenMost)
+		}
+		return faults
+	case n != in.Balancers || in.Index >= n:
+		fault(".nodes: %d addresses for %d nodes (settings.balancers), of which this one is number %d", n, in.Balancers, in.Index)
+	}
+	if p.Index != 0 {
+		fault(".index: %d is for a control machine (peers.children)", p.Index)
+	}
+	if len(p.Control) > 0 && (in.Index >= max(in.Balancers, 1) || in.Balancers > childrenMost) {
+		fault(".control: this node is number %d of %d (settings.index, settings.balancers); %d are the most", in.Index, in.Balancers, childrenMost)
+	}
+	return faults
+}
+
 // siteFaults names every key of a site's settings that is faulty.
 func siteFaults(prefix string, in *settings.Info) (faults []error) {
 	fault := func(format string, args ...any) { faults = append(faults, fmt.Errorf(format, args...)) }
--- a/node/leases.go
+++ b/node/leases.go
@@ -2,8 +2,10 @@
 
 import (
 	"container/heap"
+	"fmt"
 	"maps"
 	"math/rand/v2"
+	"net/netip"
 	"slices"
 	"strings"
 	"sync/atomic"
@@ -59,12 +61,26 @@
 	answerWait  = 100 * time.Millisecond
 )
 
+// divider is what a node does in the division of budgets, whatever its role: among the others, below control machines, or as one.
+type divider interface {
+	Define(now time.Duration, s budget.Spec)
+	Rules(kind uint8, r budget.Rule)
+	Drop(id budget.ID)
+	Tick(now time.Duration) []budget.Action
+	Leave(now time.Duration) []budget.Action
+}
+
 // leases shares out with the other nodes what cold servers may be sent. It belongs to the loop's goroutine.
 type leases struct {
 	set     balance.Settings
-	budgets *budget.Budgets
+	budgets *budget.Budgets // what this node spends itself is its part of these; a control machine's are those of the upper group
+	parent  *budget.Parent  // nil but at a control machine
+	divider divider         // one of the two
 	conn    *peers.Conn
+	below   *peers.Conn   // to the children of a control machine
+	homes   map[int]homes // and where they asked from, by number
 	tell    func(to int, w budget.Word)
+	answer  func(to int, w budget.Word)    // to a child
 	clock   func() time.Duration           // steady: each spend looks at it anew, as a process may have been stopped meanwhile
 	within  time.Duration                  // an attempt is on its way so long after its decision at the latest; windows are longer by it
 	call    time.Duration                  // and so long a call for the list
@@ -75,6 +91,7 @@
 	wants   bool                        // a want is to go out
 	wake    time.Duration               // when a timer is due
 	said    budget.State
+	some    bool // said that there are children
 
 	on      [budgetKinds]bool               // the rates that have a bound
 	keys    [budgetKinds]string             // their names
@@ -83,6 +100,7 @@
 
 	count struct { // as of lately
 		own, leased, short, given, lapsed, stale, twins, keepers, followers atomic.Int64
+		children, held, asks, lent, passed, full, strange                   atomic.Int64 // of a control machine
 		refused                                                             [budgetKinds]atomic.Int64
 	}
 }
@@ -102,9 +120,22 @@
 	}
 	b := budget.Settings{Nodes: max(set.Nodes, 1), Index: set.Index, Floor: cfg.Budgets.Floor,
 		Window: longest, Term: ms(cfg.Budgets.Term), Beat: ms(cfg.Budgets.Beat),
-		Drift: float64(cfg.Budgets.Drift) / 1e6}
+		Drift: float64(cfg.Budgets.Drift) / 1e6, Keepers: len(cfg.Peers.Control)}
+	group := b
+	if b.Keepers > 0 || cfg.Peers.Children != "" {
+		b.Term = ms(cfg.Budgets.ChildTerm)
+	}
+	if cfg.Peers.Children != "" {
+		group.Nodes, group.Index, group.Floor = len(cfg.Peers.Nodes), cfg.Peers.Index, cfg.Budgets.Control
+	} else {
+		group = b
+	}
 	s := &leases{set: *set, within: within, call: call, waiting: map[budget.ID][]waiting{}, stands: map[balance.RequestID]budget.ID{}, past: map[budget.ID]time.Duration{}, seen: map[balance.ServerID]int64{},
-		ids: map[balance.ServerID]budget.ID{}, starts: map[balance.ServerID]time.Duration{}, budgets: budget.New(b, boot, 0)}
+		ids: map[balance.ServerID]budget.ID{}, starts: map[balance.ServerID]time.Duration{}, budgets: budget.New(group, boot, 0), homes: map[int]homes{}}
+	if s.divider = s.budgets; cfg.Peers.Children != "" {
+		s.parent = budget.NewParent(b, s.budgets, boot, 0)
+		s.divider = s.parent
+	}
 	for _, r := range cfg.Budgets.rates() {
 		if s.on[r.kind], s.keys[r.kind] = r.whole > 0, r.key; r.whole == 0 {
 			continue
@@ -118,7 +149,7 @@
 		case standBudget: // an end is felt once the client, who has a while for it, has closed
 			rule.Window, rule.Lease = ms(cfg.Times.Linger)+within, ms(cfg.Budgets.OpenLease)
 		}
-		s.budgets.Rules(r.kind, rule)
+		s.divider.Rules(r.kind, rule)
 	}
 	return s
 }
@@ -308,7 +339,7 @@
 		if s.seen[id] != e.Started { // it is back under its name
 			full, least = full*balance.BearsUntold, 0
 		}
-		s.budgets.Define(steady, budget.Spec{ID: key, Least: least, From: set.ColdFrom,
+		s.divider.Define(steady, budget.Spec{ID: key, Least: least, From: set.ColdFrom,
 			Start: start - time.Duration(l.wall.UnixNano()) + set.FallWindow/2, For: set.ColdFor, Full: full, Window: set.FallWindow + s.within})
 	}
 	for id, key := range s.ids {
@@ -320,7 +351,7 @@
 	}
 	for key, at := range s.past {
 		if steady >= at {
-			s.budgets.Drop(key)
+			s.divider.Drop(key)
 			delete(s.past, key)
 		}
 	}
@@ -341,7 +372,7 @@
 func (l *loop) share() {
 	s := l.leases
 	s.wants = false
-	l.shared(s.budgets.Tick(s.clock()))
+	l.shared(s.divider.Tick(s.clock()))
 	state := s.budgets.State(s.clock())
 	if state.Keeper != s.said.Keeper || state.Followed != s.said.Followed || state.Waits != s.said.Waits {
 		s.said = state
@@ -357,6 +388,21 @@
 	c.twins.Store(b.Twins)
 	c.keepers.Store(b.Keepers)
 	c.followers.Store(int64(state.Followers))
+	if s.parent == nil {
+		return
+	}
+	below, p := s.parent.State(s.clock()), &s.parent.Count
+	c.children.Store(int64(below.Children))
+	c.held.Store(p.Held)
+	c.asks.Store(p.Asks)
+	c.lent.Store(p.Lent)
+	c.passed.Store(p.Passed)
+	c.full.Store(p.Full)
+	c.strange.Store(p.Unknown)
+	if some := below.Children > 0; some != s.some {
+		s.some = some
+		l.log.Info("children", zap.Int("followed_by", below.Children))
+	}
 }
 
 // shared does what the budgets say.
@@ -367,7 +413,11 @@
 	for _, a := range actions {
 		switch a := a.(type) {
 		case budget.Tell:
-			l.leases.tell(a.To, a.Word)
+			if a.Below {
+				l.leases.answer(a.To, a.Word)
+			} else {
+				l.leases.tell(a.To, a.Word)
+			}
 		case budget.Wake:
 			if at := l.now() + a.After; l.leases.wake <= l.now() || at < l.leases.wake {
 				l.leases.wake = at
@@ -397,21 +447,108 @@
 	}
 }
 
+// open takes the addresses for words between nodes.
+func (s *leases) open(cfg *Config, log *zap.Logger) (err error) {
+	p := peers.Config{Listen: cfg.Peers.Listen, Nodes: cfg.Peers.Nodes, Index: cfg.Settings.Index, Wait: cfg.ListenFD != 0}
+	if len(cfg.Peers.Control) > 0 {
+		p.Role, p.Nodes = peers.Below, cfg.Peers.Control
+	} else if s.parent != nil {
+		p.Index = cfg.Peers.Index
+	}
+	if s.conn, err = peers.New(p, log); err != nil {
+		return fmt.Errorf("config: peers.listen: %w", err)
+	}
+	s.tell = func(to int, w budget.Word) { s.conn.Tell(to, w) }
+	if s.parent == nil {
+		return nil
+	}
+	p.Role, p.Listen, p.Nodes, p.Children = peers.Above, cfg.Peers.Children, nil, max(cfg.Settings.Balancers, 1)
+	if s.below, err = peers.New(p, log); err != nil {
+		s.conn.Close()
+		return fmt.Errorf("config: peers.children: %w", err)
+	}
+	s.answer = s.tellHome
+	return nil
+}
+
+// homes are where the two latest starts of one child asked from: with two processes under one number each gets its own answers.
+type homes [2]struct {
+	boot uint64
+	at   netip.AddrPort
+}
+
+// asked notes where a child has asked from. The number is one that a child may have, so what is remembered is bounded.
+func (s *leases) asked(from int, boot uint64, at netip.AddrPort) {
+	h := s.homes[from]
+	switch boot {
+	case h[0].boot:
+		h[0].at = at
+	case h[1].boot:
+		h[1].at = at
+	default:
+		h[1], h[0].boot, h[0].at = h[0], boot, at
+	}
+	s.homes[from] = h
+}
+
+// tellHome sends a child's start a word.
+func (s *leases) tellHome(to int, w budget.Word) {
+	for _, h := range s.homes[to] {
+		if h.boot == w.To && h.at.IsValid() {
+			s.below.TellAt(h.at, w)
+		}
+	}
+}
+
 // hearPeers takes words from the other nodes until the loop ends. While the loop has more to do they are dropped, as on
 // their way.
 func (l *loop) hearPeers() {
-	l.leases.conn.Serve(l.ctx, func(from int, kind peers.Kind, body []byte) {
+	s := l.leases
+	if s.parent == nil {
+		l.hear(s.conn, s.heard)
+		return
+	}
+	go l.hear(s.below, s.heardBelow)
+	l.hear(s.conn, s.heard)
+}
+
+// heard takes in a word from another node, of the group or above.
+func (s *leases) heard(from int, _ netip.AddrPort, w budget.Word) []budget.Action {
+	if s.parent != nil {
+		return append(s.parent.HeardAbove(s.clock(), from, w), budget.Wake{After: s.parent.Next()})
+	}
+	return s.budgets.Heard(s.clock(), from, w)
+}
+
+// heardBelow takes in a word from a child.
+func (s *leases) heardBelow(from int, at netip.AddrPort, w budget.Word) []budget.Action {
+	s.asked(from, w.Boot, at)
+	return append(s.parent.HeardBelow(s.clock(), from, w), budget.Wake{After: s.parent.Next()})
+}
+
+// follow has a node go by other control machines.
+func (l *loop) follow(control []string) {
+	s := l.leases
+	if err := s.conn.Replace(control); err != nil { // checked before
+		l.log.Error("control machines", zap.Error(err))
+		return
+	}
+	s.budgets.Replace(s.clock(), len(control))
+	l.log.Info("follows other control machines", zap.Strings("control", control))
+	l.share()
+}
+
+func (l *loop) hear(conn *peers.Conn, heard func(from int, at netip.AddrPort, w budget.Word) []budget.Action) {
+	conn.Serve(l.ctx, func(from int, at netip.AddrPort, body []byte) {
 		var w budget.Word
-		if kind != peers.Budget || peers.Read(body, &w) != nil {
-			l.leases.conn.Count.Unreadable.Add(1)
+		if peers.Read(body, &w) != nil {
+			conn.Count.Unreadable.Add(1)
 			return
 		}
 		select {
-		case l.events <- func() {
-			l.shared(l.leases.budgets.Heard(l.leases.clock(), from, w))
-		}:
+		case l.events <- func() { l.shared(heard(from, at, w)) }:
 		default:
-			l.leases.conn.Count.Dropped.Add(1)
+			conn.Count.Dropped.Add(1)
 		}
 	})
 }
@@ -419,7 +556,7 @@
 // leave gives all that this node holds to the others.
 func (l *loop) leave() {
 	if s := l.leases; s != nil {
-		l.shared(s.budgets.Leave(s.clock()))
+		l.shared(s.divider.Leave(s.clock()))
 	}
 }
 
@@ -428,7 +565,7 @@
 	if s == nil {
 		return
 	}
-	c, p := &s.count, &s.conn.Count
+	c := &s.count
 	add("budget_own", c.own.Load())
 	add("budget_leased", c.leased.Load())
 	add("budget_short", c.short.Load())
@@ -443,11 +580,29 @@
 			add("budget_"+strings.TrimSuffix(key, "_per_s")+"_refused", c.refused[kind].Load())
 		}
 	}
-	add("peer_words_sent", p.Sent.Load())
-	add("peer_bytes_sent", p.Bytes.Load())
-	add("peer_words", p.Received.Load())
-	add("peer_dropped", p.Dropped.Load())
-	add("peer_unknown", p.Unknown.Load())
-	add("peer_other_version", p.Version.Load())
-	add("peer_unreadable", p.Unreadable.Load())
+	if s.parent != nil {
+		add("budget_children", c.children.Load())
+		add("budget_asks", c.asks.Load())
+		add("budget_lent", c.lent.Load())
+		add("budget_passed", c.passed.Load())
+		add("budget_held_back", c.held.Load())
+		add("budget_held_full", c.full.Load())
+		add("budget_strange_asks", c.strange.Load())
+	}
+	ends := []*peers.Conn{s.conn}
+	if s.below != nil {
+		ends = append(ends, s.below)
+	}
+	for i, end := range ends {
+		prefix, p := [...]string{"peer_", "child_"}[i], &end.Count
+		add(prefix+"words_sent", p.Sent.Load())
+		add(prefix+"bytes_sent", p.Bytes.Load())
+		add(prefix+"words", p.Received.Load())
+		add(prefix+"bytes", p.ReceivedBytes.Load())
+		add(prefix+"dropped", p.Dropped.Load())
+		add(prefix+"unknown", p.Unknown.Load())
+		add(prefix+"other_version", p.Version.Load())
+		add(prefix+"unreadable", p.Unreadable.Load())
+		add(prefix+"too_long", p.TooLong.Load())
+	}
 }
--- a/node/leases_test.go
+++ b/node/leases_test.go
@@ -93,6 +93,71 @@
 	}
 }
 
+// below makes a node of two below a control machine, above the control machine itself.
+func below(t *testing.T) Config {
+	c := leased(t)
+	c.Peers = Peers{Listen: "127.0.0.1:0", Control: []string{"127.0.0.1:2"}}
+	return c
+}
+
+func above(t *testing.T) Config {
+	c := leased(t)
+	c.Peers = Peers{Listen: "127.0.0.1:0", Nodes: []string{"127.0.0.1:2"}, Children: "127.0.0.1:0"}
+	return c
+}
+
+// Each faulty key of control machines is named, alone, at a start, by check and on a reload.
+func TestFaultyKeysOfControlMachines(t *testing.T) {
+	many := make([]string, controlMost+1)
+	for i := range many {
+		many[i] = fmt.Sprintf("127.0.0.1:%d", 100+i)
+	}
+	for _, c := range []struct {
+		of     func(t *testing.T) Config
+		want   string
+		change func(c *Config)
+	}{
+		{below, "peers.control[0]", func(c *Config) { c.Peers.Control[0] = "somewhere:9" }},
+		{below, "that of control[0] too", func(c *Config) { c.Peers.Control = append(c.Peers.Control, c.Peers.Control[0]) }},
+		{below, "peers.control: 33 addresses", func(c *Config) { c.Peers.Control = many }},
+		{below, "peers.control: this node is number 2 of 2", func(c *Config) { c.Settings.Index = 2 }},
+		{below, "peers.control: this node is number 0 of 65537", func(c *Config) { c.Settings.Balancers = 65537 }},
+		{below, "peers.nodes: a node with peers.control", func(c *Config) { c.Peers.Nodes = []string{"127.0.0.1:3"} }},
+		{below, "peers.children: a node with peers.control", func(c *Config) { c.Peers.Children = "127.0.0.1:0" }},
+		{below, "peers.index: 1", func(c *Config) { c.Peers.Index = 1 }},
+		{below, "peers.listen", func(c *Config) { c.Peers.Listen = "" }},
+		{below, "bars talk", func(c *Config) { c.Settings.Ceilings.Peers = false }},
+		{below, "budgets.open_per_customer: is not divided", func(c *Config) { c.Budgets.Open = 5 }},
+		{below, "budgets.child_term_ms", func(c *Config) { c.Budgets.ChildTerm = 49 }},
+		{above, "peers.children: \"here\"", func(c *Config) { c.Peers.Children = "here" }},
+		{above, "peers.children: 65537 nodes", func(c *Config) { c.Settings.Balancers = 65537 }},
+		{above, "peers.nodes: 33 addresses", func(c *Config) { c.Peers.Nodes = many }},
+		{above, "peers.nodes: 0 addresses", func(c *Config) { c.Peers.Nodes = nil }},
+		{above, "peers.index: 1 is none", func(c *Config) { c.Peers.Index = 1 }},
+		{above, "peers.index: -1 is none", func(c *Config) { c.Peers.Index = -1 }},
+		{above, "bars talk", func(c *Config) { c.Settings.Ceilings.Peers = false }},
+		{above, "budgets.control_floor", func(c *Config) { c.Budgets.Control = 1.1 }},
+		{above, "budgets.open_per_customer: is not divided", func(c *Config) { c.Budgets.Open = 5 }},
+		{leased, "peers.index: 1 is for a control machine", func(c *Config) { c.Peers.Index = 1 }},
+	} {
+		cfg := c.of(t)
+		if faults := cfg.Faults(); len(faults) > 0 {
+			t.Fatal(faults)
+		}
+		n := &Node{cfg: cfg, log: zap.NewNop()}
+		c.change(&cfg)
+		if text := fmt.Sprint(cfg.Faults()); !strings.Contains(text, c.want) {
+			t.Errorf("%q does not name %q", text, c.want)
+		}
+		if _, err := New(cfg, nil); err == nil || !strings.HasPrefix(err.Error(), "config: ") {
+			t.Errorf("%s: a start gives %v", c.want, err)
+		}
+		if err := n.Reload(cfg); err == nil {
+			t.Errorf("%s: a reload takes it", c.want)
+		}
+	}
+}
+
 // Who waits for the other nodes' answer hears once: with what came, or without when it is settled or has waited long enough.
 func TestWhoWaitsForABudgetHearsOnce(t *testing.T) {
 	c := leased(t)
--- a/node/node.go
+++ b/node/node.go
@@ -18,12 +18,10 @@
 	"go.uber.org/zap"
 
 	"brassmux/balance"
-	"brassmux/budget"
 	"brassmux/internal/admin"
 	"brassmux/internal/backend"
 	"brassmux/internal/exchange"
 	"brassmux/internal/frontend"
-	"brassmux/internal/peers"
 	"brassmux/internal/settings"
 )
 
@@ -72,15 +70,13 @@
 		Source: cfg.source(), Probe: ms(cfg.Times.Probe), Idle: settings.Microseconds(cfg.Settings.Ceilings.KeepAlive),
 		Probes: probes, LoadField: settings.LoadField, Connect: cfg.connect}, n.loop, n.loop.probed)
 	if n.loop.leases != nil {
-		if n.loop.leases.conn, err = peers.New(peers.Config{Listen: cfg.Peers.Listen, Nodes: cfg.Peers.Nodes, Index: cfg.Settings.Index,
-			Wait: cfg.ListenFD != 0}, n.log); err != nil {
+		if err := n.loop.leases.open(&n.cfg, n.log); err != nil {
 			listener.Close()
 			if n.second != nil {
 				n.second.Close()
 			}
-			return nil, fmt.Errorf("config: peers.listen: %w", err)
+			return nil, err
 		}
-		n.loop.leases.tell = func(to int, w budget.Word) { n.loop.leases.conn.Tell(to, peers.Budget, w) }
 	}
 	n.front = frontend.New(frontend.Config{FirstLine: ms(cfg.Times.FirstLine), Most: requests, Door: door,
 		Class: func(name []byte) *exchange.Tally { return n.loop.classes[string(name)] }, Welcome: n.life.welcome,
@@ -128,12 +124,16 @@
 	}
 }
 
-// Reload takes over from a new configuration what can change while the node serves: where discovery is. What
-// else is new waits for a restart, and is named in the log. A faulty configuration changes nothing.
+// Reload takes over from a new configuration what can change while the node serves: where discovery is, and the control machines
+// of a node that has some. What else is new waits for a restart, and is named in the log. A faulty configuration changes nothing.
 func (n *Node) Reload(cfg Config) error {
 	if err := cfg.check(); err != nil {
 		return err
 	}
+	if old := n.cfg.Peers.Control; n.loop.leases != nil && len(old) > 0 && len(cfg.Peers.Control) > 0 && !slices.Equal(old, cfg.Peers.Control) {
+		n.cfg.Peers.Control = slices.Clone(cfg.Peers.Control)
+		n.loop.tell(func() { n.loop.follow(cfg.Peers.Control) })
+	}
 	for key, changed := range map[string]bool{"name": cfg.Name != n.cfg.Name, "listen": cfg.Listen != n.cfg.Listen, "source": cfg.Source != n.cfg.Source,
 		"peers": !reflect.DeepEqual(cfg.Peers, n.cfg.Peers), "budgets": cfg.Budgets != n.cfg.Budgets,
 		"admin": cfg.Admin != n.cfg.Admin, "limits": cfg.Limits != n.cfg.Limits, "times": cfg.Times != n.cfg.Times,
