Words between nodes are of version 3: an ask names whose grants it tells of

Word has the field By since the keeper's sums, so builds before it read none of these; without the number they were counted as unreadable, not as of another version. The longest word is tested with it. A reload that names other control machines is played on sockets.

--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -18,7 +18,7 @@
 )
 
 // Version of the words. One of another version is counted and dropped.
-const Version = 2
+const Version = 3
 
 // Bounds: of a word, so that it fits a datagram on any network without being cut in pieces; of the words that wait to be sent.
 const (
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -83,7 +83,7 @@
 // A full word of each list fits a datagram.
 func TestTheLongestWordFits(t *testing.T) {
 	id := budget.ID{Kind: 1, Of: 1<<64 - 1, Since: 1<<62 - 1}
-	w := budget.Word{Boot: 1<<64 - 1, Seq: 1 << 40, Stamp: 1 << 62, To: 1<<64 - 1}
+	w := budget.Word{Boot: 1<<64 - 1, Seq: 1 << 40, Stamp: 1 << 62, To: 1<<64 - 1, By: 1<<64 - 1}
 	for range budget.EntriesMost {
 		w.Lends = append(w.Lends, budget.Amount{ID: id, N: 100})
 		w.Wants = append(w.Wants, budget.Amount{ID: id, N: 100})
--- a/node/control_test.go
+++ b/node/control_test.go
@@ -353,6 +353,21 @@
 	parents[0].stop() // as a crash: it tells nobody
 	died := time.Since(begun)
 	until("half of the whole for one after a death", func() { want(all[0]) }, from(died))
+	keeper := func() int {
+		got := make(chan int, 1)
+		all[0].loop.tell(func() { got <- all[0].loop.leases.budgets.State(all[0].loop.leases.clock()).Keeper })
+		return <-got
+	}
+	if k := keeper(); k != 1 {
+		t.Errorf("node 0 asks number %d of its preference after the first has died", k)
+	}
+	cfg := all[0].cfg
+	cfg.Peers.Control = children[1:]
+	if err := all[0].Reload(cfg); err != nil { // as on SIGHUP
+		t.Fatal(err)
+	}
+	until("the list of the reload", func() {}, func() bool { return keeper() == 0 })
+	until("half of the whole for one after a reload", func() { want(all[0]) }, from(time.Since(begun)))
 	mu.Lock()
 	defer mu.Unlock()
 	if n := f.most(); n > whole && late < 200*time.Millisecond {
