Tests: answers held back, addresses of children, changed lists of control machines

Seen failing without the thing each guards: an answer held back has no timer (Parent.Next), the second start of a child hears the first's answers (homes), a node follows a number of the old list, and never asks a control machine that is added (budget.Replace). What Replace forgot of earlier asks it need not: an answer counts only from the number that was asked, and who was not asked does not answer. The order of a child's two starts was kept by code that changed nothing: gone.

--- a/budget/replace.go
+++ b/budget/replace.go
@@ -3,8 +3,8 @@
 import "time"
 
 // Replace has a node follow other control machines from now on, so many, in a new order of preference. What it knows is of starts
-// and not of numbers, so nothing is felt twice: what it has lent is bound until the promise ends, what it holds lapses with its term,
-// and answers to what it has asked before count no more, as they may come under another's number.
+// and not of numbers, so nothing is felt twice: what it has lent is bound until the promise ends, what it holds lapses with its term. It
+// follows nobody until one of them answers, as a number may mean another machine than before.
 func (b *Budgets) Replace(now time.Duration, keepers int) {
 	b.now = max(b.now, now)
 	b.set.Keepers, b.order = keepers, nil
@@ -13,5 +13,4 @@
 	}
 	b.follows, b.missed, b.hello, b.beat = -1, 0, 0, b.now
 	clear(b.heard)
-	clear(b.asks)
 }
--- a/node/control_test.go
+++ b/node/control_test.go
@@ -3,15 +3,18 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/netip"
 	"slices"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"go.uber.org/zap"
 
 	"brassmux/budget"
+	"brassmux/internal/peers"
 )
 
 // tree is nodes below control machines, each the program's own loop on one clock that the test moves, with a network that it can cut.
@@ -72,6 +75,10 @@
 			f.nodes = append(f.nodes, l)
 		}
 		s.tell = func(to int, w budget.Word) {
+			if to >= len(f.prefers[i]) {
+				f.t.Errorf("node %d asks number %d of %d", i, to, len(f.prefers[i]))
+				return
+			}
 			at := f.prefers[i][to]
 			f.send(l, func() *loop { return f.control[at] }, func(l *loop) []budget.Action { return l.leases.heardBelow(i, netip.AddrPort{}, w) })
 		}
@@ -231,6 +238,9 @@
 				for i, l := range f.nodes {
 					f.prefers[i] = change(f.prefers[i])
 					l.leases.budgets.Replace(l.leases.clock(), len(f.prefers[i]))
+					if k := l.leases.budgets.State(l.leases.clock()).Keeper; k != -1 {
+						t.Fatalf("follows number %d of a list of which none has answered", k)
+					}
 					f.run(300*time.Millisecond, all)
 				}
 				for i := range f.prefers {
@@ -383,3 +393,108 @@
 	t.Logf("%d units, %d of them through control machines, late by %v", len(f.spent), passed, late)
 	return late
 }
+
+// A node that knew one control machine asks those that are added when that one dies.
+func TestControlMachinesAreAdded(t *testing.T) {
+	f := newTree(t, 2, 2, func(c *Config) {
+		if c.Budgets.Retries = 60; c.Peers.Children == "" {
+			c.Peers.Control = c.Peers.Control[:1]
+		}
+	})
+	f.prefers = [][]int{{0}, {0}}
+	f.run(rested, nil)
+	for i, l := range f.nodes {
+		f.prefers[i] = []int{0, 1}
+		l.leases.budgets.Replace(l.leases.clock(), 2)
+	}
+	f.run(time.Second, nil)
+	f.dead[f.control[0]] = true
+	f.run(3*time.Second, nil)
+	for i, l := range f.nodes {
+		if s := l.leases.budgets.State(l.leases.clock()); s.Keeper != 1 {
+			t.Errorf("node %d follows %d", i, s.Keeper)
+		}
+	}
+}
+
+// An answer that is held back is due soon, though the control machine has nothing else to do before its next beat.
+func TestAnAnswerHeldBackIsDueSoon(t *testing.T) {
+	f := newTree(t, 1, 2, func(c *Config) { c.Budgets.Retries = 60 })
+	f.run(rested, nil)
+	keeper := f.control[0].leases.budgets.State(f.control[0].leases.clock()).Keeper
+	f.prefers[0] = []int{1 - keeper, keeper}
+	node, parent := f.nodes[0], f.control[1-keeper]
+	node.leases.budgets.Replace(node.leases.clock(), 2)
+	f.run(2*time.Second, nil)
+	f.dead[f.control[keeper]] = true // it answers no more, and nobody has noticed
+	for range 90 {
+		f.want(node, retryBudget)
+	}
+	for range 20 { // until what there is without the keeper is given out
+		parent.timers, parent.leases.wake = nil, 0
+		node.share()
+		sent := f.sent
+		f.sent = nil
+		for _, one := range sent {
+			one()
+		}
+		for range 16 {
+			f.want(node, retryBudget)
+		}
+		f.now += 20 * time.Millisecond
+	}
+	if held := parent.leases.parent.State(parent.leases.clock()).Held; held == 0 {
+		t.Fatal("no answer is held back")
+	}
+	if due := parent.leases.wake - parent.now(); len(parent.timers) == 0 || due > 50*time.Millisecond {
+		t.Errorf("%d timers, the next in %v", len(parent.timers), due)
+	}
+}
+
+// Two processes with one number each get the answers to their own asks, wherever they are; of a third the oldest is forgotten, and an answer
+// to a start that has not asked goes nowhere.
+func TestEachStartOfAChildIsAnsweredWhereItAsked(t *testing.T) {
+	c := above(t)
+	l := newLoop(t.Context(), &c, zap.NewNop())
+	s := l.leases
+	if err := s.open(&c, zap.NewNop()); err != nil {
+		t.Fatal(err)
+	}
+	go s.below.Serve(t.Context(), func(int, netip.AddrPort, []byte) {})
+	t.Cleanup(s.conn.Close)
+	open := func() (*net.UDPConn, netip.AddrPort) {
+		u, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { u.Close() })
+		return u, u.LocalAddr().(*net.UDPAddr).AddrPort()
+	}
+	first, at1 := open()
+	second, at2 := open()
+	s.asked(1, 10, at1)
+	s.asked(1, 20, at2)
+	s.asked(1, 10, at1)
+	hears := func(u *net.UDPConn, boot uint64) {
+		t.Helper()
+		s.answer(1, budget.Word{Answer: true, To: boot, Boot: 5, Seq: boot})
+		u.SetReadDeadline(time.Now().Add(patience))
+		buf := make([]byte, peers.WordMost)
+		n, err := u.Read(buf)
+		var frame []cbor.RawMessage
+		var w budget.Word
+		if err != nil || cbor.Unmarshal(buf[:n], &frame) != nil || peers.Read(frame[len(frame)-1], &w) != nil || w.To != boot {
+			t.Errorf("start %d hears %+v, %v", boot, w, err)
+		}
+	}
+	hears(first, 10)
+	hears(second, 20)
+	s.answer(1, budget.Word{Answer: true, To: 30}) // has not asked
+	s.answer(0, budget.Word{Answer: true, To: 10})
+	hears(second, 20)
+	s.asked(1, 30, at1)
+	s.asked(1, 40, at1)
+	if h := s.homes[1]; h[0].boot != 40 || h[1].boot != 30 || len(s.homes) != 1 {
+		t.Errorf("remembers %+v", s.homes)
+	}
+}
--- a/node/leases.go
+++ b/node/leases.go
@@ -480,14 +480,10 @@
 // asked notes where a child has asked from. The number is one that a child may have, so what is remembered is bounded.
 func (s *leases) asked(from int, boot uint64, at netip.AddrPort) {
 	h := s.homes[from]
-	switch boot {
-	case h[0].boot:
-		h[0].at = at
-	case h[1].boot:
-		h[1].at = at
-	default:
-		h[1], h[0].boot, h[0].at = h[0], boot, at
+	if h[0].boot != boot {
+		h[1], h[0].boot = h[0], boot
 	}
+	h[0].at = at
 	s.homes[from] = h
 }
 
