--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"brassmux/budget"
 )
@@ -165,3 +166,20 @@
 		t.Errorf("at the node %d of unknown addresses, %d received", n.Unknown.Load(), n.Received.Load())
 	}
 }
+
+// Guards against a log that a stranger can fill: of any number of bad words it has a line a second at most.
+func TestStrangersDoNotFillTheLog(t *testing.T) {
+	core, logs := observer.New(zap.WarnLevel)
+	c, err := New(Config{Role: Above, Listen: "127.0.0.1:0", Children: 1}, zap.New(core))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	begun := time.Now()
+	for i := range 10_000 {
+		c.take([]byte{0xff, byte(i)}, netip.AddrPort{}, nil)
+	}
+	if most := int(time.Since(begun)/time.Second) + 2; logs.Len() == 0 || logs.Len() > most || c.Count.Unreadable.Load() != 10_000 {
+		t.Errorf("%d lines, %d are the most, of %d words", logs.Len(), most, c.Count.Unreadable.Load())
+	}
+}
--- a/node/config_doc_test.go
+++ b/node/config_doc_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"encoding/json"
 	"os"
 	"reflect"
 	"regexp"
@@ -60,3 +61,31 @@
 		}
 	}
 }
+
+// The page's examples of control machines are read as they stand, and are whole: no key of theirs is faulty, in a site that has the rest.
+func TestTheExamplesOfControlMachinesAreRead(t *testing.T) {
+	page, err := os.ReadFile("../docs/configuration.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var roles []string
+	for _, text := range regexp.MustCompile(`(?m)^    \{"settings(?:.*\n(?:     .*\n)*)`).FindAllString(string(page), -1) {
+		c := leased(t)
+		c.Peers, c.Budgets = Peers{}, Budgets{}
+		if err := json.Unmarshal([]byte(text), &c); err != nil {
+			t.Fatalf("%s: %v", text, err)
+		}
+		if faults := c.Faults(); len(faults) > 0 {
+			t.Errorf("%s: %v", text, faults)
+		}
+		switch {
+		case len(c.Peers.Control) > 0:
+			roles = append(roles, "node")
+		case c.Peers.Children != "":
+			roles = append(roles, "control machine")
+		}
+	}
+	if !slices.Equal(roles, []string{"node", "control machine"}) {
+		t.Errorf("the examples are of %q", roles)
+	}
+}
