Control machines lend their floors to one another whatever the kind of budget

Seen: with probes, connects and opens, whose floors nodes keep, a node that alone wants had 25 of 60 in its first second through three control machines, 35 in a flat group: of the control machines' floors it could use its own parent's alone. Why nodes keep theirs, that who starts anew has its own soon, holds of nodes. A control machine that starts has its floor of these after the bound, as of the others. The test fails without it; the tests of package budget, with its adversary, pass.

--- a/budget/parent.go
+++ b/budget/parent.go
@@ -90,7 +90,7 @@
 	}
 	r.Window = min(r.Window, p.low.set.Window)
 	p.low.Rules(kind, r)
-	r.Window = p.above(r.Window)
+	r.Window, r.Keeps = p.above(r.Window), false // else nobody but its own nodes could use a control machine's floor
 	p.up.Rules(kind, r)
 }
 
--- a/node/control_test.go
+++ b/node/control_test.go
@@ -162,6 +162,18 @@
 	return most
 }
 
+// Also where nodes keep their own parts for themselves, half of the whole is had by who needs it within a second, as in a flat group.
+func TestHalfIsUsableWhereNodesKeepTheirParts(t *testing.T) {
+	const whole = 60
+	f := newTree(t, 6, 3, func(c *Config) { c.Budgets.Opens = whole })
+	f.run(rested, nil)
+	begun := f.now
+	f.run(4*time.Second, func() { f.want(f.nodes[1], openBudget) })
+	if n := f.in(begun, begun+time.Second); n < whole/2 || f.most() > whole {
+		t.Errorf("the node that wants has %d of %d in its first second, %d at the most", n, whole, f.most())
+	}
+}
+
 const rested = 10 * time.Second // what an earlier start did is past
 
 // A node that alone wants something has more than half of the whole within a second, though its own part is a twelfth; all nodes
