Tests: the whole reaches who asks through control machines

Nothing showed that what control machines hold reaches who wants it; a test counts that. Test files only.

--- a/budget/tree_test.go
+++ b/budget/tree_test.go
@@ -31,7 +31,7 @@
 	late, pause time.Duration
 	cut         func(from, to place) bool
 
-	words, full int // heard, and their entries that were as many as fit
+	count ParentCounts // of starts that are gone
 }
 
 // place is where a process is: a node's, or a control machine's.
@@ -119,6 +119,9 @@
 
 func (t *tree) startControl(i int) {
 	c := t.parents[i]
+	if c.p != nil {
+		t.count.add(c.p.Count)
+	}
 	t.boots += 2
 	set, now := t.above, t.clock(&c.process)
 	set.Index = i
@@ -133,6 +136,19 @@
 	}
 }
 
+func (c *ParentCounts) add(d ParentCounts) {
+	c.Asks, c.Held, c.Lent, c.Passed, c.Unknown, c.Full = c.Asks+d.Asks, c.Held+d.Held, c.Lent+d.Lent, c.Passed+d.Passed, c.Unknown+d.Unknown, c.Full+d.Full
+}
+
+// counts gives those of all control machines in all their starts.
+func (t *tree) counts() ParentCounts {
+	c := t.count
+	for _, p := range t.parents {
+		c.add(p.p.Count)
+	}
+	return c
+}
+
 func (t *tree) process(p place) *process {
 	if p.control {
 		return &t.parents[p.at].process
@@ -182,7 +198,6 @@
 }
 
 func (t *tree) deliver(l treeLetter) {
-	t.words++
 	p := t.process(l.to)
 	p.heard++
 	now := t.clock(p)
@@ -335,17 +350,17 @@
 }
 
 func (t *tree) play(length time.Duration) {
-	eager := 1 + t.rng.IntN(len(t.kids))
+	eager, busy := 1+t.rng.IntN(len(t.kids)), 1+t.rng.IntN(len(t.kids)) // tries at a time; nodes that have use for any
 	for end := t.now + length; t.now < end; {
 		t.step(20 * time.Millisecond)
 		if t.rng.Float64() < t.odds {
 			t.trouble()
 		}
 		if t.rng.Float64() < 0.01 {
-			eager = 1 + t.rng.IntN(len(t.kids))
+			eager, busy = 1+t.rng.IntN(len(t.kids)), 1+t.rng.IntN(len(t.kids))
 		}
 		for range eager {
-			t.spend(t.rng.IntN(len(t.kids)))
+			t.spend(t.rng.IntN(busy))
 		}
 	}
 }
@@ -353,7 +368,7 @@
 func treeAdversary(seed uint64, wrong flaw) (*tree, string) {
 	rng := rand.New(rand.NewPCG(seed, 13))
 	parents, kids := 2+rng.IntN(3), 2+rng.IntN(9)
-	floor, above, whole := []float64{0, 0.3, 0.6, 1}[rng.IntN(4)], []float64{0, 0.5, 1}[rng.IntN(3)], 1+rng.IntN(12)
+	floor, above, whole := []float64{0, 0.3, 0.6, 1}[rng.IntN(4)], []float64{0, 0.5, 1}[rng.IntN(3)], 1+rng.IntN([]int{12, 12, 60}[rng.IntN(3)])
 	var rule *Rule
 	if kind := rng.IntN(3); kind > 0 {
 		rule = &Rule{Whole: whole, Window: 2 * time.Second, Keeps: kind == 2}
@@ -369,7 +384,7 @@
 // Never more than the whole in any window through control machines, whatever the adversary does.
 func TestNoAdversaryGetsMoreThanTheWholeOfATree(t *testing.T) {
 	const days = 60
-	spent, full, passed, lent, held := 0, 0, int64(0), int64(0), int64(0)
+	spent, full, count := 0, 0, ParentCounts{}
 	for seed := range uint64(days) {
 		w, text := treeAdversary(seed, 0)
 		if w.over() > w.spec.Least {
@@ -378,12 +393,10 @@
 			full++
 		}
 		spent += w.spent()
-		for _, c := range w.parents {
-			passed, lent, held = passed+c.p.Count.Passed, lent+c.p.Count.Lent, held+c.p.Count.Held
-		}
+		count.add(w.counts())
 	}
-	t.Logf("%d spent, the whole on %d days; %d passed on, %d lent, %d held back by the last starts", spent, full, passed, lent, held)
-	if spent < days*20 || passed == 0 || lent == 0 || held == 0 {
+	t.Logf("%d spent, the whole on %d days; %+v", spent, full, count)
+	if spent < days*20 || full < days/3 || count.Passed < days*10 || count.Lent < days || count.Held < days {
 		t.Errorf("%d spent: the adversary proves nothing", spent)
 	}
 }
@@ -408,3 +421,83 @@
 		})
 	}
 }
+
+// While words flow one node that asks gets nearly all but what other nodes own, and so it is divided anew after each change: a control
+// machine's death costs the time to notice, the upper keeper's no more than in a flat group.
+func TestTheWholeReachesWhoAsksThroughControlMachines(t *testing.T) {
+	for _, c := range []struct {
+		name          string
+		parents, kids int
+		floor, above  float64
+		whole         int
+		keeps         bool
+		change        func(t *tree) time.Duration
+		share         float64 // of the whole
+	}{
+		{"all well", 4, 24, 0.1, 0.5, 100, false, nil, 0.8},
+		{"nodes own nothing", 4, 24, 0, 0.5, 100, false, nil, 0.85},
+		{"a budget of one", 4, 24, 0, 0.5, 1, false, nil, 0.5},
+		{"one control machine", 1, 8, 0.5, 0.5, 40, false, nil, 0.9},
+		{"floors are kept", 4, 24, 0.1, 0.2, 100, true, nil, 0.65},
+		{"all is the nodes' and lent", 1, 8, 1, 0.5, 40, false, nil, 0.85},
+		{"its control machine crashes", 4, 24, 0.1, 0.5, 100, false, func(t *tree) time.Duration {
+			t.parents[t.parent(1)].dead = true
+			return 4 * time.Second
+		}, 0.65},
+		{"its control machine leaves in order", 4, 24, 0.1, 0.5, 100, false, func(t *tree) time.Duration {
+			c := t.parent(1)
+			t.doControl(c, t.parents[c].p.Leave(t.clock(&t.parents[c].process)))
+			t.step(10 * time.Millisecond)
+			t.parents[c].dead = true
+			return 4 * time.Second
+		}, 0.7},
+		{"the upper keeper crashes", 4, 24, 0.1, 0.5, 100, false, func(t *tree) time.Duration {
+			t.parents[t.parents[t.parent(1)].p.State(0).Above.Keeper].dead = true
+			return 5 * time.Second
+		}, 0.6},
+		{"all restart", 4, 24, 0.1, 0.5, 100, false, func(t *tree) time.Duration {
+			for i := range t.kids {
+				t.start(i)
+			}
+			for i := range t.parents {
+				t.startControl(i)
+			}
+			return 7 * time.Second
+		}, 0.8},
+	} {
+		t.Run(c.name, func(test *testing.T) {
+			w := newTree(5, c.parents, c.kids, c.floor, c.above, c.whole, 0, &Rule{Whole: c.whole, Window: 2 * time.Second, Keeps: c.keeps})
+			run := func(d time.Duration) int {
+				before := w.spent()
+				for end := w.now + d; w.now < end; {
+					w.step(5 * time.Millisecond)
+					for range 1 + c.whole/100 {
+						w.spend(1)
+					}
+				}
+				return w.spent() - before
+			}
+			for range 1600 {
+				w.step(5 * time.Millisecond)
+			}
+			if c.change != nil {
+				run(c.change(w))
+			}
+			const windows = 10
+			got, want := float64(run(windows*2*time.Second)), c.share*float64(windows*c.whole)
+			test.Logf("%v of the whole", got/float64(windows*c.whole))
+			if got < want {
+				test.Errorf("%v spent, %v are %v of the whole: %+v", got, want, c.share, w.kids[1].b.State(w.clock(&w.kids[1].process)))
+				for i, p := range w.parents {
+					test.Logf("control machine %d dead %v: %+v %+v", i, p.dead, p.p.State(w.clock(&p.process)), p.p.Count)
+				}
+			}
+			if w.over() > c.whole {
+				test.Errorf("%d in a window", w.over())
+			}
+		})
+	}
+}
+
+// parent is the control machine that a node follows.
+func (t *tree) parent(i int) int { return t.kids[i].order[t.kids[i].b.follows] }
