--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -54,6 +54,14 @@
 		{[]string{"lab", "rig"}, 2, "", []string{"arg"}},
 		{[]string{"lab", "rig", "no-such"}, 2, "", []string{"no-such", "mixed"}},
 		{[]string{"lab", "rig", "calm", "--nodes", "1"}, 2, "", []string{"--nodes"}},
+		{[]string{"lab", "slopes", "no-such"}, 2, "", []string{"no-such", "keeper"}},
+		{[]string{"lab", "slopes", "pause", "--repeat", "1"}, 2, "", []string{"--repeat"}},
+		{[]string{"lab", "slopes", "pause", "--part", "0"}, 2, "", []string{"--part"}},
+		{[]string{"lab", "slopes", "pause", "--repeat", "2"}, 0, "pause.first", nil},
+		{[]string{"lab", "capacity"}, 2, "", []string{"arg"}},
+		{[]string{"lab", "capacity", "no-such"}, 1, "", []string{"no-such"}},
+		{[]string{"lab", "capacity", "../../docs/capacity/service.json"}, 1, "", []string{"keeper.ask"}},
+		{[]string{"lab", "capacity", "../../docs/capacity/control.json", "../../docs/capacity/ports.json", "../../docs/capacity/service.json", "../../docs/capacity/words.json"}, 0, "times |", nil},
 	} {
 		code, out, errs := run(c.args...)
 		if code != c.code || !strings.Contains(out, c.out) {
--- a/lab/capacity/target.go
+++ b/lab/capacity/target.go
@@ -215,8 +215,8 @@
 		{role1, "deliveries: processor (service)", "% of a core", message.times(0.5 * deliveries / nodes * us), 0, "lines passed on; one way taken as half of there and back", ""},
 
 		{role2, "processor, if each ask wants a unit, against an ordinary node's 2.2%", "% of a core", ask.times(asks * us), control, "one keeper for all budgets: `free` and `majority` go through all followers, `reserved` through all grants", spread},
-		{role2, "the same, if none wants any", "% of a core", idle.times(asks * us), control, "the same: `majority` goes through all followers", spread},
-		{role2, "the same with wants, against a control machine's whole core", "% of a core", ask.times(asks * us), cores * 100, "one keeper for all budgets", spread},
+		{role2, "processor, if no ask wants anything, against an ordinary node's 2.2%", "% of a core", idle.times(asks * us), control, "one keeper for all budgets: `majority` goes through all followers", spread},
+		{role2, "processor, if each ask wants a unit, against a control machine's whole core", "% of a core", ask.times(asks * us), cores * 100, "one keeper for all budgets", spread},
 		{role2, "words sent and received", "1/s", exactly(2 * asks), 0, "one ask and one answer a node and beat", spread},
 		{role2, "bytes in and out", "bytes/s", askWord.plus(ansWord).times(asks), controlBytes, "one ask and one answer a node and beat", spread},
 		{role2, "memory for it", "bytes", at("keeper.memory", nodes), controlMemory, "a follower and its lent amounts each", spread},
@@ -225,7 +225,7 @@
 		{role3, "writes of changes to watches", "1/s", exactly(nodes * perChange), 0, "each node watches the service itself", later},
 		{role3, "bytes of these", "bytes/s", change.times(nodes * perChange), 0, "each node watches the service itself", later},
 		{role3, "time until a node asks again after a first failed call", "s", at("pause.first", nodes), changeWithin, "a pause in proportion to the nodes, without words between them", later},
-		{role3, "after a third", "s", at("pause.third", nodes), changeWithin, "the same", later},
+		{role3, "time until a node asks again after a third failed call", "s", at("pause.third", nodes), changeWithin, "a pause that grows from failure to failure, and in proportion to the nodes", later},
 
 		{"a node starts (1,500 a day)", "processor until it takes clients", "us", at("start.cpu", nodes), 0, "one process, one file", ""},
 		{"a node starts (1,500 a day)", "memory then", "bytes", at("start.memory", nodes), controlMemory, "one process, one file", ""},
@@ -239,11 +239,11 @@
 		{"a rack fails (40 nodes)", "its clients at others of its region: processor of each", "s of a core", arrive.times(moved(rack, nodes/regions-rack) * 1e-6), changeWithin, "placement among all servers; set-up", ""},
 		{"a zone lost (335 nodes)", "its clients at others of its region: processor of each", "s of a core", arrive.times(moved(nodes/zones, nodes/regions-nodes/zones) * 1e-6), changeWithin, "placement among all servers; set-up", ""},
 		{"a zone lost (335 nodes)", "connections at each of these then: memory (service)", "bytes", held.times(each + moved(nodes/zones, nodes/regions-nodes/zones)), 0, "two sockets and an exchange each", ""},
-		{"a zone comes back", "calls for the whole list: time of the service", "s", exactly(nodes / zones / calls), changeWithin, "each node asks the service itself", ""},
+		{"a zone comes back", "calls for the whole list, 20 a second: time of the service", "s", exactly(nodes / zones / calls), changeWithin, "each node asks the service itself", ""},
 		{"a fleet starts while six in ten servers are replaced", "words that the busiest node sends", "1/s", at("words.busiest", nodes), 0, "hellos until one keeper is found, asks at each need, one keeper's answers", ""},
-		{"a fleet starts while six in ten servers are replaced", "words that a node sends in the mean", "1/s", at("words.mean", nodes), 0, "the same", ""},
+		{"a fleet starts while six in ten servers are replaced", "words that a node sends in the mean", "1/s", at("words.mean", nodes), 0, "hellos until one keeper is found, asks at each need", ""},
 		{"all nodes cold", "a node that has an old list asks first after, at most", "s", at("pause.start", nodes), changeWithin, "a spread in proportion to the nodes", ""},
-		{"all nodes cold", "calls for the whole list: time of the service", "s", exactly(nodes / calls), changeWithin, "each node asks the service itself", ""},
+		{"all nodes cold", "calls for the whole list, 20 a second: time of the service", "s", exactly(nodes / calls), changeWithin, "each node asks the service itself", ""},
 		{"all nodes cold", "bytes of these", "bytes", listSize.times(nodes), 0, "each node asks the service itself", ""},
 		{"all nodes cold", "a node reads it and takes it in", "us", at("list.whole", servers), 0, "`balance`", ""},
 		{"all nodes cold", "each places 45,600 clients: processor", "s of a core", arrive.times(each * 1e-6), changeWithin, "placement among all servers; set-up", ""},
@@ -301,7 +301,15 @@
 		for _, n := range s.Sizes() {
 			at = append(at, number(n)+": "+number(s.Median(n)))
 		}
-		row("`"+s.Name+"`", s.What+", "+cmp.Or(s.Unit, "number")+" by "+s.Of, strings.Join(at, "; "), number(s.Fit.Slope)+" ± "+number(s.Fit.SlopeSpread), number(s.Fit.Intercept),
+		sizes := s.Sizes()
+		greatest := sizes[len(sizes)-1]
+		seen := func(v, n float64) string { // what rounding has left of nothing is nothing
+			if math.Abs(v*n) < 1e-9*s.Median(greatest) {
+				return "0"
+			}
+			return number(v)
+		}
+		row("`"+s.Name+"`", s.What+", "+cmp.Or(s.Unit, "number")+" by "+s.Of, strings.Join(at, "; "), seen(s.Fit.Slope, greatest)+" ± "+seen(s.Fit.SlopeSpread, greatest), seen(s.Fit.Intercept, 1),
 			percent(s.Fit.Spread), fmt.Sprintf("%.2f ± %.2f", s.Fit.Exponent, s.Fit.ExponentSpread), string(s.Fit.Verdict))
 	}
 	done("slopes")
--- a/lab/capacity/target_test.go
+++ b/lab/capacity/target_test.go
@@ -46,7 +46,7 @@
 		role, what string
 		want       float64
 	}{
-		{"keeper", "against an ordinary node's", 2850 * 14250 * 1e-4},                        // 2,850 us each, 14,250 a second, in % of a core
+		{"keeper", "wants a unit, against an ordinary node's", 2850 * 14250 * 1e-4},          // 2,850 us each, 14,250 a second, in % of a core
 		{"node, ordinary day", "connections: memory", 28_000 * 260e6 / 5700},                 // 1.28 GB
 		{"node, ordinary day", "connections: descriptors", 2 * 260e6 / 5700},                 // 91,228
 		{"node, ordinary day", "connections: local ports", 260e6 / 5700},                     // 45,614
