--- a/lab/capacity/control.go
+++ b/lab/capacity/control.go
@@ -238,29 +238,35 @@
 
 // pause asks how long a node waits after failed calls for the list, by the size of the fleet.
 func pause(ctx context.Context, b *bench) error {
-	first := b.slope("pause.first", "the pause after a first failed call for the list, the longest of 200 draws", "s", "nodes")
+	first := b.slope("pause.first", "the pause after a first call for the list that failed at once, the longest of 200 draws", "s", "nodes")
 	third := b.slope("pause.third", "after a third in a row", "s", "nodes")
+	waited := b.slope("pause.waited", "after a third in a row of calls that waited 2 s before they failed, as at a service with too many callers", "s", "nodes")
 	cached := b.slope("pause.start", "the longest wait of a node that starts with an old list until it first asks", "s", "nodes")
 	return b.each(ctx, Nodes, func(n, turn int) error {
-		var longest [3]time.Duration
+		var longest [4]time.Duration
 		for i := range 200 {
 			d := balance.New(balance.Settings{Nodes: n, Index: i % n}, b.o.Seed+uint64(turn*200+i))
-			wait := func(kind balance.ListKind) (after time.Duration) {
-				for _, a := range d.Handle(time.Minute, balance.Members{Kind: kind}) {
+			wait := func(kind balance.ListKind, took time.Duration) (after time.Duration) {
+				for _, a := range d.Handle(time.Minute, balance.Members{Kind: kind, Took: took}) {
 					if t, ok := a.(balance.SetTimer); ok {
 						after = max(after, t.After)
 					}
 				}
 				return after
 			}
-			longest[0] = max(longest[0], wait(balance.ListCached))
-			longest[1] = max(longest[1], wait(balance.ListFailed))
-			wait(balance.ListFailed)
-			longest[2] = max(longest[2], wait(balance.ListFailed))
+			longest[0] = max(longest[0], wait(balance.ListCached, 0))
+			longest[1] = max(longest[1], wait(balance.ListFailed, 0))
+			wait(balance.ListFailed, 0)
+			longest[2] = max(longest[2], wait(balance.ListFailed, 0))
+			d = balance.New(balance.Settings{Nodes: n, Index: i % n}, b.o.Seed+uint64(turn*200+i))
+			for range 3 {
+				longest[3] = max(longest[3], wait(balance.ListFailed, 2*time.Second))
+			}
 		}
 		cached.add(n, longest[0].Seconds())
 		first.add(n, longest[1].Seconds())
 		third.add(n, longest[2].Seconds())
+		waited.add(n, longest[3].Seconds())
 		return nil
 	})
 }
--- a/lab/capacity/page_test.go
+++ b/lab/capacity/page_test.go
@@ -18,7 +18,14 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	tables, err := Tables(r)
+	if files, err = filepath.Glob(filepath.Join(docs, "capacity", "after", "*.json")); err != nil {
+		t.Fatal(err)
+	}
+	after, err := Load(files...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	tables, err := Tables(r, after)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/lab/capacity/target.go
+++ b/lab/capacity/target.go
@@ -261,7 +261,7 @@
 }
 
 // TableNames are those of the page's tables, in its order.
-var TableNames = []string{"assumptions", "slopes", "roles", "events", "lacks"}
+var TableNames = []string{"assumptions", "slopes", "roles", "events", "after", "lacks"}
 
 // Fill puts tables into a page, each between its marks.
 func Fill(page string, tables map[string]string) (string, error) {
@@ -276,13 +276,13 @@
 	return page, nil
 }
 
-// Tables are those of the page, by the name under which the page has each.
-func Tables(r *Run) (map[string]string, error) {
+// Tables are those of the page, by the name under which the page has each. after is what a later program was measured to cost.
+func Tables(r, after *Run) (map[string]string, error) {
 	figures, err := Work(r)
 	if err != nil {
 		return nil, err
 	}
-	tables := map[string]string{}
+	tables := map[string]string{"after": Compare(r, after)}
 	var t strings.Builder
 	row := func(cells ...string) { t.WriteString("| " + strings.Join(cells, " | ") + " |\n") }
 	done := func(name string) { tables[name] = t.String(); t.Reset() }
@@ -366,6 +366,35 @@
 	return tables, nil
 }
 
+// Compare is a table of what was measured of two programs: for each slope of the later run the medians of both, by size, and how many times the
+// earlier one's the later one's is at the greatest size that both have.
+func Compare(before, after *Run) string {
+	var t strings.Builder
+	fmt.Fprintln(&t, "| slope | what | before | after | at the greatest size |\n| --- | --- | --- | --- | --- |")
+	for _, s := range after.Slopes {
+		at := func(s *Slope) string {
+			if s == nil {
+				return "not measured"
+			}
+			var at []string
+			for _, n := range s.Sizes() {
+				at = append(at, number(n)+": "+number(s.Median(n)))
+			}
+			return strings.Join(at, "; ") + " (" + string(s.Fit.Verdict) + ")"
+		}
+		was, times := before.Slope(s.Name), ""
+		if was != nil {
+			for _, n := range s.Sizes() {
+				if slices.Contains(was.Sizes(), n) && was.Median(n) > 0 {
+					times = "times " + number(s.Median(n)/was.Median(n))
+				}
+			}
+		}
+		fmt.Fprintf(&t, "| `%s` | %s, %s by %s | %s | %s | %s |\n", s.Name, s.What, cmp.Or(s.Unit, "number"), s.Of, at(was), at(s), times)
+	}
+	return t.String()
+}
+
 func factorText(lack float64) string {
 	if lack > 1 {
 		return "**lack " + number(lack) + "**"
--- a/lab/capacity/target_test.go
+++ b/lab/capacity/target_test.go
@@ -67,10 +67,14 @@
 			t.Errorf("%s, %s: %d figures", c.role, c.what, found)
 		}
 	}
-	tables, err := Tables(made(map[string]float64{"keeper.ask": 0.5}))
+	tables, err := Tables(made(map[string]float64{"keeper.ask": 0.5}), made(map[string]float64{"keeper.ask": 0.125}))
 	if err != nil {
 		t.Fatal(err)
 	}
+	// The later run is a quarter at the greatest size, and what is missing is that of the earlier one.
+	if want := "| `keeper.ask` | keeper.ask, us by size | 300: 150; 1,000: 500; 3,000: 1,500; 5,700: 2,850 (line) | 300: 37.5; 1,000: 125; 3,000: 375; 5,700: 713 (line) | times 0.250 |"; !strings.Contains(tables["after"], want) {
+		t.Errorf("%s\nwithout\n%s", tables["after"], want)
+	}
 	lacks := strings.Split(strings.TrimSpace(tables["lacks"]), "\n")[2:]
 	if !strings.HasPrefix(lacks[0], "| 1,850 times | keeper") { // 40.6 cores in place of 0.022
 		t.Error(lacks[0])
