Below control machines nodes own nothing of the budgets unless it is asked for

Cause: a parent sees two processes with one number where both ask it, but below control machines they may ask two, and each then has the floor of that number. Ruled out: the second control machine, as it is not the keeper above and its floor rests until the keeper has seen both.

Change: budgets.floor is 0 by default below control machines, so a node's number owns nothing and all is divided by the control machines, whose numbers are few and meet at one keeper. The price of none: such a node has nothing of what is bounded.

--- a/node/config.go
+++ b/node/config.go
@@ -58,7 +58,7 @@
 // Budgets says how the nodes share what all of them together may do.
 type Budgets struct {
 	Lease     bool    `json:"lease"`             // among one another; else each has its fixed part
-	Floor     float64 `json:"floor"`             // part of each whole that is fixed parts, which a node has whoever is there
+	Floor     float64 `json:"floor"`             // part of each whole that is fixed parts, which a node has whoever is there; 0 means half, below control machines none
 	Control   float64 `json:"control_floor"`     // the same of what is not the nodes' own, for the control machines
 	ChildTerm int64   `json:"child_term_ms"`     // what a control machine grants must be used within it
 	Retries   int     `json:"retries_per_s"`     // further attempts of requests, of all nodes in any second; 0 means no bound, here and below
@@ -260,8 +260,8 @@
 func (c *Config) budgetFaults() (faults []error) {
 	fault := func(format string, args ...any) { faults = append(faults, fmt.Errorf(format, args...)) }
 	b, in := &c.Budgets, &c.Settings
-	if b.Floor == 0 {
-		b.Floor = 0.5
+	if b.Floor == 0 && len(c.Peers.Control) == 0 && c.Peers.Children == "" {
+		b.Floor = 0.5 // below control machines none: guards against two processes with one number at two of them, where nobody sees both
 	}
 	if b.Control == 0 {
 		b.Control = 0.5
