--- a/budget/budget.go
+++ b/budget/budget.go
@@ -734,12 +734,11 @@
 	if b.follows < 0 {
 		return
 	}
-	b.pace = b.now
-	if b.set.Keepers > 0 {
-		b.pace += b.set.Beat / askedFor
-	}
 	if k := b.heard[b.follows]; b.brief && !beat && !b.leaving && b.whole == k.boot {
 		w := Word{Stamp: k.stamp, Got: b.got, By: k.boot}
+		if b.set.Keepers > 0 { // a Parent has its own
+			b.pace = b.now + b.set.Beat/askedFor
+		}
 		b.wantIn(&w)
 		b.doneIn(&w, k.boot)
 		b.send(b.follows, w)
--- a/budget/model_test.go
+++ b/budget/model_test.go
@@ -101,70 +101,102 @@
 	return &d
 }
 
-// key is the same for states that go on alike: times are from now, starts and numbers from the latest.
-func (m *model) key() string {
-	var s strings.Builder
-	names := map[uint64]int{0: 0}
-	name := func(boot uint64) int {
-		if _, ok := names[boot]; !ok {
-			names[boot] = len(names)
-		}
-		return names[boot]
+// keyer writes what tells states apart: times are from now, starts and numbers from the latest.
+type keyer struct {
+	strings.Builder
+	names map[uint64]int
+	seqs  map[uint64]uint64 // the latest word's number of each start that lives
+}
+
+func newKeyer(all ...*Budgets) *keyer {
+	k := &keyer{names: map[uint64]int{0: 0}, seqs: map[uint64]uint64{}}
+	for _, b := range all {
+		k.seqs[b.boot] = b.seq
 	}
-	seqs := func(boot, seq uint64) int { // of a start that is gone only that it is
-		for _, b := range m.nodes {
-			if b.boot == boot {
-				return int(b.seq - seq)
-			}
+	return k
+}
+
+func (k *keyer) name(boot uint64) int {
+	if _, ok := k.names[boot]; !ok {
+		k.names[boot] = len(k.names)
+	}
+	return k.names[boot]
+}
+
+// seq is from the latest; of a start that is gone only that it is.
+func (k *keyer) seq(boot, seq uint64) int {
+	if last, ok := k.seqs[boot]; ok {
+		return int(last - seq)
+	}
+	return -1
+}
+
+// part writes a node's part, by its own clock and those of who it asks.
+func (k *keyer) part(b *Budgets, now time.Duration, clock func(int) time.Duration) {
+	at := func(t time.Duration) time.Duration { return max(t-now, -9*tick) / time.Millisecond }
+	fmt.Fprint(k, k.name(b.boot), at(b.rest), at(b.beat), b.follows, k.name(b.bound), at(b.until), at(b.alone), at(b.all), at(b.born), b.hello%24, len(b.done), "|")
+	if b.brief {
+		fmt.Fprint(k, b.missed, k.name(b.whole), at(b.pace), "|")
+	}
+	for _, j := range slices.Sorted(maps.Keys(b.heard)) {
+		h := b.heard[j]
+		fmt.Fprint(k, j, k.name(h.boot), at(h.at), (time.Duration(h.stamp)-clock(j))/time.Millisecond, h.most, ";")
+		if b.set.Keepers > 0 {
+			fmt.Fprint(k, min(h.run, backAfter), ";")
 		}
-		return -1
 	}
-	for i, b := range m.nodes {
-		at := func(t time.Duration) time.Duration { return max(t-m.clock(i), -9*tick) / time.Millisecond }
-		fmt.Fprint(&s, name(b.boot), m.paused[i], at(b.rest), at(b.beat), b.follows, name(b.bound), at(b.until), at(b.alone), at(b.all), at(b.born), b.hello%24, len(b.done), "|")
-		for _, j := range slices.Sorted(maps.Keys(b.heard)) {
-			k := b.heard[j]
-			fmt.Fprint(&s, j, name(k.boot), at(k.at), (time.Duration(k.stamp)-m.clock(j))/time.Millisecond, k.most, ";")
+	for _, q := range slices.Sorted(maps.Keys(b.asks)) {
+		if a := b.asks[q]; at(a.at) > -4000 {
+			fmt.Fprint(k, b.seq-q, a.to, at(a.at), ",")
 		}
-		for _, q := range slices.Sorted(maps.Keys(b.asks)) {
-			if a := b.asks[q]; at(a.at) > -4000 {
-				fmt.Fprint(&s, b.seq-q, a.to, at(a.at), ",")
+	}
+	for _, a := range b.specs {
+		for _, t := range slices.Concat(a.spent, []time.Duration{0}, a.wanted) { // the 0 parts them
+			if at(t) >= -3000 || t == 0 {
+				fmt.Fprint(k, at(t), " ")
 			}
 		}
-		for _, a := range b.specs {
-			for _, t := range slices.Concat(a.spent, []time.Duration{0}, a.wanted) { // the 0 parts them
-				if at(t) >= -3000 || t == 0 {
-					fmt.Fprint(&s, at(t), " ")
-				}
-			}
-			for _, l := range a.lent {
-				if at(l.until) > 0 {
-					fmt.Fprint(&s, l.n, at(l.until), " ")
-				}
+		for _, l := range a.lent {
+			if at(l.until) > 0 {
+				fmt.Fprint(k, l.n, at(l.until), " ")
 			}
-			for _, h := range a.grants {
-				fmt.Fprint(&s, h.n-h.used, at(h.until), " ")
-			}
-			fmt.Fprint(&s, a.short, at(a.refused), a.waits, seqs(b.boot, a.asked))
 		}
-		for _, j := range slices.Sorted(maps.Keys(b.followers)) {
-			f := b.followers[j]
-			fmt.Fprint(&s, "f", j, name(f.boot), seqs(f.boot, f.seq), at(f.until), f.lends[modelID], len(f.lends), f.all, name(f.rival), f.twin)
+		for _, h := range a.grants {
+			fmt.Fprint(k, h.n-h.used, at(h.until), " ")
 		}
-		for _, g := range slices.SortedFunc(slices.Values(b.grants), func(x, y *granted) int { return int(x.no) - int(y.no) }) {
-			if at(g.until) > 0 {
-				fmt.Fprint(&s, "g", b.number-g.no, g.node, name(g.boot), g.n, at(g.until))
-			}
+		fmt.Fprint(k, a.short, at(a.refused), a.waits, k.seq(b.boot, a.asked))
+	}
+	for _, j := range slices.Sorted(maps.Keys(b.followers)) {
+		f := b.followers[j]
+		fmt.Fprint(k, "f", j, k.name(f.boot), k.seq(f.boot, f.seq), at(f.until), f.lends[modelID], len(f.lends), f.all, k.name(f.rival), f.twin)
+	}
+	for _, g := range slices.SortedFunc(slices.Values(b.grants), func(x, y *granted) int { return int(x.no) - int(y.no) }) {
+		if at(g.until) > 0 {
+			fmt.Fprint(k, "g", b.number-g.no, g.node, k.name(g.boot), g.n, at(g.until))
 		}
-		s.WriteByte('\n')
+	}
+	k.WriteByte('\n')
+}
+
+// word writes one that is on its way.
+func (k *keyer) word(w Word, now time.Duration) {
+	fmt.Fprint(k, w.Answer, k.name(w.Boot), k.seq(w.Boot, w.Seq), k.seq(w.To, w.Seq), (time.Duration(w.Stamp)-now)/time.Millisecond,
+		k.name(w.To), w.Lends, w.All, w.Wants, len(w.Done), k.name(w.By), len(w.Grants), w.Most, w.Twin, ";")
+}
+
+// key is the same for states that go on alike.
+func (m *model) key() string {
+	k := newKeyer(m.nodes...)
+	for i, b := range m.nodes {
+		fmt.Fprint(k, m.paused[i])
+		k.part(b, m.clock(i), m.clock)
 	}
 	for _, l := range m.mail {
-		w := l.word
-		fmt.Fprint(&s, l.from, l.to, w.Answer, name(w.Boot), seqs(w.Boot, w.Seq), seqs(w.To, w.Seq), (time.Duration(w.Stamp)-m.now)/time.Millisecond,
-			name(w.To), w.Lends, w.All, w.Wants, len(w.Done), len(w.Grants), w.Most, w.Twin, ";")
+		fmt.Fprint(k, l.from, l.to)
+		k.word(l.word, m.now)
 	}
-	fmt.Fprint(&s, len(m.spends), m.cut, m.faults) // all spent in this tick
-	return s.String()
+	fmt.Fprint(k, len(m.spends), m.cut, m.faults) // all spent in this tick
+	return k.String()
 }
 
 func (m *model) do(i int, out []Action, hold bool) {
