--- a/budget/world_test.go
+++ b/budget/world_test.go
@@ -33,6 +33,8 @@
 	life        time.Duration
 	ending      []time.Duration
 	most, ended int
+
+	meter func(int, Word) // is told of each word at who receives it
 }
 
 type peer struct {
@@ -167,6 +169,9 @@
 		if p := w.nodes[l.to]; l.at > w.now || w.now < p.paused { // who is paused has it in its queue
 			later = append(later, l)
 		} else if !p.dead {
+			if w.meter != nil {
+				w.meter(l.to, l.word)
+			}
 			w.do(l.to, p.b.Heard(w.clock(p), l.from, l.word))
 		}
 	}
