Embedding programs take units of shared budgets; the lab can shape a node's links

Cause: a scale run with thousands of nodes in a few processes has no client sockets and no relay for each pair, but has to run the program's own control code. A test for Afford fails without the flush (seen).

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -77,8 +77,11 @@
 type Client struct {
 	http    *http.Client
 	Silence time.Duration // a watch that says nothing for it is told as silent
-	older   atomic.Bool   // the last watch ended with a list older than the one held
-	Count   Counts
+
+	Dial func(ctx context.Context, network, addr string) (net.Conn, error) // for the laboratory, set before the first call; nil for the own way
+
+	older atomic.Bool // the last watch ended with a list older than the one held
+	Count Counts
 }
 
 // Counts counts the calls, those that failed, and the changes that came.
@@ -93,16 +96,24 @@
 // New makes a client. A watch that says nothing for the silence is told as silent. Calls come from the source; nil for any.
 func New(dial, silence time.Duration, source net.Addr) *Client {
 	d := net.Dialer{Timeout: dial, LocalAddr: source}
+	c := &Client{Silence: silence}
 	up := func(ctx context.Context, network, addr string) (net.Conn, error) {
-		conn, err := d.DialContext(ctx, network, addr)
+		way := d.DialContext
+		if c.Dial != nil {
+			way = c.Dial
+			within, end := context.WithTimeout(ctx, dial)
+			defer end()
+			ctx = within
+		}
+		conn, err := way(ctx, network, addr)
 		if err == nil && late(ctx) {
 			conn.Close()
 			return nil, errLate
 		}
 		return conn, err
 	}
-	return &Client{Silence: silence, http: &http.Client{
-		Transport: &http.Transport{DialContext: up, DisableCompression: true}}}
+	c.http = &http.Client{Transport: &http.Transport{DialContext: up, DisableCompression: true}}
+	return c
 }
 
 // byKey is under what a call's context has the time by which it is on its way.
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -62,6 +62,8 @@
 	Index    int      // this node's number; Above: among the control machines
 	Children int      // Above: their numbers are under it
 	Wait     bool     // another process of this node may still have the address
+
+	Link func(to netip.AddrPort) (after time.Duration, ok bool) // for the laboratory: holds a datagram back, or loses it; nil for neither
 }
 
 // kind is that of the words of an end.
@@ -209,12 +211,7 @@
 				conn.Close()
 				return
 			case l := <-c.queue:
-				if _, err := conn.WriteToUDPAddrPort(l.data, l.to); err == nil {
-					c.Count.Sent.Add(1)
-					c.Count.Bytes.Add(int64(len(l.data)))
-				} else {
-					c.Count.Dropped.Add(1)
-				}
+				c.send(conn, l.to, l.data)
 			}
 		}
 	}()
@@ -230,6 +227,28 @@
 	}
 }
 
+// send has a datagram on its way, or where the laboratory has put a link there, once that lets it go.
+func (c *Conn) send(conn *net.UDPConn, to netip.AddrPort, data []byte) {
+	write := func() error {
+		_, err := conn.WriteToUDPAddrPort(data, to)
+		return err
+	}
+	var err error
+	if c.cfg.Link == nil {
+		err = write()
+	} else if after, ok := c.cfg.Link(to); ok && after > 0 {
+		time.AfterFunc(after, func() { write() })
+	} else if ok {
+		err = write()
+	}
+	if err != nil {
+		c.Count.Dropped.Add(1)
+		return
+	}
+	c.Count.Sent.Add(1)
+	c.Count.Bytes.Add(int64(len(data)))
+}
+
 func (c *Conn) take(data []byte, addr netip.AddrPort, heard func(int, netip.AddrPort, []byte)) {
 	from, ok := c.known.Load().from[addr]
 	if !ok && c.cfg.Role != Above {
--- a/node/leases.go
+++ b/node/leases.go
@@ -179,6 +179,28 @@
 	heap.Push(&l.timers, timer{at: l.now() + wait, leases: true})
 }
 
+// Afford takes one unit of what all nodes share, for a program that does what the budget bounds by other ways than this node's
+// clients; kind is the key of a rate, as "retries_per_s", of is the server or customer where the rate is of each. It may be called from any
+// goroutine but the loop's, and waits while the loop's queue is full. done is called once, from the loop's goroutine, which it must not block: with
+// true where there was a unit, within wait, and false where there was none. After the node's end it is not called any more. An error means that the kind is no rate or has no bound here.
+func (n *Node) Afford(kind string, of uint64, wait time.Duration, done func(ok bool)) error {
+	s := n.loop.leases
+	if s == nil {
+		return fmt.Errorf("budgets.%s has no bound: the nodes share nothing", kind)
+	}
+	k := slices.Index(s.keys[:], kind)
+	if k <= 0 || k == standBudget {
+		return fmt.Errorf("budgets.%s is no rate", kind)
+	} else if !s.on[k] {
+		return fmt.Errorf("budgets.%s has no bound", kind)
+	}
+	n.loop.tell(func() {
+		n.loop.afford(uint8(k), of, wait, done)
+		n.loop.flush()
+	})
+	return nil
+}
+
 // counts has a request count as one of its customer's connections until it is forgotten. Unless there is a unit for it already it
 // stood before, and counts whatever there is.
 func (l *loop) counts(x *exchange.Exchange, taken bool) {
@@ -449,7 +471,7 @@
 
 // open takes the addresses for words between nodes.
 func (s *leases) open(cfg *Config, log *zap.Logger) (err error) {
-	p := peers.Config{Listen: cfg.Peers.Listen, Nodes: cfg.Peers.Nodes, Index: cfg.Settings.Index, Wait: cfg.ListenFD != 0}
+	p := peers.Config{Listen: cfg.Peers.Listen, Nodes: cfg.Peers.Nodes, Index: cfg.Settings.Index, Wait: cfg.ListenFD != 0, Link: cfg.Lab.Link}
 	if len(cfg.Peers.Control) > 0 {
 		p.Role, p.Nodes = peers.Below, cfg.Peers.Control
 	} else if s.parent != nil {
--- a/node/leases_test.go
+++ b/node/leases_test.go
@@ -223,3 +223,77 @@
 		t.Error("nobody was counted")
 	}
 }
+
+// Guards against units for others than this node's clients that are taken beside the budget: who asks gets its own part and no more, is
+// answered once, and what is short is asked for at once, not with the next beat.
+func TestAffordForOthers(t *testing.T) {
+	now := 20 * time.Second // what a start before this one did is past
+	var l *loop
+	wants := 0
+	for index := range 2 { // the one that keeps for both has nobody to ask
+		c := leased(t)
+		c.Budgets.Opens, c.Budgets.Floor, c.Settings.Index = 40, 0.5, index
+		if faults := c.Faults(); len(faults) > 0 {
+			t.Fatal(faults)
+		}
+		l = newLoop(t.Context(), &c, zap.NewNop())
+		l.leases.clock = func() time.Duration { return now }
+		other := budget.New(budget.Settings{Nodes: 2, Index: 1 - index, Floor: 0.5, Window: l.leases.budgets.Window(), Term: time.Second, Beat: 400 * time.Millisecond}, 1, 0)
+		l.leases.tell = func(_ int, w budget.Word) {
+			wants += len(w.Wants)
+			for _, a := range other.Heard(now, index, w) {
+				if a, ok := a.(budget.Tell); ok {
+					l.events <- func() { l.shared(l.leases.budgets.Heard(now, 1-index, a.Word)) }
+				}
+			}
+		}
+		for range 5 {
+			for l.share(); len(l.events) > 0; {
+				(<-l.events)()
+			}
+			now += 400 * time.Millisecond
+		}
+		if l.leases.budgets.State(now).Keeper == 1-index {
+			break
+		}
+	}
+	if l.leases.budgets.State(now).Keeper < 0 || wants != 0 {
+		t.Fatalf("%+v, %d wants", l.leases.budgets.State(now), wants)
+	}
+	n := &Node{loop: l}
+	for kind, want := range map[string]string{"": "no rate", "cold": "no rate", "open_per_customer": "no rate", "retries_per_s": "no bound"} {
+		if err := n.Afford(kind, 1, 0, func(bool) { t.Errorf("%q was answered", kind) }); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%q: %v, not %q", kind, err, want)
+		}
+	}
+	if len(l.events) != 0 {
+		t.Fatal("what is refused got to the loop")
+	}
+	answers, taken := 0, 0
+	for range 12 { // nobody waits for an answer here
+		if err := n.Afford("opens_per_s", 7, 0, func(ok bool) {
+			answers++
+			if ok {
+				taken++
+			}
+		}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if answers != 0 || len(l.events) != 12 {
+		t.Fatalf("%d answers from the caller's goroutine, %d in the queue", answers, len(l.events))
+	}
+	for range 12 {
+		(<-l.events)()
+	}
+	if answers != 12 || taken != 10 { // half of the whole is the nodes' own, half of that this node's
+		t.Errorf("%d answers, %d units taken, not 12 and 10", answers, taken)
+	}
+	if wants == 0 {
+		t.Error("nothing was asked of the other node")
+	}
+	plain := config(t, &lister{addr: "127.0.0.1:1"})
+	if err := (&Node{loop: newLoop(t.Context(), &plain, zap.NewNop())}).Afford("opens_per_s", 7, 0, func(bool) {}); err == nil {
+		t.Error("a node that shares nothing gives units")
+	}
+}
--- a/node/loop.go
+++ b/node/loop.go
@@ -31,6 +31,7 @@
 type loop struct {
 	log          *zap.Logger
 	trace        bool // each event and action is logged
+	tellLists    bool // each list in force is
 	decide       *balance.Balancer
 	back         *backend.Client
 	list         *discovery.Client
@@ -90,6 +91,7 @@
 	if leases != nil {
 		leases.clock = l.steady
 	}
+	l.list.Dial, l.tellLists = cfg.Lab.Dial, cfg.Lab.TellLists
 	l.figures, l.classes = cfg.Admin != "", map[string]*exchange.Tally{}
 	for name := range set.Classes {
 		l.classes[name] = &exchange.Tally{}
@@ -611,6 +613,9 @@
 		l.version = list.Version
 	}
 	l.listed(list)
+	if l.tellLists {
+		l.log.Info("list in force", zap.Int64("version", list.Version))
+	}
 }
 
 // unheard has another watch opened after a while, once for each that ends or falls silent.
