--- a/lab/emulator/discovery.go
+++ b/lab/emulator/discovery.go
@@ -93,7 +93,11 @@
 	if !s.Started.IsZero() {
 		started = s.Started.UnixMilli()
 	}
-	e := Entry{ID: s.ID, State: state, Weight: 1, Started: started, server: s}
+	l.Put(Entry{ID: s.ID, State: state, Weight: 1, Started: started, server: s})
+}
+
+// Put makes a change known, after the lag, of a server that is elsewhere.
+func (l *List) Put(e Entry) {
 	time.AfterFunc(l.kind.Lag, func() {
 		l.mu.Lock()
 		defer l.mu.Unlock()
@@ -123,7 +127,9 @@
 	at := map[string]int{}
 	now := l.version(node)
 	for _, e := range l.entries[min(max(version, 0), now):now] {
-		e.Addr = e.server.Addr()
+		if e.server != nil {
+			e.Addr = e.server.Addr()
+		}
 		if i, ok := at[e.ID]; ok {
 			out[i] = e
 		} else {
--- a/lab/emulator/words.go
+++ b/lab/emulator/words.go
@@ -12,6 +12,8 @@
 // Words is the network for datagrams among nodes: each node has one address here, at which all others reach it and
 // from which all others hear it, and each pair of nodes a way for either direction.
 type Words struct {
+	Between func(from, to int) *Way // where many pairs share a way, set before any word; nil where each has its own
+
 	mu    sync.Mutex
 	rng   *rand.Rand
 	ends  []*end
@@ -53,6 +55,9 @@
 }
 
 func (w *Words) way(from, to int) *Way {
+	if w.Between != nil {
+		return w.Between(from, to)
+	}
 	key := [2]int{from, to}
 	if w.ways[key] == nil {
 		w.ways[key] = &Way{}
--- a/lab/rig/process.go
+++ b/lab/process/process.go
@@ -1,4 +1,5 @@
-package rig
+// Package process starts the program as processes of their own, which end with who started them.
+package process
 
 import (
 	"bufio"
@@ -6,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"os"
 	"os/exec"
 	"runtime"
@@ -16,13 +18,13 @@
 	"time"
 )
 
-// process is one start of a node.
-type process struct {
-	node   int
+// Process is one start of a node.
+type Process struct {
+	Node   int
+	Ended  chan struct{} // closed once it is gone
+	Serves chan struct{} // closed once it takes clients
 	cmd    *exec.Cmd
-	ended  chan struct{}
-	serves chan struct{} // closed once it takes clients,
-	ready  chan struct{} // and once it has answered PONG
+	Ready  chan struct{} // closed once it has answered PONG, by who asks it
 
 	mu       sync.Mutex
 	addr     string
@@ -33,12 +35,13 @@
 
 const linesMost = 400
 
-// starter starts processes from one thread that lives as long as the rig, since what a child is told of its parent's death
+// Starter starts processes from one thread that lives as long as the rig, since what a child is told of its parent's death
 // hangs on the thread that made it: when the rig is killed, so are they.
-type starter struct{ jobs chan func() }
+type Starter struct{ jobs chan func() }
 
-func newStarter() *starter {
-	s := &starter{make(chan func())}
+// NewStarter makes one; Close ends it.
+func NewStarter() *Starter {
+	s := &Starter{make(chan func())}
 	go func() {
 		runtime.LockOSThread()
 		for do := range s.jobs {
@@ -48,8 +51,19 @@
 	return s
 }
 
-// start runs the program as a node. The configuration is a file that has no name any more, so it goes with the processes.
-func (s *starter) start(binary string, node int, config map[string]any, heard func(p *process, line map[string]any)) (*process, error) {
+// Close ends the starter, and with it whatever it started.
+func (s *Starter) Close() { close(s.jobs) }
+
+// Run starts a command that dies with the starter.
+func (s *Starter) Run(cmd *exec.Cmd) error {
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	done := make(chan error, 1)
+	s.jobs <- func() { done <- cmd.Start() }
+	return <-done
+}
+
+// Start runs the program as a node. The configuration is a file that has no name any more, so it goes with the processes.
+func (s *Starter) Start(binary string, node int, config map[string]any, heard func(p *Process, line map[string]any)) (*Process, error) {
 	f, err := os.CreateTemp("", "rig")
 	if err != nil {
 		return nil, err
@@ -62,15 +76,12 @@
 	cmd := exec.Command(binary)
 	cmd.Env = []string{"LB_CONFIG=/proc/self/fd/3", "PATH=" + os.Getenv("PATH")}
 	cmd.ExtraFiles = []*os.File{f}
-	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	out, err := cmd.StderrPipe()
 	if err != nil {
 		return nil, err
 	}
-	p := &process{node: node, cmd: cmd, ended: make(chan struct{}), serves: make(chan struct{}), ready: make(chan struct{})}
-	done := make(chan error, 1)
-	s.jobs <- func() { done <- cmd.Start() }
-	if err := <-done; err != nil {
+	p := &Process{Node: node, cmd: cmd, Ended: make(chan struct{}), Serves: make(chan struct{}), Ready: make(chan struct{})}
+	if err := s.Run(cmd); err != nil {
 		return nil, err
 	}
 	go func() {
@@ -79,12 +90,12 @@
 		p.mu.Lock()
 		p.up = false
 		p.mu.Unlock()
-		close(p.ended)
+		close(p.Ended)
 	}()
 	return p, nil
 }
 
-func (p *process) read(out io.Reader, heard func(*process, map[string]any)) {
+func (p *Process) read(out io.Reader, heard func(*Process, map[string]any)) {
 	in := bufio.NewScanner(out)
 	in.Buffer(nil, 1<<20)
 	for in.Scan() {
@@ -98,7 +109,7 @@
 		case "serving":
 			p.addr, _ = line["listen"].(string)
 			p.up = true
-			close(p.serves)
+			close(p.Serves)
 		case "counters", "stopped":
 			p.counters = map[string]float64{}
 			for k, v := range line {
@@ -113,22 +124,32 @@
 	io.Copy(io.Discard, out)
 }
 
-func (p *process) serving() (addr string, up bool) {
+// Serving gives where it takes clients, and whether it does.
+func (p *Process) Serving() (addr string, up bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.addr, p.up
 }
 
-func (p *process) signal(s syscall.Signal) { p.cmd.Process.Signal(s) }
+// Signal sends it one.
+func (p *Process) Signal(s syscall.Signal) { p.cmd.Process.Signal(s) }
 
-// kill ends it and returns once it is gone; it tells whether the signal was what ended it.
-func (p *process) kill() bool {
+// Stop tells it to stop. From now on it counts as no more serving, so that the front sends nobody more.
+func (p *Process) Stop() {
 	p.mu.Lock()
 	p.up = false
 	p.mu.Unlock()
-	p.signal(syscall.SIGKILL)
+	p.Signal(syscall.SIGTERM)
+}
+
+// Kill ends it and returns once it is gone; it tells whether the signal was what ended it.
+func (p *Process) Kill() bool {
+	p.mu.Lock()
+	p.up = false
+	p.mu.Unlock()
+	p.Signal(syscall.SIGKILL)
 	select {
-	case <-p.ended:
+	case <-p.Ended:
 	case <-time.After(10 * time.Second): // it hangs in the kernel: nothing more can be done to it
 		return false
 	}
@@ -136,15 +157,15 @@
 	return ok && status.Signaled() && status.Signal() == syscall.SIGKILL
 }
 
-// stopped tells whether the kernel has it stopped.
-func (p *process) stopped() bool {
+// Stopped tells whether the kernel has it stopped.
+func (p *Process) Stopped() bool {
 	data, err := os.ReadFile("/proc/" + strconv.Itoa(p.cmd.Process.Pid) + "/stat")
 	_, after, found := bytes.Cut(data, []byte(") "))
 	return err == nil && found && len(after) > 0 && after[0] == 'T'
 }
 
-// of gives the lines of its log that name a request, or the last few.
-func (p *process) of(id string) string {
+// Of gives the lines of its log that name a request, or the last few.
+func (p *Process) Of(id string) string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var found []string
@@ -156,5 +177,22 @@
 	if len(found) == 0 {
 		found = p.lines[max(len(p.lines)-5, 0):]
 	}
-	return fmt.Sprintf("node %d:\n  %s", p.node, strings.Join(found, "\n  "))
+	return fmt.Sprintf("node %d:\n  %s", p.Node, strings.Join(found, "\n  "))
+}
+
+// PID is its number.
+func (p *Process) PID() int { return p.cmd.Process.Pid }
+
+// Counters gives the last that it has told; nil for none.
+func (p *Process) Counters() map[string]float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return maps.Clone(p.counters)
+}
+
+// Told tells whether it has told its counters, or never will.
+func (p *Process) Told() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.counters != nil || !p.up
 }
--- a/lab/rig/client.go
+++ b/lab/rig/client.go
@@ -107,7 +107,7 @@
 	sum := 0.0
 	for i, n := range nodes {
 		if n.now != nil {
-			if _, up := n.now.serving(); up {
+			if _, up := n.now.Serving(); up {
 				sum += weight(i)
 			}
 		}
@@ -117,10 +117,10 @@
 		if n.now == nil {
 			continue
 		}
-		if addr, up := n.now.serving(); up {
+		if addr, up := n.now.Serving(); up {
 			if at -= weight(i); at < 0 {
 				if n.second != nil && r.rng.IntN(2) == 0 {
-					if other, up := n.second.serving(); up {
+					if other, up := n.second.Serving(); up {
 						addr = other
 					}
 				}
--- a/lab/rig/ready.go
+++ b/lab/rig/ready.go
@@ -8,23 +8,25 @@
 	"slices"
 	"strings"
 	"time"
+
+	"brassmux/lab/process"
 )
 
 // readyWithin is the time in which a process is to be ready after its start. The day goes on for as long while one is not.
 const readyWithin = 10 * time.Second
 
 // awaitReady asks a process that an event has started whether it is ready, past all faults, until it is, has ended or the day has.
-func (r *rig) awaitReady(event int, p *process, begun time.Time) {
+func (r *rig) awaitReady(event int, p *process.Process, begun time.Time) {
 	const again = 5 * time.Millisecond
 	ready := false
 	for going := true; going && !ready; {
 		select {
-		case <-p.ended:
+		case <-p.Ended:
 			going = false
 			continue
 		default:
 		}
-		if addr, _ := p.serving(); addr != "" {
+		if addr, _ := p.Serving(); addr != "" {
 			ready = ping(addr)
 		}
 		going = ready || r.sleep(again)
@@ -36,7 +38,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.starting--; ready {
-		close(p.ready)
+		close(p.Ready)
 		r.ready[event] = append(r.ready[event], took)
 	} else {
 		r.unready[event]++
--- a/lab/rig/rig.go
+++ b/lab/rig/rig.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"brassmux/lab/emulator"
+	"brassmux/lab/process"
 	"brassmux/lab/referee"
 )
 
@@ -89,7 +90,7 @@
 type rig struct {
 	s       *Scenario
 	o       Options
-	starter *starter
+	starter *process.Starter
 	list    *emulator.List
 	words   *emulator.Words // among the nodes, or among the control machines
 	below   *emulator.Words // between the nodes and the control machines, by the processes' numbers; nil where there are none
@@ -118,7 +119,7 @@
 	starting int                     // processes that are on their way to be ready
 	peaks    map[string][]time.Time  // what is counted by the second
 	sum      map[string]float64
-	logs     []*process
+	logs     []*process.Process
 }
 
 type linkKey struct {
@@ -130,11 +131,11 @@
 // node is a place among the nodes, through the starts of its processes.
 type node struct {
 	index     int
-	now       *process
-	second    *process  // under the same name
-	began     time.Time // this start, until it had word of the list
-	back      time.Time // when the list service was back, until it had word of it
-	disturbed time.Time // since when the rig does something to it; the zero time for not
+	now       *process.Process
+	second    *process.Process // under the same name
+	began     time.Time        // this start, until it had word of the list
+	back      time.Time        // when the list service was back, until it had word of it
+	disturbed time.Time        // since when the rig does something to it; the zero time for not
 }
 
 // Run plays a scenario.
@@ -154,10 +155,10 @@
 			return nil, fmt.Errorf("%d descriptors are wanted, %d are allowed", need, limit.Cur)
 		}
 	}
-	r := &rig{s: s, o: o, starter: newStarter(), over: make(chan struct{}), links: map[linkKey]*emulator.Way{},
+	r := &rig{s: s, o: o, starter: process.NewStarter(), over: make(chan struct{}), links: map[linkKey]*emulator.Way{},
 		ready: map[int][]time.Duration{}, unready: map[int]int{},
 		rng: rand.New(rand.NewPCG(o.Seed, 1)), totals: map[string]int{}, peaks: map[string][]time.Time{}, effects: make([]int, len(s.Events)), sum: map[string]float64{}}
-	defer close(r.starter.jobs)
+	defer r.starter.Close()
 	v := s.Server
 	connections := r.connections()
 	r.ref = referee.New(referee.Rules{Answer: 70 * time.Millisecond, Grace: time.Duration(v.Grace), Slack: 100 * time.Millisecond,
@@ -528,7 +529,7 @@
 
 // startNode starts a process of a node, as an event has it, and returns once it serves. Its known list is the service's as it is, so what it is
 // told thereby counts as told.
-func (r *rig) startNode(event int, n *node, clock time.Duration, second bool) *process {
+func (r *rig) startNode(event int, n *node, clock time.Duration, second bool) *process.Process {
 	if !second {
 		r.ref.Forget(n.index)
 		r.mu.Lock()
@@ -541,7 +542,7 @@
 			r.ref.Told(n.index, e.ID, false, time.UnixMilli(e.Started), time.Now())
 		}
 	}
-	p, err := r.starter.start(r.o.Binary, n.index, cfg, func(p *process, line map[string]any) {
+	p, err := r.starter.Start(r.o.Binary, n.index, cfg, func(p *process.Process, line map[string]any) {
 		for _, kind := range []string{"peers", "children"} {
 			at, ok := line[kind].(string)
 			if !ok || line["msg"] != kind {
@@ -573,9 +574,9 @@
 	r.mu.Unlock()
 	r.work.Go(func() { r.awaitReady(event, p, begun) })
 	select {
-	case <-p.serves:
-	case <-p.ended:
-		r.fail("node %d ended at its start: %s", n.index, p.of(""))
+	case <-p.Serves:
+	case <-p.Ended:
+		r.fail("node %d ended at its start: %s", n.index, p.Of(""))
 	case <-time.After(30 * time.Second):
 		r.fail("node %d does not serve within 30 s", n.index)
 	}
@@ -597,7 +598,7 @@
 	}
 }
 
-func (r *rig) process(n *node) *process {
+func (r *rig) process(n *node) *process.Process {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return n.now
@@ -610,9 +611,9 @@
 	var gone sync.WaitGroup
 	for _, p := range all {
 		select {
-		case <-p.ended:
+		case <-p.Ended:
 		default:
-			gone.Go(func() { p.kill() })
+			gone.Go(func() { p.Kill() })
 		}
 	}
 	gone.Wait()
@@ -673,26 +674,24 @@
 	for _, n := range r.nodes { // counters are told on request
 		if p := r.process(n); p != nil {
 			r.disturb(n, false)
-			p.signal(syscall.SIGCONT)
-			p.signal(syscall.SIGUSR1)
+			p.Signal(syscall.SIGCONT)
+			p.Signal(syscall.SIGUSR1)
 		}
 		if n.second != nil {
-			n.second.signal(syscall.SIGUSR1)
+			n.second.Signal(syscall.SIGUSR1)
 		}
 	}
 	for _, n := range r.nodes {
-		for _, p := range []*process{r.process(n), n.second} {
-			for until := time.Now().Add(3 * time.Second); p != nil && time.Now().Before(until) && !p.told(); {
+		for _, p := range []*process.Process{r.process(n), n.second} {
+			for until := time.Now().Add(3 * time.Second); p != nil && time.Now().Before(until) && !p.Told(); {
 				time.Sleep(5 * time.Millisecond)
 			}
 		}
 	}
 	for _, p := range r.logs {
-		p.mu.Lock()
-		for k, v := range p.counters {
+		for k, v := range p.Counters() {
 			r.sum[k] += v
 		}
-		p.mu.Unlock()
 	}
 	delete(r.sum, "ts")
 	res := &Result{Scenario: r.s.Name, Seed: r.o.Seed, Nodes: r.s.Nodes, Totals: r.totals, Effects: r.effects, Counters: r.sum}
@@ -738,7 +737,7 @@
 	for _, line := range slices.Clone(res.History)[:min(len(res.History), 3)] {
 		id, _, _ := strings.Cut(strings.TrimSpace(line[min(13, len(line)):]), ",")
 		for _, p := range r.logs {
-			if text := p.of(id); strings.Contains(text, id) {
+			if text := p.Of(id); strings.Contains(text, id) {
 				res.History = append(res.History, text)
 			}
 		}
@@ -759,12 +758,5 @@
 	return words, bytes
 }
 
-// told tells whether the process has told its counters, or never will.
-func (p *process) told() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.counters != nil || !p.up
-}
-
 // Names gives the totals in order.
 func (r *Result) Names() []string { return slices.Sorted(maps.Keys(r.Totals)) }
--- a/lab/rig/trouble.go
+++ b/lab/rig/trouble.go
@@ -69,16 +69,16 @@
 			p := r.process(n)
 			r.disturb(n, true)
 			stopped := time.Now()
-			p.signal(syscall.SIGSTOP)
+			p.Signal(syscall.SIGSTOP)
 			for until := time.Now().Add(time.Second); time.Now().Before(until); time.Sleep(time.Millisecond) {
-				if p.stopped() {
+				if p.Stopped() {
 					r.acted(at, 1)
 					break
 				}
 			}
 			r.sleep(lasts)
 			r.ref.Resumed(n.index, stopped, time.Now())
-			p.signal(syscall.SIGCONT)
+			p.Signal(syscall.SIGCONT)
 			time.Sleep(200 * time.Millisecond) // what waited meanwhile
 			r.disturb(n, false)
 		})
@@ -88,12 +88,12 @@
 			if p == nil {
 				return
 			}
-			if _, up := p.serving(); up {
+			if _, up := p.Serving(); up {
 				r.acted(at, 1)
 			}
 			r.work.Go(func() {
 				if r.sleep(lasts) {
-					p.kill()
+					p.Kill()
 				}
 			})
 		}
@@ -261,28 +261,25 @@
 	p := r.process(n)
 	if e.Ready {
 		select {
-		case <-p.ready:
-		case <-p.ended:
+		case <-p.Ready:
+		case <-p.Ended:
 		case <-r.over:
 		case <-time.After(readyWithin):
 		}
 	}
 	r.disturb(n, true)
 	if e.Do == "kill" {
-		if p.kill() {
+		if p.Kill() {
 			r.acted(at, 1)
 		}
 	} else {
-		p.mu.Lock()
-		p.up = false // the front sends nobody more
-		p.mu.Unlock()
-		p.signal(syscall.SIGTERM)
+		p.Stop()
 		select {
-		case <-p.ended:
+		case <-p.Ended:
 			r.acted(at, 1)
 		case <-time.After(10 * time.Second):
-			r.fail("node %d did not stop within 10 s of SIGTERM: %s", n.index, p.of(""))
-			p.kill()
+			r.fail("node %d did not stop within 10 s of SIGTERM: %s", n.index, p.Of(""))
+			p.Kill()
 		}
 	}
 	if r.sleep(time.Duration(e.For)) {
