--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -20,6 +20,8 @@
 // failed is an error of a command that was understood and has run.
 type failed struct{ error }
 
+func (f failed) Unwrap() error { return f.error }
+
 // Run carries out a command line and returns the exit code. Without a command it serves.
 func Run(args []string, getenv func(string) string, stdout, stderr io.Writer) int {
 	serving := func(*cobra.Command, []string) error { return wrap(serve(getenv)) }
@@ -73,7 +75,9 @@
 		return exitOK
 	}
 	fmt.Fprintln(stderr, "brassmux:", err)
-	if errors.As(err, &failed{}) {
+	if errors.As(err, &void{}) {
+		return exitVoid
+	} else if errors.As(err, &failed{}) {
 		return exitFailed
 	}
 	fmt.Fprintln(stderr, "brassmux --help lists the commands")
--- /dev/null
+++ b/lab/scale/part.go
@@ -0,0 +1,534 @@
+package scale
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"os"
+	"runtime"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"brassmux/lab/emulator"
+	"brassmux/node"
+)
+
+// Part is one process of a run: hollow nodes, or the list service. It takes orders until they end.
+func Part(in io.Reader, out io.Writer) error {
+	p := &part{out: json.NewEncoder(out)}
+	orders := bufio.NewScanner(in)
+	orders.Buffer(nil, 1<<24)
+	go p.watchClock()
+	for orders.Scan() {
+		var o order
+		if err := json.Unmarshal(orders.Bytes(), &o); err != nil {
+			return err
+		}
+		if err := p.take(o); err != nil {
+			p.tell(report{Did: o.Do, Err: err.Error()})
+			return err
+		}
+	}
+	return orders.Err()
+}
+
+type part struct {
+	mu   sync.Mutex
+	out  *json.Encoder
+	role interface {
+		take(o order) error
+		counted(s *span) // fills in what it counts
+	}
+	late  atomic.Int64
+	begun time.Time
+	began usage
+}
+
+func (p *part) tell(r report) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.out.Encode(r)
+}
+
+func (p *part) take(o order) error {
+	switch o.Do {
+	case doSetup:
+		runtime.GOMAXPROCS(2) // as on a small machine; and the collector of each is not to take them all
+		var err error
+		if o.Setup.Role == "list" {
+			p.role, err = newListPart(p, o.Setup)
+		} else {
+			p.role, err = newHollowPart(p, o.Setup)
+		}
+		return err
+	case doSpan:
+		p.began, p.begun = use(), time.Now()
+		p.late.Store(0)
+	case doEnd:
+		now := use()
+		s := &span{Seconds: time.Since(p.begun).Seconds(), CPU: (now.cpu - p.began.cpu).Seconds(), Resident: now.resident, Files: now.files,
+			Late: float64(time.Duration(p.late.Load()).Microseconds()) / 1000, Flows: map[string]flow{}}
+		p.role.counted(s)
+		runtime.GC()
+		var mem runtime.MemStats
+		runtime.ReadMemStats(&mem)
+		s.Live = float64(mem.HeapAlloc + mem.StackInuse)
+		p.tell(report{Did: o.Do, Span: s})
+		return nil
+	}
+	return p.role.take(o)
+}
+
+// clockEvery is how often a process looks whether it is late.
+const clockEvery = 20 * time.Millisecond
+
+func (p *part) watchClock() {
+	for {
+		begun := time.Now()
+		time.Sleep(clockEvery)
+		if late := int64(time.Since(begun) - clockEvery); late > p.late.Load() {
+			p.late.Store(late)
+		}
+	}
+}
+
+// usage is what a process has used.
+type usage struct {
+	cpu      time.Duration
+	resident float64
+	files    int
+}
+
+func use() (u usage) {
+	var r syscall.Rusage
+	syscall.Getrusage(syscall.RUSAGE_SELF, &r)
+	u = used("self")
+	u.cpu = time.Duration(r.Utime.Nano() + r.Stime.Nano())
+	return u
+}
+
+// used looks at a process from outside.
+func used(pid string) (u usage) {
+	if data, err := os.ReadFile("/proc/" + pid + "/stat"); err == nil {
+		if _, after, ok := bytes.Cut(data, []byte(") ")); ok {
+			f := bytes.Fields(after)
+			for _, at := range []int{11, 12} { // of user and system, in ticks of 10 ms
+				if at < len(f) {
+					n, _ := strconv.ParseInt(string(f[at]), 10, 64)
+					u.cpu += time.Duration(n) * 10 * time.Millisecond
+				}
+			}
+		}
+	}
+	if data, err := os.ReadFile("/proc/" + pid + "/statm"); err == nil {
+		if f := bytes.Fields(data); len(f) > 1 {
+			n, _ := strconv.ParseFloat(string(f[1]), 64)
+			u.resident = n * float64(os.Getpagesize())
+		}
+	}
+	if files, err := os.ReadDir("/proc/" + pid + "/fd"); err == nil {
+		u.files = len(files)
+	}
+	return u
+}
+
+// listPart is the list service.
+type listPart struct {
+	p     *part
+	list  *emulator.List
+	links *links
+	ways  ways // as the real nodes' zones see them; hollow nodes shape their own
+	real  map[int]bool
+	calls atomic.Int64
+	fails atomic.Int64
+	told  atomic.Int64
+}
+
+func newListPart(p *part, s *setup) (*listPart, error) {
+	l := &listPart{p: p, links: newLinks(s.Links), real: map[int]bool{}}
+	for n := range s.Relays {
+		l.real[n] = true
+	}
+	l.list = emulator.NewList(emulator.ListKind{PerSecond: s.Calls, Patience: 2 * time.Second}, func(emulator.Told) { l.told.Add(1) },
+		func(c emulator.Call) {
+			l.calls.Add(1)
+			if c.Failed {
+				l.fails.Add(1)
+			}
+		})
+	l.ways.set(l.links, listZone)
+	var free emulator.Way
+	if err := l.list.Open(func(n int) (in, out *emulator.Way) {
+		if !l.real[n] {
+			return &free, &free
+		}
+		return &l.ways[zoneOf(n)].in, &l.ways[zoneOf(n)].out
+	}); err != nil {
+		return nil, err
+	}
+	p.tell(report{Did: doSetup, Addr: l.list.Addr()})
+	return l, nil
+}
+
+func (l *listPart) take(o order) error {
+	switch o.Do {
+	case doPut:
+		l.list.Put(*o.Entry)
+	case doApart:
+		l.links.apart.Store(o.Apart)
+		l.ways.set(l.links, listZone)
+	case doDown, doUp:
+		l.list.Down(o.Do == doDown)
+	case doStart, doSpan:
+		l.calls.Store(0)
+		l.fails.Store(0)
+		l.told.Store(0)
+	}
+	return nil
+}
+
+func (l *listPart) counted(s *span) {
+	s.Nodes = 1
+	s.Counters = map[string]int64{"calls": l.calls.Load(), "calls_failed": l.fails.Load(), "told": l.told.Load()}
+}
+
+// hollowPart is some hollow nodes.
+type hollowPart struct {
+	p       *part
+	s       *setup
+	links   *links
+	relays  map[netip.AddrPort]int
+	ways    map[int]*ways // by the nodes' zone
+	nodes   []*hollow
+	up      atomic.Int64
+	mu      sync.Mutex
+	changes []change
+	warned  map[string]int
+
+	unitsAt int64
+	units   []int32
+	taken   atomic.Int64
+	refused atomic.Int64
+}
+
+// hollow is a node whose clients' traffic is drawn.
+type hollow struct {
+	h      *hollowPart
+	number int
+	node   *node.Node
+	stop   context.CancelFunc
+	list   atomic.Int64 // bytes of the list that came
+	busy   bool
+	shared []string // the addresses of all nodes: one copy a process is enough
+
+	// Under h.mu.
+	version  int64
+	keeper   int
+	followed bool
+
+	// The sampler's.
+	before   map[string]int64
+	listed   int64
+	leased   int64
+	lastUnit time.Time
+	gap      time.Duration
+}
+
+func newHollowPart(p *part, s *setup) (*hollowPart, error) {
+	h := &hollowPart{p: p, s: s, links: newLinks(s.Links), relays: map[netip.AddrPort]int{}, ways: map[int]*ways{}, warned: map[string]int{}}
+	for n, addr := range s.Relays {
+		at, err := netip.ParseAddrPort(addr)
+		if err != nil {
+			return nil, err
+		}
+		h.relays[at] = n
+	}
+	for _, n := range s.Numbers {
+		if z := zoneOf(n); h.ways[z] == nil {
+			h.ways[z] = &ways{}
+			h.ways[z].set(h.links, z)
+		}
+		h.nodes = append(h.nodes, &hollow{h: h, number: n, keeper: -1, busy: s.Traffic.busy(n)})
+	}
+	return h, nil
+}
+
+func (h *hollowPart) take(o order) error {
+	switch o.Do {
+	case doStart:
+		for _, n := range h.nodes {
+			if err := n.start(); err != nil {
+				return fmt.Errorf("node %d: %w", n.number, err)
+			}
+		}
+		for h.up.Load() < int64(len(h.nodes)) {
+			time.Sleep(10 * time.Millisecond)
+		}
+		h.p.tell(report{Did: doStart, Up: len(h.nodes)})
+		go h.draw()
+		go h.sample()
+	case doApart:
+		h.links.apart.Store(o.Apart)
+		for z, w := range h.ways {
+			w.set(h.links, z)
+		}
+	case doSpan:
+		h.mu.Lock()
+		h.taken.Store(0)
+		h.refused.Store(0)
+		for _, n := range h.nodes {
+			n.before, n.listed = n.counters(), n.list.Load()
+			n.lastUnit, n.gap = time.Now(), 0
+		}
+		h.mu.Unlock()
+	}
+	return nil
+}
+
+// start makes the node and runs it.
+func (n *hollow) start() error {
+	var c node.Config
+	if err := json.Unmarshal(n.h.s.Config, &c); err != nil {
+		return err
+	}
+	if first := n.h.nodes[0]; n != first {
+		c.Peers.Nodes = first.shared
+	}
+	n.shared = c.Peers.Nodes
+	zone := zoneOf(n.number)
+	c.Name, c.Listen = "h"+strconv.Itoa(n.number), "127.0.0.1:0"
+	c.Settings.Index, c.Seed = n.number, strconv.FormatUint(n.h.s.Seed<<20+uint64(n.number)+1, 16)
+	c.Peers.Listen = hollowAddr(n.number, n.h.s.Port).String()
+	c.Source = emulator.Source(n.number).String()
+	c.Lab.TellLists = true
+	n.version = c.Known.Version
+	c.Lab.Link = func(to netip.AddrPort) (time.Duration, bool) {
+		at := hollowNode(to.Addr())
+		if at < 0 {
+			at = n.h.relays[to]
+		}
+		return n.h.links.datagram(zone, zoneOf(at))
+	}
+	source := net.Dialer{LocalAddr: net.TCPAddrFromAddrPort(netip.AddrPortFrom(emulator.Source(n.number), 0))}
+	way := &n.h.ways[zone][listZone]
+	c.Lab.Dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		delay, _, cut := n.h.links.between(zone, listZone)
+		if cut {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
+		select {
+		case <-time.After(2 * delay):
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+		conn, err := source.DialContext(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		return &counted{emulator.Wrap(conn.(*net.TCPConn), &way.in, &way.out), &n.list}, nil
+	}
+	var err error
+	if n.node, err = node.New(c, zap.New(&ear{n})); err != nil {
+		return err
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	n.stop = stop
+	go n.node.Run(ctx)
+	return nil
+}
+
+// counted counts what is read.
+type counted struct {
+	net.Conn
+	read *atomic.Int64
+}
+
+func (c *counted) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.read.Add(int64(n))
+	return n, err
+}
+
+// ear is a log that hears what a node says of itself.
+type ear struct{ n *hollow }
+
+func (e *ear) Enabled(l zapcore.Level) bool      { return l >= zapcore.InfoLevel }
+func (e *ear) With([]zapcore.Field) zapcore.Core { return e }
+func (e *ear) Sync() error                       { return nil }
+func (e *ear) Check(ent zapcore.Entry, c *zapcore.CheckedEntry) *zapcore.CheckedEntry {
+	if e.Enabled(ent.Level) {
+		return c.AddCore(ent, e)
+	}
+	return c
+}
+
+func (e *ear) Write(ent zapcore.Entry, fields []zapcore.Field) error {
+	h := e.n.h
+	switch ent.Message {
+	case "serving":
+		h.up.Add(1)
+	case "list in force":
+		now := time.Now().UnixNano()
+		h.mu.Lock()
+		for _, f := range fields {
+			if f.Key == "version" && f.Integer > e.n.version {
+				h.changes = append(h.changes, change{e.n.number, e.n.version, f.Integer, now})
+				e.n.version = f.Integer
+			}
+		}
+		h.mu.Unlock()
+	case "budgets":
+		h.mu.Lock()
+		for _, f := range fields {
+			switch f.Key {
+			case "keeper":
+				e.n.keeper = int(f.Integer)
+			case "by_most":
+				e.n.followed = f.Integer == 1
+			}
+		}
+		h.mu.Unlock()
+	}
+	if ent.Level >= zapcore.WarnLevel {
+		h.mu.Lock()
+		h.warned[ent.Message]++
+		h.mu.Unlock()
+	}
+	return nil
+}
+
+// counters are the node's own.
+func (n *hollow) counters() map[string]int64 {
+	m := map[string]int64{}
+	for _, f := range n.node.Counters() {
+		m[f.Key] = f.Integer
+	}
+	return m
+}
+
+// draw has the nodes ask for units as their clients would: each at its own moment, whatever became of those before.
+func (h *hollowPart) draw() {
+	t := h.s.Traffic
+	rng := rand.New(rand.NewPCG(h.s.Seed, uint64(h.s.Numbers[0])+7))
+	var busy, calm []*hollow
+	for _, n := range h.nodes {
+		if n.busy {
+			busy = append(busy, n)
+		} else {
+			calm = append(calm, n)
+		}
+	}
+	b, c := float64(len(busy))*t.Busy, float64(len(calm))*t.Calm
+	if b+c <= 0 {
+		return
+	}
+	for at := time.Now(); ; {
+		at = at.Add(time.Duration(rng.ExpFloat64() / (b + c) * float64(time.Second)))
+		time.Sleep(time.Until(at))
+		from := calm
+		if rng.Float64()*(b+c) < b {
+			from = busy
+		}
+		if err := from[rng.IntN(len(from))].node.Afford(t.Kind, 0, unitWait, h.answered); err != nil {
+			h.p.tell(report{Did: "draw", Err: err.Error()})
+			return
+		}
+	}
+}
+
+// unitWait is how long who wants a unit waits for it, as the program's own requests do.
+const unitWait = 100 * time.Millisecond
+
+func (h *hollowPart) answered(ok bool) {
+	if !ok {
+		h.refused.Add(1)
+		return
+	}
+	h.taken.Add(1)
+	at := time.Now().UnixMilli() / unitEvery
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if len(h.units) == 0 {
+		h.unitsAt = at
+	}
+	for int64(len(h.units)) <= at-h.unitsAt {
+		h.units = append(h.units, 0)
+	}
+	if at >= h.unitsAt {
+		h.units[at-h.unitsAt]++
+	}
+}
+
+// sampleEvery is how often a part looks at its nodes, and tells what has happened.
+const sampleEvery = 200 * time.Millisecond
+
+func (h *hollowPart) sample() {
+	for range time.Tick(sampleEvery) {
+		now := time.Now()
+		r := report{Did: "sample", State: &state{Keepers: map[int]int{}}}
+		h.mu.Lock()
+		r.Force, h.changes = h.changes, nil
+		if len(h.units) > 0 {
+			r.Units = &units{h.unitsAt, h.units}
+			h.units = nil
+		}
+		for _, n := range h.nodes {
+			r.State.Keepers[n.keeper]++
+			if n.followed {
+				r.State.Followed++
+			}
+		}
+		h.mu.Unlock()
+		h.p.tell(r)
+		for _, n := range h.nodes {
+			if !n.busy {
+				continue
+			}
+			leased := n.counters()["budget_leased"]
+			h.mu.Lock()
+			n.gap = max(n.gap, now.Sub(n.lastUnit))
+			if leased > n.leased {
+				n.leased, n.lastUnit = leased, now
+			}
+			h.mu.Unlock()
+		}
+	}
+}
+
+func (h *hollowPart) counted(s *span) {
+	s.Nodes, s.Counters = len(h.nodes), map[string]int64{}
+	var in, out, list flow
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, n := range h.nodes {
+		d := n.counters()
+		for k, v := range n.before {
+			d[k] -= v
+		}
+		for k, v := range d {
+			s.Counters[k] += v
+		}
+		in.add(float64(d["peer_words"])/s.Seconds, float64(d["peer_bytes"])/s.Seconds)
+		out.add(float64(d["peer_words_sent"])/s.Seconds, float64(d["peer_bytes_sent"])/s.Seconds)
+		list.add(float64(d["list_changes"])/s.Seconds, float64(n.list.Load()-n.listed)/s.Seconds)
+		if n.busy {
+			s.Gaps = append(s.Gaps, n.gap.Seconds())
+		}
+	}
+	s.Flows["in"], s.Flows["out"], s.Flows["list"] = in, out, list
+	s.Taken, s.Refused, s.Warned = h.taken.Load(), h.refused.Load(), maps.Clone(h.warned)
+}
--- /dev/null
+++ b/lab/scale/scale.go
@@ -0,0 +1,898 @@
+// Package scale plays fleets of growing size on one machine: hollow nodes, which run the program's own control code with their clients'
+// traffic drawn, beside real processes that serve real clients and a list service, with zones and regions on their links. It
+// counts what control costs each role, and holds it against what the size that is coming allows.
+package scale
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"net"
+	"os"
+	"os/exec"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"brassmux/lab/emulator"
+	"brassmux/lab/process"
+)
+
+// Options say what is played.
+type Options struct {
+	Nodes    []int         // sizes, hollow and real nodes together
+	Real     int           // processes of the program among them that serve real clients
+	Seed     uint64        // for the nodes, their traffic and chance
+	For      time.Duration // that is counted over, in each fleet
+	Scenario string        // one of Scenarios
+	Cut      time.Duration // how long a cut or a loss lasts, where the scenario has one
+	Binary   string        // of the program; "" for the one that runs
+	Log      io.Writer     // of what goes on; nil for none
+}
+
+// Bounds of the options.
+const (
+	leastNodes, mostNodes = 40, 12_000
+	mostReal              = 60
+	leastFor, mostFor     = 5 * time.Second, 10 * time.Minute
+	perProcess            = 350 // hollow nodes
+)
+
+// Scenarios are those that can be played.
+func Scenarios() []string { return []string{"steady"} }
+
+// Check names the first option that is faulty.
+func (o *Options) Check() error {
+	if len(o.Nodes) == 0 {
+		return errors.New("--nodes: none")
+	}
+	for i, n := range o.Nodes {
+		if n < leastNodes || n > mostNodes {
+			return fmt.Errorf("--nodes: %d is not %d to %d", n, leastNodes, mostNodes)
+		} else if i > 0 && n <= o.Nodes[i-1] {
+			return fmt.Errorf("--nodes: %d is not over the one before it", n)
+		}
+		if o.Real < 0 || o.Real > mostReal || o.Real > n/4 {
+			return fmt.Errorf("--real: %d is not 0 to %d, and a fourth of the nodes at most", o.Real, mostReal)
+		}
+	}
+	if o.For < leastFor || o.For > mostFor {
+		return fmt.Errorf("--for: %v is not %v to %v", o.For, leastFor, mostFor)
+	}
+	if !slices.Contains(Scenarios(), o.Scenario) {
+		return fmt.Errorf("--scenario: %q is none of %s", o.Scenario, strings.Join(Scenarios(), ", "))
+	}
+	return nil
+}
+
+// Result is what was counted with all sizes.
+type Result struct {
+	Scenario string   `json:"scenario"`
+	Seed     uint64   `json:"seed"`
+	Control  int      `json:"control"` // control machines; 0 where control is flat
+	For      float64  `json:"for_s"`
+	Fleets   []*Fleet `json:"fleets"`
+}
+
+// Fleet is what was counted with one size.
+type Fleet struct {
+	Nodes   int             `json:"nodes"`
+	Real    int             `json:"real"`
+	Void    string          `json:"void"`    // why the run says nothing; "" where it does
+	Late    float64         `json:"late_ms"` // the most by which the run itself was late
+	Start   float64         `json:"start_s"` // until all served
+	Roles   map[string]Role `json:"roles"`
+	Changes Changes         `json:"changes"`
+	Units   Units           `json:"units"`
+	Clients map[string]int  `json:"clients"` // the real ones
+	Targets []Target        `json:"targets"`
+	Notes   []string        `json:"notes,omitempty"`
+}
+
+// Role is what one machine of a role used and met, a second: the mean over those of the role, and the most at any.
+type Role struct {
+	Machines  int              `json:"machines"`
+	CPU       float64          `json:"cores"`
+	MostCPU   float64          `json:"most_cores"` // of a process: hollow nodes that share one count as its mean
+	Live      float64          `json:"live_mb"`    // in use after a collection; 0 where it was not looked at
+	Resident  float64          `json:"resident_mb"`
+	MostMB    float64          `json:"most_resident_mb"`
+	Files     float64          `json:"descriptors"`
+	In        flow             `json:"in"`   // from other nodes
+	Out       flow             `json:"out"`  // to them
+	List      flow             `json:"list"` // from the list service; for that itself, to all
+	Lost      int64            `json:"lost"` // words that came and were not looked at
+	Counters  map[string]int64 `json:"counters,omitempty"`
+	Processes int              `json:"processes"`
+}
+
+// Changes tells from when a change was made until it was in force, in seconds.
+type Changes struct {
+	Made  int     `json:"made"`
+	Half  float64 `json:"half"`  // at half of the nodes, in the mean of the changes
+	Most  float64 `json:"p99"`   // at 99 in 100, at the worst of the changes
+	All   float64 `json:"all"`   // at all, at the worst of the changes that got there
+	Never int     `json:"never"` // nodes and changes that did not meet, with time enough
+}
+
+// Units tells of what all nodes together may take.
+type Units struct {
+	Kind    string  `json:"kind"`
+	Whole   int     `json:"whole"` // in any second
+	Taken   int64   `json:"taken"`
+	Refused int64   `json:"refused"`
+	Most    int     `json:"most"`      // in any second
+	Gap     float64 `json:"gap_p99_s"` // longest time in which a busy node was granted nothing, 99 in 100 of them
+	GapMost float64 `json:"gap_most_s"`
+}
+
+// Target is what control may cost, and what it did.
+type Target struct {
+	What   string  `json:"what"`
+	Got    float64 `json:"got"`
+	Limit  float64 `json:"limit"`
+	Holds  bool    `json:"holds"`
+	Factor float64 `json:"factor"` // got over limit
+}
+
+// Holds tells that every target holds with the greatest size.
+func (r *Result) Holds() bool {
+	return !slices.ContainsFunc(r.Fleets[len(r.Fleets)-1].Targets, func(t Target) bool { return !t.Holds })
+}
+
+// Void tells why the run says nothing; "" where it does.
+func (r *Result) Void() string {
+	for _, f := range r.Fleets {
+		if f.Void != "" {
+			return fmt.Sprintf("%d nodes: %s", f.Nodes, f.Void)
+		}
+	}
+	return ""
+}
+
+// Run plays all sizes, one after the other.
+func Run(o Options) (*Result, error) {
+	if err := o.Check(); err != nil {
+		return nil, err
+	}
+	if o.Binary == "" {
+		self, err := os.Executable()
+		if err != nil {
+			return nil, err
+		}
+		o.Binary = self
+	}
+	if o.Log == nil {
+		o.Log = io.Discard
+	}
+	most := o.Nodes[len(o.Nodes)-1]
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err == nil {
+		limit.Cur = limit.Max
+		syscall.Setrlimit(syscall.RLIMIT_NOFILE, &limit)
+		if need := uint64(2*most + 1000); need > limit.Cur {
+			return nil, fmt.Errorf("%d descriptors are wanted, %d are allowed", need, limit.Cur)
+		}
+	}
+	r := &Result{Scenario: o.Scenario, Seed: o.Seed, For: o.For.Seconds()}
+	for _, n := range o.Nodes {
+		f := newFleet(o, n)
+		got, err := f.play()
+		if err != nil {
+			return nil, err
+		}
+		r.Fleets = append(r.Fleets, got)
+		if got.Void != "" {
+			break
+		}
+	}
+	return r, nil
+}
+
+const (
+	servers     = 30
+	clientsEach = 10 // at a real node
+	unitsEach   = 4  // a second, of what all nodes together may take
+	// lateMost is how late the run may be before it says nothing. Answers are waited for 100 ms, beats are 400 ms apart.
+	lateMost = 250 * time.Millisecond
+)
+
+// fleet is one size.
+type fleet struct {
+	o        Options
+	n        int
+	seen     *Fleet
+	starter  *process.Starter
+	port     net.PacketConn // held, so that another run beside this one takes another port
+	relay    *emulator.Words
+	links    *links
+	list     *proc
+	parts    []*proc // of hollow nodes
+	alone    map[int]bool
+	reals    []*realNode
+	template map[string]any
+
+	mu       sync.Mutex
+	servers  []*emulator.Server
+	named    int
+	version  int64 // of the list
+	made     map[int64]time.Time
+	force    map[int64][]time.Duration // by version, since it was made
+	units    map[int64]int
+	states   map[*proc]*state
+	faults   []string
+	late     time.Duration
+	counting bool
+	over     chan struct{}
+	clients  clients
+}
+
+// proc is a process of hollow nodes, or the list service's.
+type proc struct {
+	role    string
+	numbers []int
+	cmd     *exec.Cmd
+	in      *json.Encoder
+	reports chan report
+	dead    chan struct{}
+}
+
+func newFleet(o Options, n int) *fleet {
+	return &fleet{o: o, n: n, seen: &Fleet{Nodes: n, Real: o.Real, Roles: map[string]Role{}}, alone: map[int]bool{},
+		links: newLinks(Links{Zone: 250 * time.Microsecond, Region: time.Millisecond, Regions: 40 * time.Millisecond, Lose: 0.001}),
+		made:  map[int64]time.Time{}, force: map[int64][]time.Duration{}, units: map[int64]int{}, states: map[*proc]*state{}, over: make(chan struct{})}
+}
+
+func (f *fleet) say(format string, args ...any) {
+	fmt.Fprintf(f.o.Log, "%d nodes: %s\n", f.n, fmt.Sprintf(format, args...))
+}
+
+func (f *fleet) fault(format string, args ...any) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.faults) < 10 {
+		f.faults = append(f.faults, fmt.Sprintf(format, args...))
+	}
+}
+
+// realNumbers are those of the real nodes: the last ones that lead nothing.
+func (f *fleet) realNumbers() (numbers []int) {
+	first := leaders(f.n)[:min(8, f.n)]
+	for i := f.n - 1; len(numbers) < f.o.Real; i-- {
+		if !slices.Contains(first, i) {
+			numbers = append(numbers, i)
+		}
+	}
+	return numbers
+}
+
+// play plays one size.
+func (f *fleet) play() (*Fleet, error) {
+	f.starter = process.NewStarter()
+	defer f.starter.Close()
+	defer f.end()
+	if err := f.open(); err != nil {
+		return nil, err
+	}
+	begun := time.Now()
+	if err := f.start(); err != nil {
+		return nil, err
+	}
+	f.seen.Start = time.Since(begun).Seconds()
+	f.say("all serve after %.1f s", f.seen.Start)
+	f.settle()
+	f.steady()
+	f.finish()
+	return f.seen, nil
+}
+
+// open brings up all but the nodes.
+func (f *fleet) open() (err error) {
+	if f.port, err = net.ListenPacket("udp4", "127.0.0.1:0"); err != nil {
+		return err
+	}
+	if f.relay, err = emulator.NewWords(f.n, f.o.Seed); err != nil {
+		return err
+	}
+	numbers := f.realNumbers()
+	var shaped [Zones][Zones]emulator.Way
+	for a := range Zones {
+		for b := range Zones {
+			delay, lose, _ := f.links.between(a, b)
+			shaped[a][b].Set(emulator.Pass, delay)
+			shaped[a][b].SetOdds(lose, 0, 0)
+		}
+	}
+	var free emulator.Way // hollow nodes shape their own
+	f.relay.Between = func(from, to int) *emulator.Way {
+		if slices.Contains(numbers, from) {
+			return &shaped[zoneOf(from)][zoneOf(to)]
+		}
+		return &free
+	}
+	port := f.port.LocalAddr().(*net.UDPAddr).Port
+	relays := map[int]string{}
+	for _, n := range numbers {
+		relays[n] = f.relay.Addr(n)
+	}
+	for i := range f.n {
+		if !slices.Contains(numbers, i) {
+			f.relay.At(i, hollowAddr(i, port), false)
+		}
+	}
+	f.list = &proc{role: "list"}
+	if err := f.spawn(f.list, setup{Role: "list", Seed: f.o.Seed, Relays: relays, Links: f.links.Links}); err != nil {
+		return err
+	}
+	r, err := f.list.next(doSetup, 20*time.Second)
+	if err != nil {
+		return err
+	}
+	for range servers {
+		if err := f.addServer(time.Time{}); err != nil {
+			return err
+		}
+	}
+	addrs := make([]string, f.n)
+	for i := range addrs {
+		if addrs[i] = relays[i]; addrs[i] == "" {
+			addrs[i] = hollowAddr(i, port).String()
+		}
+	}
+	f.template = f.config(r.Addr, addrs)
+	config, err := json.Marshal(f.template)
+	if err != nil {
+		return err
+	}
+	first := leaders(f.n)[:2]
+	groups := [][]int{}
+	for _, n := range first {
+		f.alone[n] = true
+		groups = append(groups, []int{n})
+	}
+	for z := range Zones {
+		var all []int
+		for i := z; i < f.n; i += Zones {
+			if !f.alone[i] && !slices.Contains(numbers, i) {
+				all = append(all, i)
+			}
+		}
+		for parts := (len(all) + perProcess - 1) / perProcess; parts > 0; parts-- { // of like size
+			k := (len(all) + parts - 1) / parts
+			groups = append(groups, all[:k])
+			all = all[k:]
+		}
+	}
+	for _, g := range groups {
+		p := &proc{role: "node", numbers: g}
+		if f.alone[g[0]] {
+			p.role = "spare"
+			if g[0] == first[0] {
+				p.role = "leader"
+			}
+		}
+		f.parts = append(f.parts, p)
+		if err := f.spawn(p, setup{Role: "hollow", Seed: f.o.Seed, Port: port, Relays: relays, Numbers: g, Config: config, Links: f.links.Links,
+			Traffic: f.traffic()}); err != nil {
+			return err
+		}
+	}
+	for _, n := range numbers {
+		f.reals = append(f.reals, &realNode{number: n})
+	}
+	return nil
+}
+
+// traffic asks for three fifths of the whole, half of it at a tenth of the nodes, which get the most of it from others.
+func (f *fleet) traffic() traffic {
+	return traffic{Kind: "retries_per_s", Calm: 0.6 * unitsEach * 0.5 / 0.9, Busy: 0.6 * unitsEach * 0.5 / 0.1, Every: 10}
+}
+
+// config is that of any node, but for what is its own.
+func (f *fleet) config(list string, addrs []string) map[string]any {
+	entries := []emulator.Entry{}
+	for _, s := range f.servers {
+		entries = append(entries, emulator.Entry{ID: s.ID, Addr: s.Addr(), State: "up", Weight: 1})
+	}
+	return map[string]any{"discovery": list, "limits": map[string]any{"cores": 1, "sockets": 4096},
+		"known": map[string]any{"version": f.version, "full": true, "servers": entries},
+		"settings": map[string]any{"balancers": f.n, "tick_us": 5000, "membership_mode": "pushed",
+			"ceilings": map[string]any{"dial_timeout_us": 200000, "keepalive_us": 5000000, "max_open": 2000, "max_retry_after_us": 1000000,
+				"may_probe": false, "retry_after": true, "send_cap": 3, "peers": true},
+			"classes":     []any{map[string]any{"name": "c", "effect": "read_like", "deadline_us": 2_000_000}},
+			"family_info": map[string]any{"message_aim_us": []float64{300000}, "tenant_quota_connections": []float64{float64(8 * f.n)}},
+			"report":      map[string]any{"fields": []string{"x0"}, "via": "probe"},
+			"rules":       map[string]any{"cold_from": 0.2, "cold_us": 6_000_000, "fall_multiple": 3, "fall_us": 1_000_000}},
+		"peers":   map[string]any{"nodes": addrs},
+		"budgets": map[string]any{"lease": true, "floor": 0.5, "retries_per_s": unitsEach * f.n}}
+}
+
+// spawn starts a part.
+func (f *fleet) spawn(p *proc, s setup) error {
+	p.cmd = exec.Command(f.o.Binary, "lab", "scale-part")
+	p.cmd.Env = []string{"PATH=" + os.Getenv("PATH")}
+	p.cmd.Stderr = os.Stderr
+	in, err := p.cmd.StdinPipe()
+	if err != nil {
+		return err
+	}
+	out, err := p.cmd.StdoutPipe()
+	if err != nil {
+		return err
+	}
+	if err := f.starter.Run(p.cmd); err != nil {
+		return err
+	}
+	p.in, p.reports, p.dead = json.NewEncoder(in), make(chan report, 100), make(chan struct{})
+	go func() {
+		dec := json.NewDecoder(out)
+		for {
+			var r report
+			if err := dec.Decode(&r); err != nil {
+				break
+			}
+			if r.Err != "" {
+				f.fault("a process of %s nodes: %s", p.role, r.Err)
+			}
+			if r.Did == "sample" {
+				f.sampled(p, r)
+				continue
+			}
+			select {
+			case p.reports <- r:
+			default: // nobody waits for it
+			}
+		}
+		p.cmd.Wait()
+		close(p.dead)
+	}()
+	return p.in.Encode(order{Do: doSetup, Setup: &s})
+}
+
+// next waits for a report.
+func (p *proc) next(did string, within time.Duration) (report, error) {
+	end := time.After(within)
+	for {
+		select {
+		case r := <-p.reports:
+			if r.Err != "" {
+				return r, errors.New(r.Err)
+			} else if r.Did == did {
+				return r, nil
+			}
+		case <-p.dead:
+			return report{}, fmt.Errorf("a process of %s nodes ended before %s", p.role, did)
+		case <-end:
+			return report{}, fmt.Errorf("a process of %s nodes did not %s within %v", p.role, did, within)
+		}
+	}
+}
+
+// sampled takes in what a part tells all the time.
+func (f *fleet) sampled(p *proc, r report) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, c := range r.Force {
+		f.inForce(c.From, c.To, time.Unix(0, c.At))
+	}
+	if u := r.Units; u != nil {
+		for i, n := range u.N {
+			f.units[u.At+int64(i)] += int(n)
+		}
+	}
+	f.states[p] = r.State
+}
+
+// inForce notes that versions are at one more node. f.mu is held.
+func (f *fleet) inForce(from, to int64, at time.Time) {
+	for v := from + 1; v <= to; v++ {
+		if made, ok := f.made[v]; ok {
+			f.force[v] = append(f.force[v], at.Sub(made))
+		}
+	}
+}
+
+// put has the list service make a change.
+func (f *fleet) put(e emulator.Entry) {
+	f.mu.Lock()
+	f.version++
+	f.made[f.version] = time.Now()
+	f.mu.Unlock()
+	f.list.in.Encode(order{Do: doPut, Entry: &e})
+}
+
+func (f *fleet) addServer(started time.Time) error {
+	f.mu.Lock()
+	f.named++
+	id := "s-" + strconv.Itoa(f.named)
+	f.mu.Unlock()
+	s := emulator.NewServer(id, emulator.ServerKind{Holds: 8 * f.n / servers, ColdFrom: 0.2, ColdFor: 6 * time.Second}, started, f.clients.received)
+	var free emulator.Way
+	if err := s.Open(func(int) (in, out *emulator.Way) { return &free, &free }); err != nil {
+		return err
+	}
+	f.mu.Lock()
+	f.servers = append(f.servers, s)
+	f.mu.Unlock()
+	e := emulator.Entry{ID: id, Addr: s.Addr(), State: "up", Weight: 1}
+	if !started.IsZero() {
+		e.Started = started.UnixMilli()
+	}
+	f.put(e)
+	return nil
+}
+
+// start starts all nodes and returns once they serve.
+func (f *fleet) start() error {
+	for _, p := range f.parts {
+		p.in.Encode(order{Do: doStart})
+	}
+	var wait sync.WaitGroup
+	errs := make(chan error, len(f.parts)+len(f.reals))
+	for _, p := range f.parts {
+		wait.Go(func() {
+			if _, err := p.next(doStart, 2*time.Minute); err != nil {
+				errs <- err
+			}
+		})
+	}
+	for _, n := range f.reals {
+		wait.Go(func() {
+			if err := f.startReal(n); err != nil {
+				errs <- err
+			}
+		})
+	}
+	wait.Wait()
+	close(errs)
+	return <-errs
+}
+
+// changeEvery is the time between two changes of the list on an ordinary day: 18,000 a day.
+const changeEvery = 4800 * time.Millisecond
+
+// changes has the list change until the end, by turns: a server starts, the oldest drains, it goes.
+func (f *fleet) changes() {
+	var leaving *emulator.Server
+	next := time.Now()
+	for i := 0; ; i++ {
+		if !f.sleep(time.Until(next)) {
+			return
+		}
+		next = next.Add(changeEvery)
+		f.mu.Lock()
+		oldest := f.servers[0]
+		f.mu.Unlock()
+		switch i % 3 {
+		case 0:
+			if err := f.addServer(time.Now()); err != nil {
+				f.fault("a server does not start: %v", err)
+			}
+		case 1:
+			leaving = oldest
+			f.mu.Lock()
+			f.servers = f.servers[1:]
+			f.mu.Unlock()
+			f.put(emulator.Entry{ID: leaving.ID, Addr: leaving.Addr(), State: "draining", Weight: 1})
+			time.AfterFunc(time.Second, leaving.Drain)
+		case 2:
+			f.put(emulator.Entry{ID: leaving.ID, Addr: leaving.Addr(), State: "removed", Weight: 1})
+			leaving.Stop()
+		}
+	}
+}
+
+// sleep waits, and tells whether the run still goes on.
+func (f *fleet) sleep(d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-f.over:
+		return false
+	}
+}
+
+// everywhere waits until a version is at all nodes, and tells whether it came to that.
+func (f *fleet) everywhere(version int64, within time.Duration) bool {
+	for end := time.Now().Add(within); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		f.mu.Lock()
+		n := len(f.force[version])
+		f.mu.Unlock()
+		if n >= f.n {
+			return true
+		}
+	}
+	return false
+}
+
+// followed tells how many nodes ask each keeper, and how many of them know that most do.
+func (f *fleet) followed() (keepers map[int]int, by int) {
+	keepers = map[int]int{}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, s := range f.states {
+		for k, n := range s.Keepers {
+			keepers[k] += n
+		}
+		by += s.Followed
+	}
+	return keepers, by
+}
+
+// settle waits until all follow the list, and until what the start brought about is over.
+func (f *fleet) settle() {
+	if err := f.addServer(time.Now()); err != nil {
+		f.fault("a server does not start: %v", err)
+	}
+	if !f.everywhere(f.version, 45*time.Second) {
+		f.mu.Lock()
+		n := len(f.force[f.version])
+		f.mu.Unlock()
+		f.seen.Notes = append(f.seen.Notes, fmt.Sprintf("the first change was at %d nodes after 45 s", n))
+		f.say("%s", f.seen.Notes[len(f.seen.Notes)-1])
+	}
+	for i := 0; i < 40; i++ {
+		if _, by := f.followed(); by > (f.n-f.o.Real)*99/100 {
+			break
+		}
+		time.Sleep(250 * time.Millisecond)
+	}
+	keepers, by := f.followed()
+	f.say("nodes by keeper %v, %d of them by most", keepers, by)
+	go f.serveClients()
+	time.Sleep(6 * time.Second) // a promise binds for less
+}
+
+// steady is a part of an ordinary day.
+func (f *fleet) steady() {
+	f.span(func() { f.sleep(f.o.For) })
+}
+
+// span counts over what is done.
+func (f *fleet) span(do func()) {
+	f.mu.Lock()
+	clear(f.made)
+	clear(f.units)
+	f.counting = true
+	f.mu.Unlock()
+	go f.watchClock()
+	for _, p := range append([]*proc{f.list}, f.parts...) {
+		p.in.Encode(order{Do: doSpan})
+	}
+	for _, n := range f.reals {
+		n.begin()
+	}
+	go f.changes()
+	do()
+	for _, n := range f.reals {
+		n.finish(&f.seen.Roles)
+	}
+	for _, p := range append([]*proc{f.list}, f.parts...) {
+		p.in.Encode(order{Do: doEnd})
+	}
+	roles := map[string][]*span{}
+	for _, p := range append([]*proc{f.list}, f.parts...) {
+		r, err := p.next(doEnd, 30*time.Second)
+		if err != nil {
+			f.fault("%v", err)
+			continue
+		}
+		roles[p.role] = append(roles[p.role], r.Span)
+		if late := time.Duration(r.Span.Late * float64(time.Millisecond)); p.role == "node" { // the others' own work may be too much for them
+			f.late = max(f.late, late)
+		}
+	}
+	close(f.over)
+	for role, spans := range roles {
+		f.seen.Roles[role] = sum(spans)
+	}
+	var gaps []float64
+	for _, s := range roles["node"] {
+		gaps = append(gaps, s.Gaps...)
+	}
+	for _, all := range roles {
+		for _, s := range all {
+			f.seen.Units.Taken += s.Taken
+			f.seen.Units.Refused += s.Refused
+			for what, n := range s.Warned {
+				f.seen.Notes = append(f.seen.Notes, fmt.Sprintf("%d times logged: %s", n, what))
+			}
+		}
+	}
+	slices.Sort(gaps)
+	if len(gaps) > 0 {
+		f.seen.Units.Gap, f.seen.Units.GapMost = round(gaps[at(len(gaps), 0.99)]), round(gaps[len(gaps)-1])
+	}
+}
+
+func (f *fleet) watchClock() {
+	for {
+		begun := time.Now()
+		if !f.sleep(clockEvery) {
+			return
+		}
+		f.mu.Lock()
+		f.late = max(f.late, time.Since(begun)-clockEvery)
+		f.mu.Unlock()
+	}
+}
+
+// at is the place of a part of n in order.
+func at(n int, part float64) int { return max(int(math.Ceil(part*float64(n)))-1, 0) }
+
+func round(x float64) float64 {
+	if x == 0 {
+		return 0
+	}
+	digits := math.Pow(10, 3-math.Floor(math.Log10(math.Abs(x))))
+	return math.Round(x*digits) / digits
+}
+
+// sum gives a role what its processes have counted.
+func sum(spans []*span) Role {
+	r := Role{Processes: len(spans), Counters: map[string]int64{}}
+	var cpu, live, resident, files float64
+	for _, s := range spans {
+		r.Machines += s.Nodes
+		cpu, live, resident, files = cpu+s.CPU/s.Seconds, live+s.Live, resident+s.Resident, files+float64(s.Files)
+		r.MostCPU = max(r.MostCPU, s.CPU/s.Seconds/float64(s.Nodes))
+		r.MostMB = max(r.MostMB, s.Resident/float64(s.Nodes)/1e6)
+		in, out, list := s.Flows["in"], s.Flows["out"], s.Flows["list"]
+		r.In.merge(in)
+		r.Out.merge(out)
+		r.List.merge(list)
+		for k, v := range s.Counters {
+			if v != 0 {
+				r.Counters[k] += v
+			}
+		}
+	}
+	n := float64(r.Machines)
+	r.CPU, r.Live, r.Resident, r.Files = round(cpu/n), round(live/n/1e6), round(resident/n/1e6), round(files/n)
+	r.MostCPU, r.MostMB = round(r.MostCPU), round(r.MostMB)
+	for _, f := range []*flow{&r.In, &r.Out, &r.List} {
+		*f = flow{round(f.Words / n), round(f.Bytes / n), round(f.MostWords), round(f.MostBytes)}
+	}
+	r.Lost = r.Counters["peer_dropped"]
+	return r
+}
+
+// finish judges.
+func (f *fleet) finish() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.seen
+	now := time.Now()
+	halves := 0.0
+	for v, made := range f.made {
+		got := f.force[v]
+		slices.Sort(got)
+		if len(got) < f.n && now.Sub(made) < inForceWithin { // it may come yet
+			continue
+		}
+		s.Changes.Made++
+		s.Changes.Never += f.n - len(got)
+		if len(got) > 0 {
+			halves += got[at(len(got), 0.5)].Seconds()
+			s.Changes.Most = max(s.Changes.Most, round(got[at(len(got), 0.99)].Seconds()))
+			s.Changes.All = max(s.Changes.All, round(got[len(got)-1].Seconds()))
+		}
+	}
+	if s.Changes.Made > 0 {
+		s.Changes.Half = round(halves / float64(s.Changes.Made))
+	}
+	s.Units.Kind, s.Units.Whole = f.traffic().Kind, unitsEach*f.n
+	s.Units.Most = mostInASecond(f.units)
+	s.Clients = f.clients.counts()
+	s.Late = float64(f.late.Microseconds()) / 1000
+	s.Targets = f.targets()
+	keeper, most := -1, 0
+	for _, st := range f.states {
+		for k, n := range st.Keepers {
+			if k >= 0 && n > 0 && !f.alone[k] {
+				keeper, most = k, most+n
+			}
+		}
+	}
+	switch {
+	case len(f.faults) > 0:
+		s.Void = f.faults[0]
+	case f.late > lateMost:
+		s.Void = fmt.Sprintf("the run was %v late", f.late.Round(time.Millisecond))
+	case most > f.n/2:
+		s.Void = fmt.Sprintf("most ask node %d, which shares its process", keeper)
+	}
+}
+
+// mostInASecond gives the most units in any second: of whole steps alone, so that none is counted that is not in it.
+func mostInASecond(steps map[int64]int) (most int) {
+	if len(steps) == 0 {
+		return 0
+	}
+	first, last := int64(math.MaxInt64), int64(0)
+	for i := range steps {
+		first, last = min(first, i), max(last, i)
+	}
+	sum := 0
+	for i := first; i <= last; i++ {
+		sum += steps[i] - steps[i-1000/unitEvery]
+		most = max(most, sum)
+	}
+	return most
+}
+
+// What control may cost at the size that is coming, in the operators' words.
+const (
+	nodeCores     = 0.022
+	nodeMB        = 128
+	nodeBytes     = 14_000
+	inForceWithin = 14 * time.Second
+)
+
+func (f *fleet) targets() (all []Target) {
+	s := f.seen
+	add := func(what string, got, limit float64) {
+		t := Target{What: what, Got: round(got), Limit: limit, Holds: got <= limit}
+		if limit > 0 {
+			t.Factor = round(got / limit)
+		}
+		all = append(all, t)
+	}
+	for _, role := range []string{"node", "leader"} {
+		r := s.Roles[role]
+		add(role+": cores", r.MostCPU, nodeCores)
+		memory := r.Live
+		if role == "leader" {
+			memory = r.Resident
+		}
+		add(role+": MB", memory, nodeMB)
+		add(role+": bytes a second from and to other nodes and the list service", r.In.MostBytes+r.Out.MostBytes+r.List.MostBytes, nodeBytes)
+	}
+	if r, ok := s.Roles["real"]; ok {
+		add("real node: MB", r.MostMB, nodeMB)
+	}
+	add("change in force everywhere: seconds", s.Changes.All, inForceWithin.Seconds())
+	add("change never in force: nodes and changes", float64(s.Changes.Never), 0)
+	add("units taken over the whole in any second", math.Max(0, float64(s.Units.Most-s.Units.Whole)), 0)
+	return all
+}
+
+// end ends all that runs.
+func (f *fleet) end() {
+	select {
+	case <-f.over:
+	default:
+		close(f.over)
+	}
+	for _, p := range append([]*proc{f.list}, f.parts...) {
+		if p == nil || p.dead == nil {
+			continue
+		}
+		p.cmd.Process.Kill()
+		<-p.dead
+	}
+	for _, n := range f.reals {
+		if n.p != nil {
+			n.p.Kill()
+		}
+	}
+	f.mu.Lock()
+	all := slices.Clone(f.servers)
+	f.mu.Unlock()
+	for _, s := range all {
+		s.Stop()
+	}
+	if f.relay != nil {
+		f.relay.Close()
+	}
+	if f.port != nil {
+		f.port.Close()
+	}
+}
