--- a/lab/scale/part.go
+++ b/lab/scale/part.go
@@ -14,6 +14,7 @@
 	"os"
 	"runtime"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -222,6 +223,7 @@
 	units   []int32
 	taken   atomic.Int64
 	refused atomic.Int64
+	overrun int64
 }
 
 // hollow is a node whose clients' traffic is drawn.
@@ -293,6 +295,7 @@
 			n.before, n.listed = n.counters(), n.list.Load()
 			n.lastUnit, n.gap = time.Now(), 0
 		}
+		h.overrun = h.overruns()
 		h.mu.Unlock()
 	}
 	return nil
@@ -529,6 +532,37 @@
 			s.Gaps = append(s.Gaps, n.gap.Seconds())
 		}
 	}
+	s.Counters["overruns"] = h.overruns() - h.overrun
 	s.Flows["in"], s.Flows["out"], s.Flows["list"] = in, out, list
 	s.Taken, s.Refused, s.Warned = h.taken.Load(), h.refused.Load(), maps.Clone(h.warned)
 }
+
+// overruns counts the datagrams that came to the nodes' sockets and found no room there.
+func (h *hollowPart) overruns() (n int64) {
+	own := map[string]bool{}
+	for _, x := range h.nodes {
+		a := hollowAddr(x.number, h.s.Port)
+		ip := a.Addr().As4()
+		own[fmt.Sprintf("%02X%02X%02X%02X:%04X", ip[3], ip[2], ip[1], ip[0], a.Port())] = true
+	}
+	data, err := os.ReadFile("/proc/self/net/udp")
+	if err != nil {
+		return 0
+	}
+	for line := range strings.Lines(string(data)) {
+		if f := strings.Fields(line); len(f) > 12 && own[f[1]] {
+			drops, _ := strconv.ParseInt(f[12], 10, 64)
+			n += drops
+		}
+	}
+	return n
+}
+
+// memory is the machine's, in bytes.
+func memory() float64 {
+	var info syscall.Sysinfo_t
+	if err := syscall.Sysinfo(&info); err != nil {
+		return 0
+	}
+	return float64(info.Totalram) * float64(info.Unit)
+}
