lab scale: restarts, a zone lost, a region cut off, all cold, the leader's death

The events that docs/CAPACITY.md works out are played. A run that was late says nothing and exits with 3. Tests judge counts and states, not times.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -71,16 +71,25 @@
 	root.SetOut(stdout)
 	root.SetErr(stderr)
 	err := root.Execute()
-	if err == nil {
-		return exitOK
+	if err != nil {
+		fmt.Fprintln(stderr, "brassmux:", err)
+	}
+	code := exitCode(err)
+	if code == exitUsage {
+		fmt.Fprintln(stderr, "brassmux --help lists the commands")
 	}
-	fmt.Fprintln(stderr, "brassmux:", err)
-	if errors.As(err, &void{}) {
+	return code
+}
+
+func exitCode(err error) int {
+	switch {
+	case err == nil:
+		return exitOK
+	case errors.As(err, &void{}):
 		return exitVoid
-	} else if errors.As(err, &failed{}) {
+	case errors.As(err, &failed{}):
 		return exitFailed
 	}
-	fmt.Fprintln(stderr, "brassmux --help lists the commands")
 	return exitUsage
 }
 
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"os"
 	"path/filepath"
 	"strings"
@@ -62,6 +63,14 @@
 		{[]string{"lab", "capacity", "no-such"}, 1, "", []string{"no-such"}},
 		{[]string{"lab", "capacity", "../../docs/capacity/service.json"}, 1, "", []string{"keeper.ask"}},
 		{[]string{"lab", "capacity", "../../docs/capacity/control.json", "../../docs/capacity/ports.json", "../../docs/capacity/service.json", "../../docs/capacity/words.json"}, 0, "times |", nil},
+		{[]string{"lab", "scale", "--nodes", "39"}, 2, "", []string{"--nodes: 39"}},
+		{[]string{"lab", "scale", "--nodes", "300,300"}, 2, "", []string{"--nodes: 300"}},
+		{[]string{"lab", "scale", "--nodes", "many"}, 2, "", []string{"many"}},
+		{[]string{"lab", "scale", "--nodes", "40", "--real", "11"}, 2, "", []string{"--real: 11"}},
+		{[]string{"lab", "scale", "--for", "4s"}, 2, "", []string{"--for: 4s"}},
+		{[]string{"lab", "scale", "--cut", "1h"}, 2, "", []string{"--cut: 1h"}},
+		{[]string{"lab", "scale", "--scenario", "flood"}, 2, "", []string{"--scenario", "flood", "steady"}},
+		{[]string{"lab", "scale", "steady"}, 2, "", []string{"steady"}},
 	} {
 		code, out, errs := run(c.args...)
 		if code != c.code || !strings.Contains(out, c.out) {
@@ -75,6 +84,15 @@
 	}
 }
 
+// Guards against a run that says nothing and passes for one that says that all is well, or that something is wrong.
+func TestExitCodesOfErrors(t *testing.T) {
+	for want, err := range map[int]error{0: nil, 1: wrap(errors.New("over")), 2: errors.New("--no-such"), 3: wrap(void{errors.New("late")})} {
+		if got := exitCode(err); got != want {
+			t.Errorf("%v: exit %d, not %d", err, got, want)
+		}
+	}
+}
+
 func TestFleetWritesWhatItPrints(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "r.json")
 	code, out, errs := run("lab", "fleet", "calm", "--seeds", "2", "--seed", "5", "--json", path)
--- a/internal/cli/scale.go
+++ b/internal/cli/scale.go
@@ -44,6 +44,7 @@
 	c.Flags().Uint64Var(&o.Seed, "seed", 1, "for the nodes, their traffic and chance")
 	c.Flags().DurationVar(&o.For, "for", 30*time.Second, "how long each fleet is counted")
 	c.Flags().StringVar(&o.Scenario, "scenario", "steady", "what happens")
+	c.Flags().DurationVar(&o.Cut, "cut", time.Minute, "how long a cut or a loss lasts, where the scenario has one")
 	c.Flags().StringVar(&out, "json", "", "write all results to this file")
 	return c
 }
@@ -57,7 +58,7 @@
 func playScale(stdout io.Writer, o scale.Options, out string) error {
 	r, err := scale.Run(o)
 	if err != nil {
-		return err
+		return void{err}
 	}
 	table := tabwriter.NewWriter(stdout, 0, 0, 2, ' ', 0)
 	for _, f := range r.Fleets {
@@ -75,6 +76,9 @@
 		fmt.Fprintf(stdout, "  %d changes in force at half, 99%%, all after %g, %g, %g s, never %d times; %s: %d taken, %d refused, most in a second %d of %d; a busy node without a grant for %g s (99%%), %g s at most\n",
 			c.Made, c.Half, c.Most, c.All, c.Never, u.Kind, u.Taken, u.Refused, u.Most, u.Whole, u.Gap, u.GapMost)
 		fmt.Fprintf(stdout, "  real clients %v; all served after %.1f s; the run was %.0f ms late\n", f.Clients, f.Start, f.Late)
+		if p := f.Peak; p.Times > 0 {
+			fmt.Fprintf(stdout, "  most words in a second after the return: %g times the mean, at the %s %d\n", p.Times, p.Role, p.Node)
+		}
 		for _, n := range f.Notes {
 			fmt.Fprintf(stdout, "  %s\n", n)
 		}
--- a/lab/scale/messages.go
+++ b/lab/scale/messages.go
@@ -12,6 +12,8 @@
 	Setup *setup          `json:"setup,omitempty"`
 	Entry *emulator.Entry `json:"entry,omitempty"`
 	Apart *apart          `json:"apart,omitempty"`
+	Nodes []int           `json:"nodes,omitempty"`
+	Known json.RawMessage `json:"known,omitempty"` // the list that nodes which start know
 }
 
 // The orders.
@@ -22,8 +24,10 @@
 	doEnd   = "end"   // tell what was counted
 	doPut   = "put"   // the list service: a change
 	doApart = "apart" // links are cut, or no more
-	doDown  = "down"  // the list service answers nobody
-	doUp    = "up"    // it does again
+	doDie   = "die"   // nodes fall silent at once and stop
+	doBack  = "back"  // those start anew
+	doAgain = "again" // nodes stop in order and start anew
+	doMark  = "mark"  // what comes from now on may be a wave
 )
 
 // setup is what a part is.
@@ -37,6 +41,7 @@
 	Links   Links           `json:"links"`
 	Calls   float64         `json:"calls"` // that the list service works through in a second; 0 for any number
 	Traffic traffic         `json:"traffic"`
+	Known   json.RawMessage `json:"known,omitempty"` // goes before the one of the configuration
 }
 
 // traffic is what the clients of a node have it ask of the budgets, drawn: units a second of nodes, a part of which is busier.
@@ -99,6 +104,8 @@
 	Taken    int64            `json:"taken"`
 	Refused  int64            `json:"refused"`
 	Warned   map[string]int   `json:"warned"`
+	Peak     float64          `json:"peak"` // most words in a second after the mark over the mean before it, at any node
+	PeakAt   int              `json:"peak_at"`
 }
 
 // flow is words and bytes.
--- /dev/null
+++ b/lab/scale/scale_test.go
@@ -0,0 +1,168 @@
+package scale
+
+import (
+	"math"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+)
+
+var binary string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "scale")
+	if err != nil {
+		panic(err)
+	}
+	binary = filepath.Join(dir, "brassmux")
+	if out, err := exec.Command("go", "build", "-o", binary, "brassmux/cmd/brassmux").CombinedOutput(); err != nil {
+		panic(string(out))
+	}
+	code := m.Run()
+	os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// play runs one fleet. What the verdict says of times is left aside: that the run was late is no fault of what it plays.
+func play(t *testing.T, o Options) *Fleet {
+	t.Helper()
+	o.Binary = binary
+	r, err := Run(o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := r.Fleets[0]
+	if f.Void != "" && !strings.HasPrefix(f.Void, "the run was ") {
+		t.Fatal(f.Void)
+	}
+	if !f.Settled {
+		t.Errorf("not all followed the list and one keeper: %v", f.Notes)
+	}
+	if f.Units.Taken == 0 || f.Units.Most > f.Units.Whole {
+		t.Errorf("units: %+v", f.Units)
+	}
+	return f
+}
+
+// Two hundred hollow nodes and three real ones are one fleet: all follow one list and one keeper, each counts in its role, what all
+// take together is within the whole, and clients stand at the real ones.
+func TestHollowAndRealNodesAreOneFleet(t *testing.T) {
+	f := play(t, Options{Nodes: []int{203}, Real: 3, Seed: 1, For: 6 * time.Second, Cut: time.Second, Scenario: "steady"})
+	machines := map[string]int{}
+	for name, r := range f.Roles {
+		machines[name] = r.Machines
+		if r.CPU <= 0 || r.Resident <= 0 || r.Files < 3 {
+			t.Errorf("%s: nothing was used: %+v", name, r)
+		}
+		if name != "list" && (r.In.Words <= 0 || r.In.Bytes <= r.In.Words || r.Out.Bytes <= r.Out.Words || r.In.MostBytes < r.In.Bytes) {
+			t.Errorf("%s: words and bytes: %+v %+v", name, r.In, r.Out)
+		}
+	}
+	if machines["node"] != 192 || machines["spare"] != 7 || machines["leader"] != 1 || machines["real"] != 3 || machines["list"] != 1 {
+		t.Errorf("machines by role: %v", machines)
+	}
+	leader, node := f.Roles["leader"], f.Roles["node"]
+	if leader.Counters["budget_followers"] < 180 || leader.Counters["budget_given"] == 0 {
+		t.Errorf("the leader does nothing: %v", leader.Counters)
+	}
+	if node.Counters["budget_leased"] == 0 || node.List.Bytes <= 0 {
+		t.Errorf("hollow nodes get nothing: %v, %+v", node.Counters, node.List)
+	}
+	// What nodes say arrives at somebody, but for what is lost between regions and what is on its way at either end of the span.
+	said, heard := 0.0, 0.0
+	for _, name := range []string{"node", "spare", "leader", "real"} {
+		r := f.Roles[name]
+		said, heard = said+r.Out.Words*float64(r.Machines), heard+r.In.Words*float64(r.Machines)
+	}
+	if math.Abs(said-heard) > 0.1*said {
+		t.Errorf("%.0f words were said a second, %.0f heard", said, heard)
+	}
+	if f.Clients["up"] < 30 || f.Clients["without an answer"] > 0 {
+		t.Errorf("real clients: %v", f.Clients)
+	}
+}
+
+// A region that is cut off hears nothing from outside, and is told of the changes it has missed once it is back.
+func TestARegionComesBack(t *testing.T) {
+	f := play(t, Options{Nodes: []int{103}, Real: 3, Seed: 2, For: 12 * time.Second, Cut: 6 * time.Second, Scenario: "region"})
+	if !slices.ContainsFunc(f.Notes, func(n string) bool { return strings.HasSuffix(n, "the watch on the server list broke") }) {
+		t.Errorf("nobody missed the list service: %v", f.Notes)
+	}
+	if f.Changes.Made == 0 || f.Changes.Never > 0 {
+		t.Errorf("changes: %+v", f.Changes)
+	}
+	if f.Peak.Times == 0 {
+		t.Error("nothing came after the return")
+	}
+}
+
+// Guards against figures of a wave, a window or a verdict that look well whatever is counted.
+func TestWhatIsCounted(t *testing.T) {
+	steps := map[int64]int{}
+	for i := range int64(600) {
+		steps[1000+i] = 1
+	}
+	if got := mostInASecond(steps); got != 200 {
+		t.Errorf("%d in a second of 200 steps", got)
+	}
+	steps[1300] = 7
+	if got := mostInASecond(steps); got != 206 {
+		t.Errorf("%d in the second with seven at once", got)
+	}
+	r := &Result{Fleets: []*Fleet{{Targets: []Target{{Holds: false}}}, {Targets: []Target{{Holds: true}, {Holds: true}}}}}
+	if !r.Holds() || r.Void() != "" {
+		t.Error("only the greatest size is held against the targets")
+	}
+	r.Fleets[1].Targets[1].Holds = false
+	r.Fleets[0].Void = "late"
+	if r.Holds() || r.Void() == "" {
+		t.Error("a target that does not hold, or a void size, goes unseen")
+	}
+	f := newFleet(Options{Scenario: "leader"}, 100)
+	f.seen.Roles["node"] = Role{MostCPU: 0.03, Live: 100, In: flow{MostBytes: 8000}, Out: flow{MostBytes: 5000}, List: flow{MostBytes: 2000}}
+	f.seen.Units = Units{Whole: 400, Most: 401, Gap: 4.1}
+	f.seen.Changes = Changes{All: 14.1, Never: 1}
+	var over []string
+	for _, x := range f.targets() {
+		if !x.Holds {
+			over = append(over, x.What)
+		}
+	}
+	if len(over) != 6 { // cores, bytes, in force, never, grants, units
+		t.Errorf("does not hold: %q", over)
+	}
+}
+
+func TestLinks(t *testing.T) {
+	l := newLinks(Links{Zone: 1, Region: 2, Regions: 3})
+	if zoneOf(17+5) != 5 || regionOf(0) != 0 || regionOf(16) != 4 {
+		t.Fatal("zones and regions")
+	}
+	within, far := 1, 10
+	for _, c := range []struct {
+		off  apart
+		a, b int
+		want time.Duration
+		cut  bool
+		name string
+	}{
+		{apart{}, 0, 0, 1, false, "zone"}, {apart{}, 0, within, 2, false, "region"}, {apart{}, 0, far, 3, false, "regions"},
+		{apart{Zones: []int{0}}, 0, 0, 1, false, "within the zone"}, {apart{Zones: []int{0}}, within, 0, 2, true, "to the zone"},
+		{apart{Regions: []int{0}}, 0, within, 2, false, "within the region"}, {apart{Regions: []int{0}}, far, 0, 3, true, "to the region"},
+		{apart{Regions: []int{0}}, far, 16, 3, false, "past the region"},
+	} {
+		l.apart.Store(&c.off)
+		if got, _, cut := l.between(c.a, c.b); got != c.want || cut != c.cut {
+			t.Errorf("%s: %v, %v", c.name, got, cut)
+		}
+	}
+	for _, n := range []int{0, 249, 250, 5699, 11_999} {
+		if got := hollowNode(hollowAddr(n, 9).Addr()); got != n {
+			t.Errorf("%d is taken for %d", n, got)
+		}
+	}
+}
