--- a/lab/scale/scale.go
+++ b/lab/scale/scale.go
@@ -713,7 +713,9 @@
 		}
 		roles[p.role] = append(roles[p.role], r.Span)
 		if late := time.Duration(r.Span.Late * float64(time.Millisecond)); p.role == "node" { // the others' own work may be too much for them
+			f.mu.Lock()
 			f.late = max(f.late, late)
+			f.mu.Unlock()
 		}
 	}
 	close(f.over)
