--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -67,6 +67,8 @@
 		{[]string{"lab", "scale", "--nodes", "300,300"}, 2, "", []string{"--nodes: 300"}},
 		{[]string{"lab", "scale", "--nodes", "many"}, 2, "", []string{"many"}},
 		{[]string{"lab", "scale", "--nodes", "40", "--real", "11"}, 2, "", []string{"--real: 11"}},
+		{[]string{"lab", "scale", "--control", "33"}, 2, "", []string{"--control: 33"}},
+		{[]string{"lab", "scale", "--control", "2", "--flat"}, 2, "", []string{"--flat", "--control 2"}},
 		{[]string{"lab", "scale", "--for", "4s"}, 2, "", []string{"--for: 4s"}},
 		{[]string{"lab", "scale", "--cut", "1h"}, 2, "", []string{"--cut: 1h"}},
 		{[]string{"lab", "scale", "--scenario", "flood"}, 2, "", []string{"--scenario", "flood", "steady"}},
--- a/internal/cli/scale.go
+++ b/internal/cli/scale.go
@@ -23,6 +23,7 @@
 func scaleCommand(stdout io.Writer) *cobra.Command {
 	o := scale.Options{}
 	var out string
+	var flat bool
 	c := &cobra.Command{
 		Use:   "scale",
 		Short: "Play fleets of growing size, count what control costs each role, and hold it against its targets",
@@ -32,7 +33,9 @@
 			"option, 3 where the run says nothing (void). Scenarios: " + strings.Join(scale.Scenarios(), ", ") + ".",
 		Args: cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
-			if err := o.Check(); err != nil {
+			if flat && o.Control > 0 {
+				return fmt.Errorf("--flat: goes with no --control %d", o.Control)
+			} else if err := o.Check(); err != nil {
 				return err
 			}
 			o.Log = stdout
@@ -43,6 +46,8 @@
 	c.Flags().IntVar(&o.Real, "real", 12, "how many of them are processes that serve real clients")
 	c.Flags().Uint64Var(&o.Seed, "seed", 1, "for the nodes, their traffic and chance")
 	c.Flags().DurationVar(&o.For, "for", 30*time.Second, "how long each fleet is counted")
+	c.Flags().BoolVar(&flat, "flat", false, "control without control machines: all nodes with one another, as where --control is 0")
+	c.Flags().IntVar(&o.Control, "control", 0, "control machines beside the nodes; 0: control is flat")
 	c.Flags().StringVar(&o.Scenario, "scenario", "steady", "what happens")
 	c.Flags().DurationVar(&o.Cut, "cut", time.Minute, "how long a cut or a loss lasts, where the scenario has one")
 	c.Flags().StringVar(&out, "json", "", "write all results to this file")
@@ -63,7 +68,7 @@
 	table := tabwriter.NewWriter(stdout, 0, 0, 2, ' ', 0)
 	for _, f := range r.Fleets {
 		fmt.Fprintf(table, "%d nodes, %d of them real\tmachines\tcores (most)\tlive MB\tresident MB\tdescriptors\twords in\twords out\tB/s in (most)\tB/s out (most)\tlist B/s\n", f.Nodes, f.Real)
-		for _, name := range []string{"node", "real", "leader", "spare", "list"} {
+		for _, name := range []string{"node", "real", "leader", "spare", "control", "list"} {
 			if m, ok := f.Roles[name]; ok {
 				fmt.Fprintf(table, "  %s\t%d\t%g (%g)\t%g\t%g\t%g\t%g\t%g\t%g (%g)\t%g (%g)\t%g\n", name, m.Machines, m.CPU, m.MostCPU, m.Live, m.Resident, m.Files,
 					m.In.Words, m.Out.Words, m.In.Bytes, m.In.MostBytes, m.Out.Bytes, m.Out.MostBytes, m.List.Bytes)
--- a/lab/scale/fleet.go
+++ b/lab/scale/fleet.go
@@ -19,6 +19,58 @@
 	Regions = 5
 )
 
+// place says how the machines of a fleet are numbered: nodes from 0, control machines from the next multiple of Zones, so that they are spread
+// over the zones in the same way.
+type place struct {
+	Nodes    int `json:"nodes"`
+	Control  int `json:"control"`  // control machines
+	Port     int `json:"port"`     // of all hollow machines' words to others
+	Children int `json:"children"` // and of control machines' words to nodes
+}
+
+func (p place) first() int { return (p.Nodes + Zones - 1) / Zones * Zones }
+
+// is tells which control machine has a number; -1 for none.
+func (p place) is(number int) int { return max(number-p.first(), -1) }
+
+// all gives the numbers of all machines, in order.
+func (p place) all() (numbers []int) {
+	for i := range p.Nodes {
+		numbers = append(numbers, i)
+	}
+	for c := range p.Control {
+		numbers = append(numbers, p.first()+c)
+	}
+	return numbers
+}
+
+// prefers gives the control machines in a node's order: those of its zone, of its region, and the others, and nodes of one zone take turns.
+func (p place) prefers(node int) (order []int) {
+	zone := zoneOf(node)
+	far := func(c int) int {
+		switch z := zoneOf(p.first() + c); {
+		case z == zone:
+			return 0
+		case regionOf(z) == regionOf(zone):
+			return 1
+		}
+		return 2
+	}
+	for want := range 3 {
+		var some []int
+		for c := range p.Control {
+			if far(c) == want {
+				some = append(some, c)
+			}
+		}
+		if n := len(some); n > 0 {
+			turn := node / Zones % n
+			order = append(append(order, some[turn:]...), some[:turn]...)
+		}
+	}
+	return order
+}
+
 func zoneOf(node int) int   { return node % Zones }
 func regionOf(zone int) int { return zone * Regions / Zones }
 
--- a/lab/scale/messages.go
+++ b/lab/scale/messages.go
@@ -34,8 +34,8 @@
 type setup struct {
 	Role    string          `json:"role"` // hollow or list
 	Seed    uint64          `json:"seed"`
-	Port    int             `json:"port"`
-	Relays  map[int]string  `json:"relays"` // of the real nodes: where they are reached
+	Place   place           `json:"place"`
+	Relays  map[int]string  `json:"relays"` // of the real nodes: where they are reached by hollow ones
 	Numbers []int           `json:"numbers"`
 	Config  json.RawMessage `json:"config"` // of any node
 	Links   Links           `json:"links"`
@@ -85,8 +85,8 @@
 
 // state is what the nodes of a part say of the keeper.
 type state struct {
-	Keepers  map[int]int `json:"keepers"` // nodes by the keeper that they ask
-	Followed int         `json:"followed"`
+	Keepers  map[int]int `json:"keepers"`  // nodes by the keeper, or by which of their control machines they ask: its place in their order
+	Followed int         `json:"followed"` // know that most ask theirs, or ask a control machine
 }
 
 // span is what a part has counted over a while. Figures are sums over its nodes, and the most at any of them.
--- a/lab/scale/part.go
+++ b/lab/scale/part.go
@@ -385,14 +385,25 @@
 	if err := json.Unmarshal(n.h.s.Config, &c); err != nil {
 		return err
 	}
-	if first := n.h.nodes[0]; n != first {
+	if first := n.h.nodes[0]; n != first { // flat: of all nodes
 		c.Peers.Nodes = first.shared
 	}
 	n.shared = c.Peers.Nodes
 	zone := zoneOf(n.number)
 	c.Name, c.Listen = "h"+strconv.Itoa(n.number), "127.0.0.1:0"
 	c.Settings.Index, c.Seed = n.number, strconv.FormatUint(n.h.s.Seed<<20+uint64(n.number)+1, 16)
-	c.Peers.Listen = hollowAddr(n.number, n.h.s.Port).String()
+	place := n.h.s.Place
+	c.Peers.Listen = hollowAddr(n.number, place.Port).String()
+	if own := place.is(n.number); place.Control > 0 && own >= 0 {
+		c.Peers.Children, c.Peers.Index = hollowAddr(n.number, place.Children).String(), own
+		for i := range place.Control {
+			c.Peers.Nodes = append(c.Peers.Nodes, hollowAddr(place.first()+i, place.Port).String())
+		}
+	} else if place.Control > 0 {
+		for _, i := range place.prefers(n.number) {
+			c.Peers.Control = append(c.Peers.Control, hollowAddr(place.first()+i, place.Children).String())
+		}
+	}
 	c.Source = emulator.Source(n.number).String()
 	c.Lab.TellLists = true
 	n.h.mu.Lock()
@@ -518,6 +529,11 @@
 	return nil
 }
 
+// below tells whether a node asks control machines.
+func (h *hollowPart) below(n *hollow) bool {
+	return h.s.Place.Control > 0 && h.s.Place.is(n.number) < 0
+}
+
 // counters are the node's own.
 func (n *hollow) counters() map[string]int64 {
 	m := maps.Clone(n.past)
@@ -603,7 +619,7 @@
 		}
 		for _, n := range h.nodes {
 			r.State.Keepers[n.keeper]++
-			if n.followed {
+			if n.followed || h.below(n) && n.keeper >= 0 {
 				r.State.Followed++
 			}
 		}
@@ -617,7 +633,8 @@
 			h.mu.Lock()
 			counters := n.counters()
 			if second {
-				n.wave.second(counters["peer_words"], counters["peer_words"])
+				words := counters["peer_words"] + counters["child_words"]
+				n.wave.second(words, words)
 			}
 			leased := counters["budget_leased"]
 			n.gap = max(n.gap, now.Sub(n.lastUnit))
@@ -637,15 +654,15 @@
 	for _, n := range h.nodes {
 		d := n.counters()
 		for k, v := range n.before {
-			if k != "budget_followers" { // as it is
+			if k != "budget_followers" && k != "budget_children" { // as they are
 				d[k] -= v
 			}
 		}
 		for k, v := range d {
 			s.Counters[k] += v
 		}
-		in.add(float64(d["peer_words"])/s.Seconds, float64(d["peer_bytes"])/s.Seconds)
-		out.add(float64(d["peer_words_sent"])/s.Seconds, float64(d["peer_bytes_sent"])/s.Seconds)
+		in.add(float64(d["peer_words"]+d["child_words"])/s.Seconds, float64(d["peer_bytes"]+d["child_bytes"])/s.Seconds)
+		out.add(float64(d["peer_words_sent"]+d["child_words_sent"])/s.Seconds, float64(d["peer_bytes_sent"]+d["child_bytes_sent"])/s.Seconds)
 		list.add(float64(d["list_changes"])/s.Seconds, float64(n.list.Load()-n.listed)/s.Seconds)
 		if p := n.wave.over(); p > s.Peak {
 			s.Peak, s.PeakAt = p, n.number
@@ -663,9 +680,11 @@
 func (h *hollowPart) overruns() (n int64) {
 	own := map[string]bool{}
 	for _, x := range h.nodes {
-		a := hollowAddr(x.number, h.s.Port)
-		ip := a.Addr().As4()
-		own[fmt.Sprintf("%02X%02X%02X%02X:%04X", ip[3], ip[2], ip[1], ip[0], a.Port())] = true
+		for _, port := range []int{h.s.Place.Port, h.s.Place.Children} {
+			a := hollowAddr(x.number, port)
+			ip := a.Addr().As4()
+			own[fmt.Sprintf("%02X%02X%02X%02X:%04X", ip[3], ip[2], ip[1], ip[0], a.Port())] = true
+		}
 	}
 	data, err := os.ReadFile("/proc/self/net/udp")
 	if err != nil {
--- a/lab/scale/real.go
+++ b/lab/scale/real.go
@@ -38,15 +38,24 @@
 	ceilings := maps.Clone(settings["ceilings"].(map[string]any))
 	ceilings["may_probe"] = true
 	settings["ceilings"], settings["index"] = ceilings, n.number
-	addrs := make([]string, f.n)
-	for i := range addrs {
-		addrs[i] = f.relay.Addr(i)
+	peers := map[string]any{"listen": "127.0.0.1:0"}
+	var addrs []string
+	if f.o.Control > 0 {
+		for _, i := range f.place.prefers(n.number) {
+			addrs = append(addrs, f.relay.Addr(f.place.first()+i))
+		}
+		peers["control"] = addrs
+	} else {
+		for i := range f.n {
+			addrs = append(addrs, f.relay.Addr(i))
+		}
+		peers["nodes"] = addrs
 	}
 	c["settings"] = settings
 	c["name"], c["listen"] = fmt.Sprintf("r%d", n.number), "127.0.0.1:0"
 	c["seed"] = strconv.FormatUint(f.o.Seed<<20+uint64(n.number)+1, 16)
 	c["source"] = emulator.Source(n.number).String()
-	c["peers"] = map[string]any{"listen": "127.0.0.1:0", "nodes": addrs}
+	c["peers"] = peers
 	c["lab"] = map[string]any{"tell_lists": true}
 	f.mu.Lock()
 	n.version = f.version
--- a/lab/scale/scale.go
+++ b/lab/scale/scale.go
@@ -30,6 +30,7 @@
 	Real     int           // processes of the program among them that serve real clients
 	Seed     uint64        // for the nodes, their traffic and chance
 	For      time.Duration // that is counted over, in each fleet
+	Control  int           // control machines beside them; 0 where control is flat
 	Scenario string        // one of Scenarios
 	Cut      time.Duration // how long a cut or a loss lasts, where the scenario has one
 	Binary   string        // of the program; "" for the one that runs
@@ -40,6 +41,7 @@
 const (
 	leastNodes, mostNodes = 40, 12_000
 	mostReal              = 60
+	mostControl           = 32
 	leastFor, mostFor     = 5 * time.Second, 10 * time.Minute
 	perProcess            = 300 // hollow nodes
 )
@@ -62,6 +64,9 @@
 			return fmt.Errorf("--real: %d is not 0 to %d, and a fourth of the nodes at most", o.Real, mostReal)
 		}
 	}
+	if o.Control < 0 || o.Control > mostControl {
+		return fmt.Errorf("--control: %d is not 0 to %d", o.Control, mostControl)
+	}
 	if o.For < leastFor || o.For > mostFor {
 		return fmt.Errorf("--for: %v is not %v to %v", o.For, leastFor, mostFor)
 	}
@@ -193,7 +198,7 @@
 			return nil, fmt.Errorf("%d descriptors are wanted, %d are allowed", need, limit.Cur)
 		}
 	}
-	r := &Result{Scenario: o.Scenario, Seed: o.Seed, For: o.For.Seconds()}
+	r := &Result{Scenario: o.Scenario, Seed: o.Seed, Control: o.Control, For: o.For.Seconds()}
 	for _, n := range o.Nodes {
 		f := newFleet(o, n)
 		got, err := f.play()
@@ -223,7 +228,8 @@
 	n        int
 	seen     *Fleet
 	starter  *process.Starter
-	port     net.PacketConn // held, so that another run beside this one takes another port
+	place    place
+	ports    []net.PacketConn // held, so that another run beside this one takes others
 	relay    *emulator.Words
 	links    *links
 	shaped   [Zones][Zones]emulator.Way // of the real nodes' datagrams, as the links are
@@ -281,7 +287,7 @@
 
 // realNumbers are those of the real nodes: the last ones that lead nothing.
 func (f *fleet) realNumbers() (numbers []int) {
-	first := leaders(f.n)[:alone]
+	first := f.leaders()
 	for i := f.n - 1; len(numbers) < f.o.Real; i-- {
 		if !slices.Contains(first, i) {
 			numbers = append(numbers, i)
@@ -312,10 +318,15 @@
 
 // open brings up all but the nodes.
 func (f *fleet) open() (err error) {
-	if f.port, err = net.ListenPacket("udp4", "127.0.0.1:0"); err != nil {
-		return err
+	f.place = place{Nodes: f.n, Control: f.o.Control}
+	for _, port := range []*int{&f.place.Port, &f.place.Children} {
+		held, err := net.ListenPacket("udp4", "127.0.0.1:0")
+		if err != nil {
+			return err
+		}
+		f.ports, *port = append(f.ports, held), held.LocalAddr().(*net.UDPAddr).Port
 	}
-	if f.relay, err = emulator.NewWords(f.n, f.o.Seed); err != nil {
+	if f.relay, err = emulator.NewWords(f.place.first()+f.o.Control, f.o.Seed); err != nil {
 		return err
 	}
 	numbers := f.realNumbers()
@@ -327,13 +338,15 @@
 		}
 		return &free
 	}
-	port := f.port.LocalAddr().(*net.UDPAddr).Port
 	relays := map[int]string{}
 	for _, n := range numbers {
 		relays[n] = f.relay.Addr(n)
 	}
-	for i := range f.n {
-		if !slices.Contains(numbers, i) {
+	for _, i := range f.place.all() {
+		if port := f.place.Port; !slices.Contains(numbers, i) {
+			if f.o.Control > 0 && f.place.is(i) >= 0 { // what real nodes reach of it
+				port = f.place.Children
+			}
 			f.relay.At(i, hollowAddr(i, port), false)
 		}
 	}
@@ -350,10 +363,13 @@
 			return err
 		}
 	}
-	addrs := make([]string, f.n)
-	for i := range addrs {
-		if addrs[i] = relays[i]; addrs[i] == "" {
-			addrs[i] = hollowAddr(i, port).String()
+	var addrs []string
+	for i := range f.n {
+		if f.o.Control > 0 { // nobody knows all
+			break
+		}
+		if addrs = append(addrs, relays[i]); addrs[i] == "" {
+			addrs[i] = hollowAddr(i, f.place.Port).String()
 		}
 	}
 	f.template = f.config(r.Addr, addrs)
@@ -361,9 +377,8 @@
 	if err != nil {
 		return err
 	}
-	first := leaders(f.n)[:alone]
 	groups := [][]int{}
-	for _, n := range first {
+	for _, n := range f.leaders() {
 		f.alone[n] = true
 		groups = append(groups, []int{n})
 	}
@@ -384,13 +399,19 @@
 		p := &proc{role: "node", numbers: g}
 		if f.alone[g[0]] {
 			p.role = "spare"
-			if g[0] == first[0] {
+			if f.o.Control > 0 {
+				p.role = "control"
+			}
+			if g[0] == f.leaders()[0] {
 				p.role = "leader"
 			}
 		}
 		f.parts = append(f.parts, p)
-		if err := f.spawn(p, setup{Role: "hollow", Seed: f.o.Seed, Port: port, Relays: relays, Numbers: g, Config: config, Links: f.links.Links,
-			Traffic: f.traffic()}); err != nil {
+		s := setup{Role: "hollow", Seed: f.o.Seed, Place: f.place, Relays: relays, Numbers: g, Config: config, Links: f.links.Links}
+		if g[0] < f.n { // control machines have no clients
+			s.Traffic = f.traffic()
+		}
+		if err := f.spawn(p, s); err != nil {
 			return err
 		}
 	}
@@ -400,6 +421,18 @@
 	return nil
 }
 
+// leaders gives the numbers of who is asked first whether it leads, the first one first: each has a process of its own.
+func (f *fleet) leaders() []int {
+	if f.o.Control == 0 {
+		return leaders(f.n)[:alone]
+	}
+	all := leaders(f.o.Control)
+	for i := range all {
+		all[i] += f.place.first()
+	}
+	return all
+}
+
 // traffic asks for three fifths of the whole, half of it at a tenth of the nodes, which get the most of it from others.
 func (f *fleet) traffic() traffic {
 	return traffic{Kind: "retries_per_s", Calm: 0.6 * unitsEach * 0.5 / 0.9, Busy: 0.6 * unitsEach * 0.5 / 0.1, Every: 10}
@@ -626,7 +659,7 @@
 		f.mu.Lock()
 		n := len(f.force[version])
 		f.mu.Unlock()
-		if n >= f.n-len(f.gone) {
+		if n >= f.n+f.o.Control-len(f.gone) {
 			return true
 		}
 	}
@@ -660,13 +693,13 @@
 		f.say("%s", f.seen.Notes[len(f.seen.Notes)-1])
 	}
 	for i := 0; i < 40; i++ {
-		if _, by := f.followed(); by > (f.n-f.o.Real)*99/100 {
+		if _, by := f.followed(); by > (f.n+f.o.Control-f.o.Real)*99/100 {
 			break
 		}
 		time.Sleep(250 * time.Millisecond)
 	}
 	keepers, by := f.followed()
-	f.seen.Settled = f.seen.Settled && by > (f.n-f.o.Real)*99/100
+	f.seen.Settled = f.seen.Settled && by > (f.n+f.o.Control-f.o.Real)*99/100
 	f.say("nodes by keeper %v, %d of them by most", keepers, by)
 	resident := 0.0
 	for _, p := range f.procs() {
@@ -808,11 +841,11 @@
 	halves := 0.0
 	for v, made := range f.made {
 		got := slices.Sorted(maps.Values(f.force[v]))
-		if len(got) < f.n && now.Sub(made) < inForceWithin { // it may come yet
+		if len(got) < f.n+f.o.Control && now.Sub(made) < inForceWithin { // it may come yet
 			continue
 		}
 		s.Changes.Made++
-		for i := range f.n {
+		for _, i := range f.place.all() {
 			if _, ok := f.force[v][i]; !ok && !f.gone[i] && now.Sub(f.back[i]) >= inForceWithin {
 				s.Changes.Never++
 			}
@@ -833,7 +866,7 @@
 	s.Targets = f.targets()
 	elsewhere := 0
 	for k, n := range keepers {
-		if k >= 0 && !f.alone[k] {
+		if f.o.Control == 0 && k >= 0 && !f.alone[k] {
 			elsewhere += n
 		}
 	}
@@ -868,6 +901,7 @@
 // What control may cost at the size that is coming, in the operators' words.
 const (
 	nodeCores     = 0.022
+	controlCores  = 1
 	nodeMB        = 128
 	nodeBytes     = 14_000
 	inForceWithin = 14 * time.Second
@@ -884,10 +918,13 @@
 		}
 		all = append(all, t)
 	}
-	for _, role := range []string{"node", "leader", "spare"} {
+	for _, role := range []string{"node", "leader", "spare", "control"} {
 		r, ok := s.Roles[role]
 		if !ok {
 			continue
+		} else if f.o.Control > 0 && role != "node" {
+			add(role+", a control machine: cores", r.MostCPU, controlCores)
+			continue
 		}
 		add(role+": cores", r.MostCPU, nodeCores)
 		memory := r.Live
@@ -940,7 +977,7 @@
 	if f.relay != nil {
 		f.relay.Close()
 	}
-	if f.port != nil {
-		f.port.Close()
+	for _, p := range f.ports {
+		p.Close()
 	}
 }
--- a/lab/scale/trouble.go
+++ b/lab/scale/trouble.go
@@ -61,7 +61,7 @@
 const restartsPart = 0.1
 
 func (f *fleet) in(is func(node int) bool) (nodes []int) {
-	for i := range f.n {
+	for _, i := range f.place.all() {
 		if is(i) {
 			nodes = append(nodes, i)
 		}
@@ -181,7 +181,7 @@
 // restarts has a tenth of the nodes stop in order and start anew, one after the other over two thirds of the time.
 func (f *fleet) restarts() {
 	begun := time.Now()
-	first := leaders(f.n)[0] // its death is another scenario
+	first := f.leaders()[0] // its death is another scenario
 	var nodes []int
 	for i := range f.n {
 		if i%int(1/restartsPart) == 3 && i != first {
