lab scale: slopes over the sizes; tests of nodes below control machines

A run of four sizes or more tells the slope of each figure by lab/slope. Tests play a small fleet below control machines and judge counts and states.

--- a/internal/cli/scale.go
+++ b/internal/cli/scale.go
@@ -95,6 +95,15 @@
 			fmt.Fprintf(stdout, "  %s: %s: %g of %g (%g times)\n", word, t.What, t.Got, t.Limit, t.Factor)
 		}
 	}
+	for i, s := range r.Slopes {
+		if i == 0 {
+			fmt.Fprintln(table, "growth with the nodes\tper 1,000 nodes\t+-\texponent\t+-\tspread about the line\tverdict")
+		}
+		fmt.Fprintf(table, "  %s: %s\t%.4g\t%.2g\t%.2f\t%.2g\t%.2g\t%s\n", s.Role, s.What, 1000*s.Slope, 1000*s.SlopeSpread, s.Exponent, s.ExponentSpread, s.Spread, s.Verdict)
+	}
+	if err := table.Flush(); err != nil {
+		return err
+	}
 	if err := keep(out, r); err != nil {
 		return err
 	}
--- a/lab/scale/scale.go
+++ b/lab/scale/scale.go
@@ -86,6 +86,7 @@
 	Control  int      `json:"control"` // control machines; 0 where control is flat
 	For      float64  `json:"for_s"`
 	Fleets   []*Fleet `json:"fleets"`
+	Slopes   []Slope  `json:"slopes"` // over the sizes; none under four of them
 }
 
 // Fleet is what was counted with one size.
@@ -210,6 +211,7 @@
 			break
 		}
 	}
+	r.Slopes = r.slopes()
 	return r, nil
 }
 
--- a/lab/scale/scale_test.go
+++ b/lab/scale/scale_test.go
@@ -9,6 +9,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"brassmux/lab/slope"
 )
 
 var binary string
@@ -100,6 +102,21 @@
 	}
 }
 
+// Below control machines nobody knows all nodes: each follows one control machine, these share the work of all, and the whole stays whole.
+func TestNodesBelowControlMachinesAreOneFleet(t *testing.T) {
+	f := play(t, Options{Nodes: []int{203}, Real: 3, Control: 5, Seed: 3, For: 6 * time.Second, Cut: time.Second, Scenario: "steady"})
+	control := f.Roles["control"]
+	if control.Machines != 4 || f.Roles["leader"].Machines != 1 || f.Roles["node"].Machines != 200 {
+		t.Errorf("machines: %+v", f.Roles)
+	}
+	if n := control.Counters["budget_children"] + f.Roles["leader"].Counters["budget_children"]; n < 190 || n > 203 {
+		t.Errorf("%d children", n)
+	}
+	if f.Roles["node"].Counters["budget_leased"] == 0 || f.Clients["up"] < 30 {
+		t.Errorf("hollow nodes and real clients get nothing: %v, %v", f.Roles["node"].Counters, f.Clients)
+	}
+}
+
 // Guards against figures of a wave, a window or a verdict that look well whatever is counted.
 func TestWhatIsCounted(t *testing.T) {
 	steps := map[int64]int{}
@@ -137,6 +154,63 @@
 	}
 }
 
+// Guards against slopes that are drawn through other figures than those of the sizes.
+func TestSlopes(t *testing.T) {
+	r := &Result{}
+	for _, n := range []int{300, 1000, 3000} {
+		r.Fleets = append(r.Fleets, &Fleet{Nodes: n, Roles: map[string]Role{"leader": {CPU: float64(n) / 1000, Files: 13, In: flow{Words: float64(n * n)}}}})
+	}
+	if len(r.slopes()) > 0 {
+		t.Error("slopes through three sizes")
+	}
+	r.Fleets = append(r.Fleets, &Fleet{Nodes: 5700, Roles: map[string]Role{"leader": {CPU: 5.7, Files: 13, In: flow{Words: 5700 * 5700}}}})
+	want := map[string]slope.Verdict{"cores": slope.Line, "descriptors": slope.Flat, "words in": slope.Faster}
+	for _, s := range r.slopes() {
+		if v, ok := want[s.What]; ok && v != s.Verdict {
+			t.Errorf("%s: %s, not %s", s.What, s.Verdict, v)
+		}
+		delete(want, s.What)
+		if s.What == "cores" && math.Abs(s.Slope-0.001) > 1e-6 {
+			t.Errorf("slope of the cores: %g", s.Slope)
+		}
+	}
+	if len(want) > 0 {
+		t.Errorf("not there: %v", want)
+	}
+}
+
+// Guards against a node that asks a control machine far away first, and against zones whose nodes all ask one.
+func TestNodesPreferTheControlMachinesNearThem(t *testing.T) {
+	p := place{Nodes: 5700, Control: 32}
+	asked := map[int]int{}
+	for i := range p.Nodes {
+		order := p.prefers(i)
+		if len(order) != 32 || len(slices.Compact(slices.Sorted(slices.Values(order)))) != 32 {
+			t.Fatalf("node %d: %v", i, order)
+		}
+		if zoneOf(p.first()+order[0]) != zoneOf(i) {
+			t.Fatalf("node %d in zone %d asks one in zone %d first", i, zoneOf(i), zoneOf(p.first()+order[0]))
+		}
+		region := true
+		for _, c := range order {
+			same := regionOf(zoneOf(p.first()+c)) == regionOf(zoneOf(i))
+			if same && !region {
+				t.Fatalf("node %d asks its region after others: %v", i, order)
+			}
+			region = same
+		}
+		asked[order[0]]++
+	}
+	for c, n := range asked {
+		if n > 5700/17+1 || n < 5700/34-1 {
+			t.Errorf("control machine %d is asked first by %d nodes", c, n)
+		}
+	}
+	if all := p.all(); len(all) != 5732 || p.is(all[5700]) != 0 || p.is(5699) != -1 || !slices.IsSorted(all) {
+		t.Error("numbers")
+	}
+}
+
 func TestLinks(t *testing.T) {
 	l := newLinks(Links{Zone: 1, Region: 2, Regions: 3})
 	if zoneOf(17+5) != 5 || regionOf(0) != 0 || regionOf(16) != 4 {
--- /dev/null
+++ b/lab/scale/slopes.go
@@ -0,0 +1,47 @@
+package scale
+
+import (
+	"maps"
+	"slices"
+
+	"brassmux/lab/slope"
+)
+
+// Slope tells how a figure of a role grows with the nodes.
+type Slope struct {
+	Role string `json:"role"`
+	What string `json:"what"`
+	slope.Fit
+}
+
+// slopes fits what each role used and met over the sizes. Under four sizes there are none.
+func (r *Result) slopes() (all []Slope) {
+	if len(r.Fleets) < 4 {
+		return nil
+	}
+	add := func(role, what string, value func(f *Fleet) float64) {
+		var points []slope.Point
+		for _, f := range r.Fleets {
+			points = append(points, slope.Point{N: float64(f.Nodes), Y: value(f)})
+		}
+		if fit, err := slope.Of(points); err == nil {
+			all = append(all, Slope{role, what, fit})
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(r.Fleets[0].Roles)) {
+		of := func(what string, value func(Role) float64) {
+			add(name, what, func(f *Fleet) float64 { return value(f.Roles[name]) })
+		}
+		of("cores", func(r Role) float64 { return r.CPU })
+		of("resident MB", func(r Role) float64 { return r.Resident })
+		of("descriptors", func(r Role) float64 { return r.Files })
+		if name != "list" {
+			of("words in", func(r Role) float64 { return r.In.Words })
+			of("bytes in", func(r Role) float64 { return r.In.Bytes })
+			of("bytes out", func(r Role) float64 { return r.Out.Bytes })
+		}
+	}
+	add("all", "change in force at 99%: s", func(f *Fleet) float64 { return f.Changes.Most })
+	add("all", "change in force at all: s", func(f *Fleet) float64 { return f.Changes.All })
+	return all
+}
