A watch that says no more than empty lines tells of the list

Seen by reading: a watch opened anew where nothing has changed may say only empty lines, and the decisions then heard no word of the list for as long as nothing changed: servers that do not answer a question in time would get no clients. loop.live now tells them; not of a list that was never had (version 0). The test was refused (BUSY) without it.

--- a/node/loop.go
+++ b/node/loop.go
@@ -584,9 +584,12 @@
 var errSilent = errors.New("discovery is silent")
 
 // live ends the watch before one that is heard now, on the same discovery: what that has still to say this one will say too. Of
-// another one it takes the list.
+// another one it takes the list. The list held is told of again: where nothing has changed since, the watch may say no more than empty lines.
 func (l *loop) live(w *watch) {
 	w.lives = true
+	if w == l.heard && w.addr == l.asked && w.since > 0 {
+		l.handle(balance.Members{Kind: balance.ListChanges})
+	}
 	if w == l.heard && l.heardBefore != nil && l.heardBefore.addr == w.addr {
 		l.hearOne()
 	}
--- a/node/moments_test.go
+++ b/node/moments_test.go
@@ -865,6 +865,39 @@
 	}
 }
 
+// A list that nobody has told of for a while is old, and a server that does not say that it takes clients gets none by it. A watch that says
+// no more than empty lines tells of it, as nothing has changed: else such a node would go on as by an old list.
+func TestEmptyLinesTellOfTheList(t *testing.T) {
+	for name, c := range map[string]struct {
+		fails int
+		want  string
+	}{"refused": {1000, "BUSY"}, "empty lines": {0, "UP"}} {
+		t.Run(name, func(t *testing.T) {
+			h := &host{id: "s-1", conns: make(chan *wire, 100), first: make(chan string, 100)}
+			h.addr = listen(t, func(w *wire) { // it answers no question
+				for {
+					if line, err := w.in.ReadString('\n'); err != nil {
+						return
+					} else if line != "STATS\r\n" {
+						w.say("UP r-1\r\n")
+					}
+				}
+			})
+			list := newLister(t, c.fails)
+			begun := time.Now()
+			n := run(t, config(t, list, h), list)
+			n.until("word of the list, or none for long enough", func() bool {
+				lives := make(chan bool)
+				n.loop.tell(func() { lives <- n.loop.heard != nil && n.loop.heard.lives })
+				return (<-lives || c.fails > 0) && time.Since(begun) > 2*time.Second
+			})
+			if got := n.open("k", "").line(); !strings.HasPrefix(got, c.want) {
+				t.Errorf("got %q", got)
+			}
+		})
+	}
+}
+
 // watches waits until the first watch has told a list.
 func (r *running) watches() {
 	r.t.Helper()
