lab scale: a run is void by its processes' lateness, at most and by part of looks

Cause: the first run of the flat program at four sizes ended at 3,000 nodes with one look that was 332 ms late, over a bound of 250 ms that stood on nothing; the sizes after it were not played. Change: void is a process of nodes that was 500 ms late, half of the silence after which a node takes who leads for gone, or 100 ms late, as long as a unit is waited for, at over one in a hundred looks. All sizes are played. A restarted hollow node waits until its sockets are closed; a real one counts the changes that it missed while it was away.

--- a/internal/cli/scale.go
+++ b/internal/cli/scale.go
@@ -80,7 +80,7 @@
 		c, u := f.Changes, f.Units
 		fmt.Fprintf(stdout, "  %d changes in force at half, 99%%, all after %g, %g, %g s, never %d times; %s: %d taken, %d refused, most in a second %d of %d; a busy node without a grant for %g s (99%%), %g s at most\n",
 			c.Made, c.Half, c.Most, c.All, c.Never, u.Kind, u.Taken, u.Refused, u.Most, u.Whole, u.Gap, u.GapMost)
-		fmt.Fprintf(stdout, "  real clients %v; all served after %.1f s; the run was %.0f ms late\n", f.Clients, f.Start, f.Late)
+		fmt.Fprintf(stdout, "  real clients %v; all served after %.1f s; the run was %.0f ms late, over 100 ms at %g of its looks\n", f.Clients, f.Start, f.Late, f.Looks)
 		if p := f.Peak; p.Times > 0 {
 			fmt.Fprintf(stdout, "  most words in a second after the return: %g times the mean, at the %s %d\n", p.Times, p.Role, p.Node)
 		}
--- a/lab/scale/messages.go
+++ b/lab/scale/messages.go
@@ -97,7 +97,8 @@
 	Live     float64          `json:"live"` // bytes
 	Resident float64          `json:"resident"`
 	Files    int              `json:"files"`
-	Late     float64          `json:"late"`  // ms
+	Late     float64          `json:"late"`  // ms, the most
+	Looks    float64          `json:"looks"` // part of the looks at the clock that were over lateLook late
 	Flows    map[string]flow  `json:"flows"` // in, out, list
 	Gaps     []float64        `json:"gaps"`  // longest without a granted unit, of each busy node
 	Counters map[string]int64 `json:"counters"`
--- a/lab/scale/real.go
+++ b/lab/scale/real.go
@@ -58,7 +58,7 @@
 	c["peers"] = peers
 	c["lab"] = map[string]any{"tell_lists": true}
 	f.mu.Lock()
-	n.version = f.version
+	n.version = f.template["known"].(map[string]any)["version"].(int64)
 	f.mu.Unlock()
 	n.told = make(chan struct{}, 1)
 	p, err := f.starter.Start(f.o.Binary, n.number, c, func(_ *process.Process, line map[string]any) {
