Answers held back are looked at only when something came from above

Each word of a child had all held answers looked through again, though nothing could have come for them. Now that is done when the group above has settled a want, or the first of them is due. Tests of the tree run beside each other.

--- a/budget/parent.go
+++ b/budget/parent.go
@@ -17,6 +17,7 @@
 	held    []*heldAnswer // by when they are to go
 	waits   map[int]int   // answers held back, by node
 	pace    time.Duration // no want goes up before
+	came    bool          // something wanted above is settled
 	Count   ParentCounts
 
 	wrong flaw
@@ -152,6 +153,7 @@
 	p.passed(p.up.Heard(now, from, w))
 	p.settle()
 	p.next()
+	p.settle()
 	return p.out
 }
 
@@ -251,6 +253,10 @@
 
 // settle answers what need not or cannot wait longer.
 func (p *Parent) settle() {
+	if len(p.held) == 0 || !p.came && p.low.now < p.held[0].until {
+		return
+	}
+	p.came = false
 	p.held = slices.DeleteFunc(p.held, func(h *heldAnswer) bool {
 		if p.fill(h, false) && p.low.now < h.until {
 			return false
@@ -283,6 +289,9 @@
 // passed hands on what the upper side is to do.
 func (p *Parent) passed(actions []Action) {
 	for _, a := range actions {
+		if _, ok := a.(Settled); ok {
+			p.came = true
+		}
 		if _, ok := a.(Wake); !ok {
 			p.out = append(p.out, a)
 		}
--- a/budget/size_test.go
+++ b/budget/size_test.go
@@ -116,6 +116,7 @@
 // no death costs more than 4 s of grants, and a region that was cut off goes on and comes back without a wave. BUDGET_NODES and BUDGET_CONTROL
 // play other sizes; docs/budgets.md has the figures of 5,700 and 32.
 func TestATreeOfASize(t *testing.T) {
+	t.Parallel()
 	size := func(name string, n int) int {
 		if v, err := strconv.Atoi(os.Getenv(name)); err == nil {
 			return v
