--- a/budget/keeper.go
+++ b/budget/keeper.go
@@ -95,14 +95,9 @@
 	}
 }
 
-// reserved is what of a budget is granted, or has ended, and may still be felt. What is felt no more is forgotten.
+// reserved is what of a budget is granted, or has ended, and may still be felt.
 func (b *Budgets) reserved(id ID) (n int) {
-	for len(b.grants) > 0 && b.grants[0].until <= b.now {
-		g := heap.Pop(&b.grants).(*granted)
-		delete(b.numbered, g.no)
-		b.pool(g.id).reserved -= g.n
-		b.spare(g.id)
-	}
+	b.expire()
 	if p := b.pools[id]; p != nil {
 		n = p.reserved
 	}
@@ -174,8 +169,15 @@
 	return cmp.Or(cmp.Compare(e.until, x.until), cmp.Compare(e.node, x.node))
 }
 
-// expire has promises count no more that end before a grant of now may be felt no more, and forgets those that are past.
+// expire has promises count no more that end before a grant of now may be felt no more, and forgets those that are past, and grants that are felt no
+// more.
 func (b *Budgets) expire() {
+	for len(b.grants) > 0 && b.grants[0].until <= b.now {
+		g := heap.Pop(&b.grants).(*granted)
+		delete(b.numbered, g.no)
+		b.pool(g.id).reserved -= g.n
+		b.spare(g.id)
+	}
 	for ; b.lapsed < len(b.promises) && b.promises[b.lapsed].until < b.now+b.set.horizon(); b.lapsed++ {
 		e := b.promises[b.lapsed]
 		if f := b.followers[e.node]; f.counts {
--- a/budget/parent.go
+++ b/budget/parent.go
@@ -165,6 +165,8 @@
 	}
 	p.next()
 	p.settle()
+	p.low.forget()
+	p.low.expire()
 	p.out = append(p.out, Wake{After: max(p.due()-p.low.now, time.Millisecond)})
 	return p.out
 }
--- a/budget/parent_test.go
+++ b/budget/parent_test.go
@@ -340,3 +340,34 @@
 		t.Errorf("%d held of one node", held)
 	}
 }
+
+// Guards against a control machine that remembers every customer that any node ever asked for, on either level.
+func TestAControlMachineForgetsBudgetsOfARule(t *testing.T) {
+	set := Settings{Nodes: 10, Floor: 0.5, Window: time.Second, Term: 250 * time.Millisecond, Beat: 400 * time.Millisecond}
+	above := set
+	above.Nodes = 1
+	p := NewParent(set, New(above, 1, 0), 2, 0)
+	p.Rules(1, Rule{Whole: 10, Window: time.Second})
+	now, granted := 10*time.Second, 0
+	for i := range 3000 {
+		now += 10 * time.Millisecond
+		for _, a := range p.HeardBelow(now, i%10, Word{Boot: 5, Seq: uint64(i + 1), Wants: []Amount{{ID: ID{Kind: 1, Of: uint64(i)}, N: 1}}}) {
+			if w, ok := a.(Tell); ok {
+				granted += len(w.Word.Grants)
+			}
+		}
+		if i%40 == 0 {
+			p.Tick(now)
+		}
+	}
+	if granted < 2000 {
+		t.Fatalf("%d granted", granted)
+	}
+	for range 20 {
+		now += set.Beat
+		p.Tick(now)
+	}
+	if low, up, pools := len(p.low.specs), len(p.up.specs), len(p.low.pools)+len(p.up.pools); low > 50 || up > 50 || pools > 100 {
+		t.Errorf("%d and %d are remembered, and %d sums", low, up, pools)
+	}
+}
