--- a/budget/parent_test.go
+++ b/budget/parent_test.go
@@ -117,7 +117,7 @@
 // has a grant from each says of the one's, to the other, nothing.
 func TestWhatBecameOfAGrantIsToldToWhoGaveIt(t *testing.T) {
 	id := ID{Kind: 1, Of: 3}
-	set := Settings{Nodes: 3, Floor: 0, Window: time.Second, Term: time.Second, Beat: 400 * time.Millisecond, Keepers: 2}
+	set := Settings{Nodes: 3, Floor: 0, Window: time.Second, Term: 1500 * time.Millisecond, Beat: 400 * time.Millisecond, Keepers: 2}
 	b := New(set, 7, 0)
 	b.Rules(1, Rule{Whole: 10, Window: time.Second})
 	now := 10 * time.Second
@@ -144,7 +144,7 @@
 	}
 	// The first is silent; the second is followed while the grant is not used up, and gives others.
 	var told []Word
-	for range 12 {
+	for range 20 {
 		now += 200 * time.Millisecond
 		out := b.Tick(now)
 		for _, a := range out {
