Tests of budgets run beside each other

Seen: under the race detector package budget took over 290 s on an idle machine, of the 600 s that go test allows; its tests ran one after the other but for those of the tree. What is explored and asserted is the same.

--- a/budget/model_test.go
+++ b/budget/model_test.go
@@ -309,16 +309,20 @@
 // Every state that two, three and four nodes can reach within some ticks of restarts, pauses, cuts, held and repeated words. Two
 // wrong variants are found out in so few ticks and faults; the adversary in world_test.go finds all.
 func TestEveryReachableStateKeepsTheWhole(t *testing.T) {
+	t.Parallel()
 	rule, kept := &Rule{Whole: 2, Window: tick}, &Rule{Whole: 2, Window: tick, Keeps: true}
 	for _, e := range []explored{{2, 2, 4, 2, nil, 0}, {3, 2, 3, 2, nil, 0}, {4, 2, 2, 2, nil, 0}, {2, 2, 4, 2, rule, 0}, {3, 2, 2, 2, rule, 0},
 		{2, 2, 4, 2, kept, 0}, {3, 2, 2, 2, kept, 0}, {2, 2, 1, 1, nil, noRestAfterStart}, {3, 2, 3, 1, nil, detectorTrusted}} {
-		trace, states := check(e)
-		if (trace != nil) != (e.wrong != 0) {
-			t.Errorf("%+v, rule %+v: over the whole by %q", e, e.rule, trace)
-		}
-		t.Logf("%+v, rule %+v: %d states", e, e.rule, states)
-		if e.wrong == 0 && states < 1000 {
-			t.Errorf("%+v: only %d states", e, states)
-		}
+		t.Run(fmt.Sprintf("%+v, rule %+v", e, e.rule), func(t *testing.T) {
+			t.Parallel()
+			trace, states := check(e)
+			if (trace != nil) != (e.wrong != 0) {
+				t.Errorf("over the whole by %q", trace)
+			}
+			t.Logf("%d states", states)
+			if e.wrong == 0 && states < 1000 {
+				t.Errorf("only %d states", states)
+			}
+		})
 	}
 }
--- a/budget/size_test.go
+++ b/budget/size_test.go
@@ -229,6 +229,7 @@
 
 // The same traffic in a flat group.
 func TestAFlatGroupOfASize(t *testing.T) {
+	t.Parallel()
 	nodes, whole := 60, 400
 	if v, err := strconv.Atoi(os.Getenv("BUDGET_FLAT")); err == nil {
 		nodes = v
--- a/budget/tree_test.go
+++ b/budget/tree_test.go
@@ -424,6 +424,7 @@
 
 // The same adversary finds each wrong variant of the two levels out.
 func TestWrongVariantsOfATreeAreCaught(t *testing.T) {
+	t.Parallel()
 	for name, c := range map[string]struct {
 		wrong flaw
 		from  uint64 // the first seed: the days before it show nothing, and take time
@@ -449,6 +450,7 @@
 // While words flow one node that asks gets nearly all but what other nodes own, and so it is divided anew after each change: a control
 // machine's death costs the time to notice, the upper keeper's no more than in a flat group.
 func TestTheWholeReachesWhoAsksThroughControlMachines(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct {
 		name          string
 		parents, kids int
--- a/budget/treemodel_test.go
+++ b/budget/treemodel_test.go
@@ -286,6 +286,7 @@
 
 // Every state that control machines and their nodes can reach within some ticks of restarts, pauses, cuts, held and repeated words.
 func TestEveryReachableStateOfATreeKeepsTheWhole(t *testing.T) {
+	t.Parallel()
 	rule, kept := &Rule{Whole: 2, Window: tick}, &Rule{Whole: 2, Window: tick, Keeps: true}
 	for _, e := range []exploredTree{{1, 2, 2, 3, 1, 0, tick, nil, 0}, {2, 2, 2, 3, 1, 0.5, tick, nil, 0}, {2, 2, 2, 2, 2, 0.5, tick, nil, 0}, {2, 2, 2, 2, 2, 0.5, 3 * tick, rule, 0}, {2, 2, 2, 2, 2, 0.5, tick, kept, 0},
 		{2, 1, 2, 3, 2, 0, 2 * tick, rule, 0}, {2, 2, 2, 3, 1, 0, 4 * tick, nil, 0}, {1, 2, 2, 2, 2, 1, tick, nil, 0},
--- a/budget/world_test.go
+++ b/budget/world_test.go
@@ -292,6 +292,7 @@
 
 // Never more than the whole in any window, or standing at once, whatever the adversary does.
 func TestNoAdversaryGetsMoreThanTheWhole(t *testing.T) {
+	t.Parallel()
 	for name, c := range map[string]struct {
 		days, least, full int // enough to prove something: spent on a day, days on which the whole was reached
 		play              func(uint64, flaw) (*world, string)
@@ -315,6 +316,7 @@
 
 // The same adversary finds each wrong variant out.
 func TestWrongVariantsAreCaught(t *testing.T) {
+	t.Parallel()
 	for name, wrong := range map[string]flaw{"no rest after a start": noRestAfterStart, "a term from the receipt": termFromReceipt,
 		"a term by the wall clock": termByWallClock, "a window's spends given away": windowGivenAway,
 		"the detector trusted": detectorTrusted, "repeated grants counted twice": repeatsCounted, "promises to two": promisesToTwo,
@@ -338,6 +340,7 @@
 
 // While words flow, one node that asks gets nearly all, and so it is divided anew after each change within five seconds.
 func TestTheWholeReachesWhoAsks(t *testing.T) {
+	t.Parallel()
 	rules := map[string]*Rule{"by a rule": {Whole: 10, Window: 2 * time.Second}, "floors are kept": {Whole: 10, Window: 2 * time.Second, Keeps: true}}
 	for _, c := range []struct {
 		name   string
@@ -419,6 +422,7 @@
 
 // Guards against a node that remembers every customer that ever came: budgets of a rule are forgotten when nothing of them is felt.
 func TestBudgetsOfARuleAreForgotten(t *testing.T) {
+	t.Parallel()
 	b := New(Settings{Nodes: 1, Floor: 1, Window: time.Second, Term: time.Second, Beat: 400 * time.Millisecond}, 1, 0)
 	b.Rules(5, Rule{Whole: 3, Window: time.Second, Keeps: true})
 	now := 10 * time.Second
@@ -437,6 +441,7 @@
 
 // While words flow the whole stands at whoever asks, nothing that stands is ended, and a keeper's crash ends nothing either.
 func TestWhatStandsOutlivesItsKeeper(t *testing.T) {
+	t.Parallel()
 	// Two thirds of a lease are more than it takes to follow another.
 	w := newWorld(5, 8, 0.5, 20, 0, &Rule{Whole: 20, Window: 200 * time.Millisecond, Lease: 15 * time.Second})
 	w.life = 1000 * time.Hour
