Log lines are written in the background; a broken pipe ends nothing

Cause: serve built zap's logger on standard error, so that whoever logged waited for the pipe (exchange.sideDone under its lock, the loop itself), and SIGPIPE kept its default action for descriptor 2. SIGPIPE is ignored. Ruled out: zap's BufferedWriteSyncer (flushes in the caller).

--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -10,7 +10,9 @@
 	"syscall"
 
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 
+	"brassmux/internal/asynclog"
 	"brassmux/node"
 )
 
@@ -20,6 +22,7 @@
 	defer stop()
 	asked := make(chan os.Signal, 8)
 	signal.Notify(asked, syscall.SIGHUP, syscall.SIGUSR1) // before all else: unheeded, either ends the program
+	signal.Ignore(syscall.SIGPIPE)                        // a log collector that has gone must not end the program
 	cfg, err := node.Load(getenv)
 	if err != nil {
 		return err
@@ -31,7 +34,10 @@
 			return fmt.Errorf("LB_LOG: %w", err)
 		}
 	}
-	log, err := logs.Build(zap.WithCaller(false))
+	lines := asynclog.New(os.Stderr, queuedLines, droppedLines)
+	log, err := logs.Build(zap.WithCaller(false), zap.WrapCore(func(zapcore.Core) zapcore.Core {
+		return zapcore.NewCore(zapcore.NewJSONEncoder(logs.EncoderConfig), lines, logs.Level)
+	}))
 	if err != nil {
 		return err
 	}
@@ -44,7 +50,7 @@
 	go func() {
 		for what := range asked {
 			if what == syscall.SIGUSR1 {
-				log.Info("counters", n.Counters()...)
+				log.Info("counters", append(n.Counters(), zap.Int64("log_lines_dropped", lines.Dropped()))...)
 				continue
 			}
 			cfg, err := node.LoadAgain(getenv)
@@ -59,6 +65,14 @@
 	return n.Run(ctx)
 }
 
+// queuedLines bounds the log lines that wait for the collector: a few megabytes at the most.
+const queuedLines = 8192
+
+// droppedLines is the log line that tells of lines that were lost.
+func droppedLines(dropped int64) []byte {
+	return fmt.Appendf(nil, `{"level":"warn","msg":"log lines were dropped","lines":%d}`+"\n", dropped)
+}
+
 // check names every fault of a configuration file.
 func check(path string, out io.Writer) error {
 	cfg, err := node.Load(func(key string) string {
