--- a/balance/state_test.go
+++ b/balance/state_test.go
@@ -144,3 +144,39 @@
 		t.Error("set aside for longer than any server is")
 	}
 }
+
+// The two processes of a node may have begun under different wall clocks: what one remembers of the past is as old for the other.
+func TestClocksOfTwoProcessesMayDiffer(t *testing.T) {
+	for _, off := range []time.Duration{0, 2 * time.Second, 30 * time.Second, time.Hour, -2 * time.Second, -30 * time.Second, -time.Hour} {
+		t.Run(off.String(), func(t *testing.T) {
+			set := site()
+			set.Connections = 400
+			n := newNode(set, ready(1, 2, 3)...)
+			n.now += 2 * time.Hour
+			cold := Server{ID: 4, State: Ready, Weight: 1, UpSince: n.now - time.Second}
+			n.do(Members{Kind: ListChanges, Servers: []Server{cold}})
+			id, home := n.stand("safe", "client")
+			n.end(id, home)
+			n.shun(n.servers[1])
+			memory := n.Memory(n.now)
+			next := &node{Balancer: New(set, 8), now: n.now + off, next: 1}
+			next.do(Members{Kind: ListCached, Servers: append(ready(1, 2, 3), cold)})
+			next.Restore(next.now, memory)
+			if _, s := next.stand("safe", "client"); s != home {
+				t.Errorf("the client goes to %d, not %d", s, home)
+			}
+			if got := next.Avoided(next.now); got != 1 {
+				t.Errorf("%d servers set aside, not 1", got)
+			}
+			if next.now += lately + time.Millisecond; next.Avoided(next.now) != 0 {
+				t.Error("a server is set aside for longer than by the process before")
+			}
+			if !next.cold(next.servers[4]) {
+				t.Error("a server in slow start counts as warm")
+			}
+			if next.now += set.ColdFor; next.cold(next.servers[4]) {
+				t.Error("a server is in slow start for longer than by the process before")
+			}
+		})
+	}
+}
--- a/lab/rig/rig_test.go
+++ b/lab/rig/rig_test.go
@@ -347,3 +347,12 @@
 		t.Errorf("%+v, %d up: nothing is proved", r.Back, r.Totals["up"])
 	}
 }
+
+// A scenario may name more nodes than it is played with.
+func TestANodeThatIsNotThereIsAnError(t *testing.T) {
+	out, err := exec.Command(binary, "lab", "rig", "faults", "--nodes", "5").CombinedOutput()
+	exit, ok := err.(*exec.ExitError)
+	if !ok || exit.ExitCode() != 2 || !strings.Contains(string(out), "faults: events[7].nodes: 5 is not 0 to 4") {
+		t.Errorf("got %v, %q", err, out)
+	}
+}
--- /dev/null
+++ b/node/clock_test.go
@@ -0,0 +1,97 @@
+package node
+
+import (
+	"fmt"
+	"math"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// coldSite is a site of four servers that are in slow start for 20 s, in which they bear little.
+const (
+	coldQuota    = 40.0
+	coldFrom     = 0.05
+	coldFor      = 20 * time.Second
+	fallMultiple = 3.0
+	fallWindow   = time.Second
+)
+
+func coldSite(c *Config) {
+	c.Settings.Rules.ColdFrom, c.Settings.Rules.Cold = coldFrom, coldFor.Microseconds()
+	c.Settings.Rules.FallMultiple, c.Settings.Rules.Fall = fallMultiple, fallWindow.Microseconds()
+	c.Settings.Family.Quotas = []float64{coldQuota}
+}
+
+// bears is the most that one of servers may get in a window at an age: N, and what the operators let come by chance beside it.
+func bears(servers int, age time.Duration) float64 {
+	share := min(coldFrom+(1-coldFrom)*age.Seconds()/coldFor.Seconds(), 1)
+	n := coldQuota / coldFor.Seconds() * fallMultiple * fallWindow.Seconds() / float64(servers) * share
+	return n + 3*math.Sqrt(n) + 3
+}
+
+// takeAll has a host answer every request, and counts them.
+func takeAll(t *testing.T, h *host) (count *atomic.Int64) {
+	count = &atomic.Int64{}
+	ended := make(chan struct{})
+	t.Cleanup(func() { close(ended) })
+	go func() {
+		for {
+			select {
+			case w := <-h.conns:
+				<-h.first
+				count.Add(1)
+				fmt.Fprint(w, "UP r\r\n")
+			case <-ended:
+				return
+			}
+		}
+	}()
+	return count
+}
+
+// entrySince is entryJSON with a start.
+func (h *host) entrySince(state string, started time.Time) string {
+	return fmt.Sprintf(`{"id":%q,"addr":%q,"zone":"a","state":%q,"weight":1,"started_ms":%d}`, h.id, h.addr, state, started.UnixMilli())
+}
+
+// clockSteps are by how much a machine's wall clock may be off.
+var clockSteps = []time.Duration{0, 2 * time.Second, 30 * time.Second, time.Hour, -2 * time.Second, -30 * time.Second, -time.Hour}
+
+// A server that starts anew while a node runs is in slow start for it, however wrong the wall clock was when the node began.
+func TestAServerInSlowStartIsSparedWhateverTheWallClockSaidAtTheStart(t *testing.T) {
+	for _, off := range clockSteps {
+		t.Run(off.String(), func(t *testing.T) {
+			t.Parallel()
+			hosts := []*host{newHost(t, "s-1"), newHost(t, "s-2"), newHost(t, "s-3"), newHost(t, "s-4")}
+			n := start(t, func(c *Config) {
+				coldSite(c)
+				c.Lab.ClockOff = off.Milliseconds()
+			}, hosts...)
+			var counts []*atomic.Int64
+			all := []string{}
+			for _, h := range hosts {
+				counts = append(counts, takeAll(t, h))
+				all = append(all, h.entryJSON("up"))
+			}
+			n.list.change(2, true, all...)
+			n.until("the list", func() bool { return n.counter("list_changes") == 1 })
+			begun := time.Now()
+			n.list.change(3, false, hosts[3].entrySince("up", begun))
+			n.until("the new start", func() bool { return n.counter("list_changes") == 2 })
+			before := counts[3].Load()
+			for i := range 150 {
+				client := n.open(fmt.Sprintf("k%d", i), "")
+				client.line() // whatever the answer is
+				client.Close()
+			}
+			got, windows := float64(counts[3].Load()-before), math.Ceil(time.Since(begun).Seconds()/fallWindow.Seconds())
+			if most := bears(len(hosts), time.Since(begun)) * windows; got > most {
+				t.Errorf("the server that has just started got %v of 150 requests, %.1f is the most", got, most)
+			}
+			if others := counts[0].Load() + counts[1].Load() + counts[2].Load(); others < 75 {
+				t.Errorf("the others got %d of 150 requests", others)
+			}
+		})
+	}
+}
