A server's age in slow start no longer rests on one reading of one wall clock

Cause: loop.now is the wall clock at the process's start plus steady time, and cold() compared it with started_ms, so that a clock an hour ahead made every restarted server warm for the process's life; Memory told the next process absolute times of this one's clock. Change: balance/starts.go settles when a server may have started at the latest, by the youngest reading of this machine's clock, by the list service's Date, and by when the watch last told that nothing had changed; never younger than the news. Memory carries its own time, and Restore moves all times by the difference; it also tells starts. leases.wholes had the same sum a second time and asks the module now. Tests changed: the one of two clocks looked at the module's time before any event had told it (the last check failed with equal clocks too); the test of a lasting window tells the list by listed(), as the module must know of it now.

--- a/balance/api.go
+++ b/balance/api.go
@@ -1,5 +1,6 @@
 // Package balance decides where connections go. This file is its interface: settings, events
-// and actions in the terms of the domain. Every decision is in balance.go.
+// and actions in the terms of the domain. The decisions are in balance.go, starts.go (servers in slow start) and table.go (which
+// server a client had).
 //
 // The package does no I/O and keeps no clock. Times are durations since one fixed moment that
 // the caller chooses, the same for every instance that is told of the same servers.
@@ -70,7 +71,7 @@
 	Connections  float64       // open at once on all servers, that these are to bear; 0 means unknown
 
 	LeftMargin   time.Duration // by which a request's Left may be off, either way; answers may be that much later
-	StartError   time.Duration // by which a server's UpSince may be off, either way
+	StartError   time.Duration // by which a server's UpSince may be off, either way, besides what Clock tells
 	OnlyDraining bool          // only a listed Draining binds: who is Gone without it may still be sent to
 }
 
@@ -146,6 +147,9 @@
 	Kind    ListKind
 	Servers []Server
 	Took    time.Duration // with ListFailed: how long the call waited at the service; 0 where none came up, or it told a list
+
+	// Unchanged is until when the list was surely as this instance had it: what is new lies after it. 0 where that is not known.
+	Unchanged time.Duration
 }
 
 // ListKind tells how a Members event is to be read.
@@ -169,6 +173,10 @@
 	Again bool          // the client was here before: a repeat, or back after a break
 }
 
+// Clock tells that this instance's time may be ahead of the wall clock by which servers' starts are listed. The most that was
+// told so counts.
+type Clock struct{ Ahead time.Duration }
+
 // Opened is a connection that stood already when this node started; Attempt 0 made it.
 type Opened struct {
 	Request
@@ -254,6 +262,7 @@
 type Leaving struct{ Server ServerID }
 
 func (Members) event()  {}
+func (Clock) event()    {}
 func (Request) event()  {}
 func (Opened) event()   {}
 func (Left) event()     {}
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -48,6 +48,7 @@
 	requests        map[RequestID]*request
 	orders          map[string][]*server // rankings, until the list changes
 	table           table
+	starts          starts
 	open            int           // connections held, attempts included
 	watched         bool          // a timer for watch is out
 	rate            float64       // new connections a second
@@ -67,10 +68,8 @@
 	held                  map[RequestID]*request // connections, attempts included
 	since, signs, unseen  int                    // came since its last report, handed over so; times shunned
 	score, told           float64                // in the ranking at hand; load last told its keeper
-	turn                  float64                // this node's among the nodes, from 0 to 1, while it is cold
-	sent                  []time.Duration        // what it got meanwhile from here
-	rest, aside, late     time.Duration          // none while cold, none at all before; last late message
-	started               time.Duration          // surely by then, as UpSince may be off
+	start                 *start                 // its last one; nil before it is listed
+	aside, late           time.Duration          // none before; last late message
 	lateBy                float64                // what that message took over what it should take at most
 	unlisted              bool                   // no list names it any more, but none had it drain
 	reportedLoad          float64                // its last report: work asked of it over what it can do
@@ -120,8 +119,9 @@
 	set.MaxOpen = cmp.Or(max(set.MaxOpen, 0), 1<<20) // a bound of its own
 	b := &Balancer{set: set, rng: rand.New(rand.NewPCG(seed, 0)),
 		servers: map[ServerID]*server{}, requests: map[RequestID]*request{}, orders: map[string][]*server{},
-		table: table{bound: set.MaxOpen, entries: map[string]*entry{}},
-		boots: map[int]uint8{}, boot: uint8(1 + seed%64), full: 1, group: easyLoad, old: math.MaxInt64,
+		table:  table{bound: set.MaxOpen, entries: map[string]*entry{}},
+		starts: starts{all: map[ServerID]*start{}, off: set.StartError},
+		boots:  map[int]uint8{}, boot: uint8(1 + seed%64), full: 1, group: easyLoad, old: math.MaxInt64,
 	}
 	if set.TellsLate {
 		b.full, b.group = fullLoad, groupLoad
@@ -152,6 +152,8 @@
 		}
 	case Slow:
 		b.slow(ev)
+	case Clock:
+		b.starts.clockAhead(ev.Ahead)
 	case Timer:
 		if ev.Token == timerSubscribe {
 			b.out = append(b.out, Subscribe{})
@@ -292,12 +294,11 @@
 			b.gone(s)
 			continue
 		} else if e.UpSince != s.UpSince {
-			s.turn, s.sent, s.aside, s.signs, s.started = b.turn(e), nil, 0, 0, e.UpSince
-			if b.set.StartError > 0 { // guards against a wrong start: who is listed so was there by then
-				s.started = min(e.UpSince+b.set.StartError, b.now)
-			}
+			s.aside, s.signs = 0, 0
+			s.start = b.starts.listed(e, ev.Unchanged, b.now)
+			s.start.turn = b.turn(e)
 			if ev.Kind == ListCached { // this node may have sent it some before it restarted itself
-				s.rest = b.now + b.set.FallWindow
+				s.start.rest = b.now + b.set.FallWindow
 			}
 		}
 		s.Server, s.Weight, s.unlisted = e, cmp.Or(max(e.Weight, 0), 1), false
@@ -336,6 +337,7 @@
 			delete(b.servers, id)
 		}
 	}
+	b.starts.forget(b.servers)
 	slices.SortFunc(b.ready, func(x, y *server) int { return cmp.Compare(x.ID, y.ID) })
 }
 
@@ -346,11 +348,6 @@
 	}
 }
 
-func (b *Balancer) turn(e Server) float64 { // guards against nodes that send a cold one none, or all at once
-	h := xxhash.Sum64(binary.LittleEndian.AppendUint64(nil, uint64(e.ID)^uint64(e.UpSince)))
-	return math.Mod(float64(b.set.Index)/float64(b.set.Nodes)+float64(h>>11)/(1<<53), 1)
-}
-
 func (b *Balancer) admit(ev Request) *request {
 	more := ev.Left + b.set.LeftMargin // guards against clocks that take a request's time
 	left := max(ev.Left, min(more, cmp.Or(b.set.Classes[ev.Class].Deadline, more)))
@@ -404,7 +401,7 @@
 		}
 	}
 	if b.cold(s) && (b.set.Parts == nil || !b.set.Parts.Spend(s.ID)) {
-		s.sent = append(s.sent, b.now)
+		s.start.sent = append(s.start.sent, b.now)
 	}
 	b.start(r, s)
 	b.out = append(b.out, Attempt{ID: r.ID, Server: s.ID, Timeout: timeout, Within: within})
@@ -473,8 +470,6 @@
 	return append(first, slices.DeleteFunc(slices.Clone(order), func(s *server) bool { return !past(s) })...)
 }
 
-func (b *Balancer) cold(s *server) bool { return s.UpSince > 0 && b.now < s.started+b.set.ColdFor }
-
 // behind guards against clients sent to who serves nobody in time though it reports room: work is piled up,
 // it stands still, or the way there is slow. They would be dropped, and without them it may catch up.
 func (b *Balancer) behind(s *server) bool { return s.lateBy > 1 && b.now < s.late+lately }
@@ -607,22 +602,6 @@
 	return class.Effect == Keyed && near && b.now < first.sent+class.Window
 }
 
-// spend guards against a cold server pushed over: in a window all nodes together send what it surely bears
-// and one more at most: each has its part of that, and those whose turn it is have the fractions.
-func (b *Balancer) spend(r *request, s *server) bool {
-	if b.set.Parts != nil {
-		left := b.set.Parts.Left(s.ID)
-		return left > 0 || left < 0 && r.asks < asksMost-1 // else it went to one of the others blind
-	}
-	b.learnRate(0)
-	age := float64(b.now-s.started-b.set.FallWindow/2) / float64(b.set.ColdFor) // the mean
-	share := b.set.ColdFrom + (1-b.set.ColdFrom)*min(max(age, 0), 1)
-	rate := cmp.Or(b.set.Connections/float64(b.set.Nodes)/max(b.set.ColdFor.Seconds(), 1), b.rate)
-	part := rate * share * b.set.FallMultiple * b.set.FallWindow.Seconds() / float64(max(len(b.ready), 1))
-	s.sent = slices.DeleteFunc(s.sent, func(at time.Duration) bool { return at <= b.now-b.set.FallWindow })
-	return b.now >= s.rest && float64(len(s.sent)) < math.Floor(part+s.turn)
-}
-
 func (b *Balancer) learnRate(n float64) {
 	since := min(b.now-b.rated, rateMemory).Seconds()
 	b.rate, b.rated = b.rate+(n-b.rate*since)/rateMemory.Seconds(), b.now
@@ -737,59 +716,3 @@
 		delete(b.requests, r.ID)
 	}
 }
-
-type table struct {
-	bound   int
-	entries map[string]*entry
-	ended   []entry // as they were, oldest first; those held again or dropped since do not count
-}
-
-type entry struct {
-	key            string
-	server         *server
-	held           int // connections and attempts that hold it
-	upSince, until time.Duration
-}
-
-func (t *table) server(key string) *server {
-	e := t.entries[key]
-	if e != nil && e.server.State == Ready && e.server.UpSince == e.upSince {
-		return e.server
-	}
-	t.drop(e)
-	return nil
-}
-
-func (t *table) hold(key string, s *server) *entry {
-	if key == "" {
-		return nil
-	}
-	e := cmp.Or(t.entries[key], &entry{key: key})
-	t.entries[key] = e
-	e.server, e.upSince, e.held = s, s.UpSince, e.held+1
-	return e
-}
-
-func (t *table) release(e *entry, now time.Duration) {
-	if e != nil {
-		if e.held--; e.held == 0 {
-			e.until = now + afterEnd
-			t.ended = append(t.ended, *e)
-		}
-	}
-}
-
-func (t *table) expire(now time.Duration) {
-	for len(t.ended) > 0 && (t.ended[0].until <= now || len(t.entries) >= t.bound) {
-		if e := t.entries[t.ended[0].key]; e != nil && *e == t.ended[0] {
-			t.drop(e)
-		}
-		t.ended = t.ended[1:]
-	}
-}
-
-func (t *table) drop(e *entry) {
-	if e != nil && t.entries[e.key] == e {
-		delete(t.entries, e.key)
-	}
-}
--- a/balance/fleet_test.go
+++ b/balance/fleet_test.go
@@ -242,13 +242,13 @@
 	n := fleet(set, 1)[0]
 	cold := Server{ID: 1, State: Ready, Weight: 1, UpSince: n.now - 2*time.Second}
 	n.do(Members{Kind: ListCached, Servers: []Server{cold}})
-	if s := n.servers[1]; s.rest != n.now+set.FallWindow {
-		t.Errorf("rests for %v, not for a window", s.rest-n.now)
+	if s := n.servers[1]; s.start.rest != n.now+set.FallWindow {
+		t.Errorf("rests for %v, not for a window", s.start.rest-n.now)
 	}
 	cold.ID = 2
 	n.do(Members{Kind: ListChanges, Servers: []Server{cold}})
-	if s := n.servers[2]; s.rest > n.now {
-		t.Errorf("told of a start, it rests for %v", s.rest-n.now)
+	if s := n.servers[2]; s.start.rest > n.now {
+		t.Errorf("told of a start, it rests for %v", s.start.rest-n.now)
 	}
 	if !slices.ContainsFunc(n.ready, func(s *server) bool { return s.ID == 2 }) {
 		t.Error("not ready")
--- a/balance/state.go
+++ b/balance/state.go
@@ -20,6 +20,7 @@
 // Memory is what one process of a node tells the next: what it has learned and what it has spent. Connections
 // that stand are not in it; the next process is told of each as Opened.
 type Memory struct {
+	Now     time.Duration `json:"now"` // of the process that tells it: the next one's clock may differ. 0 from one that does not say
 	Rate    float64       `json:"rate"`
 	Rated   time.Duration `json:"rated"`
 	Servers []Learned     `json:"servers"`
@@ -35,6 +36,9 @@
 	Load    float64       `json:"load"`
 	Loaded  time.Duration `json:"loaded"`
 	Since   int           `json:"since"` // connections that came after that report
+
+	Started time.Duration `json:"started"` // the latest moment at which it may have started
+	Told    time.Duration `json:"told"`    // when that start was first heard of; 0 for not
 }
 
 // Remembered is a client's entry in the table.
@@ -48,11 +52,14 @@
 // Memory gives what the next process of this node needs to go on.
 func (b *Balancer) Memory(now time.Duration) (state Memory) {
 	b.learnRate(0)
-	state.Rate, state.Rated = b.rate, b.rated
+	state.Now, state.Rate, state.Rated = now, b.rate, b.rated
 	for _, id := range slices.Sorted(maps.Keys(b.servers)) {
 		s := b.servers[id]
-		state.Servers = append(state.Servers, Learned{ID: id, UpSince: s.UpSince,
-			Aside: s.aside, Signs: s.signs, Load: s.reportedLoad, Loaded: s.loaded, Since: s.since})
+		l := Learned{ID: id, UpSince: s.UpSince, Aside: s.aside, Signs: s.signs, Load: s.reportedLoad, Loaded: s.loaded, Since: s.since}
+		if s.UpSince > 0 {
+			l.Started, l.Told = s.start.at, s.start.told
+		}
+		state.Servers = append(state.Servers, l)
 	}
 	for _, key := range slices.Sorted(maps.Keys(b.table.entries)) {
 		e := b.table.entries[key]
@@ -69,6 +76,7 @@
 // a clock that is ahead, is left out: it may only make this process more careful than an empty one, or remember more.
 func (b *Balancer) Restore(now time.Duration, state Memory) {
 	b.now = max(b.now, now)
+	state.shift(now)
 	if state.Rate >= 0 && state.Rated <= now {
 		b.rate, b.rated = state.Rate, state.Rated
 	}
@@ -77,6 +85,9 @@
 		if s == nil || s.UpSince != l.UpSince {
 			continue
 		}
+		if s.UpSince > 0 && l.Told <= now {
+			b.starts.learned(s.start, l.Started, l.Told)
+		}
 		s.aside, s.signs = min(l.Aside, now+lately<<signsMost), min(max(l.Signs, 0), signsMost)
 		if l.Loaded <= now && l.Load >= 0 {
 			s.reportedLoad, s.loaded, s.unseen = l.Load, max(l.Loaded, 0), max(l.Since, 0)
@@ -96,6 +107,30 @@
 	}
 }
 
+// shift makes times of another process's clock times of this one's, by which it is now.
+func (m *Memory) shift(now time.Duration) {
+	if m.Now == 0 {
+		return
+	}
+	by := now - m.Now
+	move := func(at *time.Duration) {
+		if *at > 0 { // 0 is no time
+			*at = max(*at+by, 1)
+		}
+	}
+	move(&m.Rated)
+	for i := range m.Servers {
+		l := &m.Servers[i]
+		for _, at := range []*time.Duration{&l.Aside, &l.Loaded, &l.Started, &l.Told} {
+			move(at)
+		}
+	}
+	for i := range m.Clients {
+		move(&m.Clients[i].Until)
+	}
+	m.Now = now
+}
+
 // Relieved tells whether another process of this node goes on with the cold budgets: from then on this one sends
 // cold servers nothing, so that no budget is spent twice. That process may fail, and not be there any more.
 type Relieved struct{ By bool }
@@ -117,8 +152,6 @@
 		}
 	case Relieved:
 		b.relieved = ev.By
-		for _, s := range b.servers { // the other may have sent some before it failed
-			s.rest = b.now + b.set.FallWindow
-		}
+		b.starts.rest(b.now + b.set.FallWindow) // the other may have sent some before it failed
 	}
 }
--- a/balance/state_test.go
+++ b/balance/state_test.go
@@ -174,7 +174,8 @@
 			if !next.cold(next.servers[4]) {
 				t.Error("a server in slow start counts as warm")
 			}
-			if next.now += set.ColdFor; next.cold(next.servers[4]) {
+			next.now += set.ColdFor
+			if next.do(Timer{Token: 99999}); next.cold(next.servers[4]) { // the event brings the new time
 				t.Error("a server is in slow start for longer than by the process before")
 			}
 		})
--- a/internal/cli/rig.go
+++ b/internal/cli/rig.go
@@ -37,7 +37,9 @@
 					return err // nothing has started
 				}
 				if nodes > 0 {
-					s.Nodes = nodes
+					if err := s.SetNodes(nodes); err != nil {
+						return err
+					}
 				}
 				scenarios = append(scenarios, s)
 			}
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -21,7 +21,7 @@
 }
 
 func (a asking) Watch(ctx context.Context, since int64, change func(*List)) error {
-	return a.Client.Watch(ctx, a.addr, since, time.Time{}, Hearer{change, func() {}, func() {}})
+	return a.Client.Watch(ctx, a.addr, since, time.Time{}, Hearer{List: change, Live: func() {}, Quiet: func() {}})
 }
 
 // serve is a discovery that answers by a function.
@@ -126,8 +126,8 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		ended := make(chan error, 1)
 		go func() {
-			ended <- c.Client.Watch(ctx, c.addr, 0, time.Time{}, Hearer{func(l *List) { heard <- fmt.Sprint(l.Version) },
-				func() { heard <- "live" }, func() { heard <- "quiet" }})
+			ended <- c.Client.Watch(ctx, c.addr, 0, time.Time{}, Hearer{List: func(l *List) { heard <- fmt.Sprint(l.Version) },
+				Live: func() { heard <- "live" }, Quiet: func() { heard <- "quiet" }})
 		}()
 		var got []string
 		for len(got) < 4 {
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -81,7 +81,8 @@
 	conn  atomic.Pointer[net.UDPConn]
 	known atomic.Pointer[known]
 	queue chan letter
-	last  atomic.Int64 // when a strange word was last logged
+	began time.Time
+	last  atomic.Int64 // the second since began in which a strange word was last logged, counted from 1
 	Count Counts
 }
 
@@ -126,7 +127,7 @@
 
 // New takes the address.
 func New(cfg Config, log *zap.Logger) (*Conn, error) {
-	c := &Conn{cfg: cfg, log: log, queue: make(chan letter, waitMost)}
+	c := &Conn{cfg: cfg, log: log, began: time.Now(), queue: make(chan letter, waitMost)}
 	if err := c.Replace(cfg.Nodes); err != nil {
 		return nil, err
 	}
@@ -299,7 +300,7 @@
 
 // strange logs once a second at the most.
 func (c *Conn) strange(what string, addr netip.AddrPort) {
-	now := time.Now().Unix()
+	now := int64(time.Since(c.began)/time.Second) + 1 // not the wall clock, which may be set back
 	if c.last.Swap(now) != now {
 		c.log.Warn(what, zap.Stringer("addr", addr))
 	}
--- a/lab/rig/scenario.go
+++ b/lab/rig/scenario.go
@@ -136,6 +136,11 @@
 	return append(near, far...)
 }
 
+// missing is the place of the first node that an event names and that is not there; -1 where all are.
+func (s *Scenario) missing(e Event) int {
+	return slices.IndexFunc(e.Nodes, func(n int) bool { return n < 0 || n >= s.Nodes+s.Control })
+}
+
 var kinds = []string{"kill", "stop", "pause", "twin", "split", "link", "replace_servers", "crash_servers", "hang_servers", "list_down", "list_stuck"}
 
 //go:embed scenarios/*.toml
@@ -150,6 +155,16 @@
 	return s, scenario.Load(kept, name, s)
 }
 
+// SetNodes plays the scenario with another number of nodes. An error names the scenario and the key that does not fit it, such as
+// an event about a node that is not there.
+func (s *Scenario) SetNodes(nodes int) error {
+	s.Nodes = nodes
+	if err := s.Check(); err != nil {
+		return fmt.Errorf("%s: %w", s.Name, err)
+	}
+	return nil
+}
+
 // Check names the first key that is faulty.
 func (s *Scenario) Check() error {
 	c, v := s.Clients, s.Server
@@ -206,8 +221,8 @@
 			return fmt.Errorf("events[%d].steps: must be 0 or more", i)
 		case e.For < 0 || e.Over < 0 || e.Delay < 0:
 			return fmt.Errorf("events[%d]: times must be 0 or more", i)
-		case slices.ContainsFunc(e.Nodes, func(n int) bool { return n < 0 || n >= s.Nodes+s.Control }):
-			return fmt.Errorf("events[%d].nodes: must be 0 to %d", i, s.Nodes+s.Control-1)
+		case s.missing(e) >= 0:
+			return fmt.Errorf("events[%d].nodes: %d is not 0 to %d", i, e.Nodes[s.missing(e)], s.Nodes+s.Control-1)
 		case e.Of != "" && (e.Of != "control" || s.Control == 0):
 			return fmt.Errorf("events[%d].of: %q is not control, of which there are %d", i, e.Of, s.Control)
 		case odds > 1 || min(e.Lose, e.Twice, e.Late) < 0:
--- a/node/clock_test.go
+++ b/node/clock_test.go
@@ -58,40 +58,98 @@
 // clockSteps are by how much a machine's wall clock may be off.
 var clockSteps = []time.Duration{0, 2 * time.Second, 30 * time.Second, time.Hour, -2 * time.Second, -30 * time.Second, -time.Hour}
 
+// sparing plays a node with four servers, of which the fourth starts anew, and checks that this one gets no more than it bears.
+// Before that, at says what happens; the node's configuration is changed first.
+type sparing struct {
+	change  func(*Config)
+	undated bool // the list service tells no Date
+	known   bool // the start stands in the list that the node begins with
+	before  func(n *running)
+}
+
+func (s sparing) play(t *testing.T) {
+	t.Helper()
+	hosts := []*host{newHost(t, "s-1"), newHost(t, "s-2"), newHost(t, "s-3"), newHost(t, "s-4")}
+	var counts []*atomic.Int64
+	all := []string{}
+	for _, h := range hosts {
+		counts = append(counts, takeAll(t, h))
+		all = append(all, h.entryJSON("up"))
+	}
+	list := newLister(t, 0)
+	list.undated = s.undated
+	cfg := config(t, list, hosts...)
+	coldSite(&cfg)
+	begun := time.Now()
+	if s.known {
+		cfg.Known.Servers[3].Started = begun.UnixMilli()
+		all[3] = hosts[3].entrySince("up", begun)
+	}
+	if s.change != nil {
+		s.change(&cfg)
+	}
+	n := run(t, cfg, list)
+	list.change(2, true, all...)
+	n.until("the list", func() bool { return n.counter("list_changes") == 1 })
+	if s.before != nil {
+		s.before(n)
+	}
+	if !s.known {
+		begun = time.Now()
+	}
+	list.change(3, false, hosts[3].entrySince("up", begun))
+	n.until("the new start", func() bool { return n.counter("list_changes") == 2 })
+	for i := range 150 {
+		client := n.open(fmt.Sprintf("k%d", i), "")
+		client.line() // whatever the answer is
+		client.Close()
+	}
+	got, windows := float64(counts[3].Load()), math.Ceil(time.Since(begun).Seconds()/fallWindow.Seconds())
+	if most := bears(len(hosts), time.Since(begun)) * windows; got > most {
+		t.Errorf("the server that has just started got %v of 150 requests, %.1f is the most", got, most)
+	}
+	if others := counts[0].Load() + counts[1].Load() + counts[2].Load(); others < 75 {
+		t.Errorf("the others got %d of 150 requests", others)
+	}
+}
+
 // A server that starts anew while a node runs is in slow start for it, however wrong the wall clock was when the node began.
 func TestAServerInSlowStartIsSparedWhateverTheWallClockSaidAtTheStart(t *testing.T) {
 	for _, off := range clockSteps {
 		t.Run(off.String(), func(t *testing.T) {
 			t.Parallel()
-			hosts := []*host{newHost(t, "s-1"), newHost(t, "s-2"), newHost(t, "s-3"), newHost(t, "s-4")}
-			n := start(t, func(c *Config) {
-				coldSite(c)
-				c.Lab.ClockOff = off.Milliseconds()
-			}, hosts...)
-			var counts []*atomic.Int64
-			all := []string{}
-			for _, h := range hosts {
-				counts = append(counts, takeAll(t, h))
-				all = append(all, h.entryJSON("up"))
-			}
-			n.list.change(2, true, all...)
-			n.until("the list", func() bool { return n.counter("list_changes") == 1 })
-			begun := time.Now()
-			n.list.change(3, false, hosts[3].entrySince("up", begun))
-			n.until("the new start", func() bool { return n.counter("list_changes") == 2 })
-			before := counts[3].Load()
-			for i := range 150 {
-				client := n.open(fmt.Sprintf("k%d", i), "")
-				client.line() // whatever the answer is
-				client.Close()
-			}
-			got, windows := float64(counts[3].Load()-before), math.Ceil(time.Since(begun).Seconds()/fallWindow.Seconds())
-			if most := bears(len(hosts), time.Since(begun)) * windows; got > most {
-				t.Errorf("the server that has just started got %v of 150 requests, %.1f is the most", got, most)
-			}
-			if others := counts[0].Load() + counts[1].Load() + counts[2].Load(); others < 75 {
-				t.Errorf("the others got %d of 150 requests", others)
+			change := func(c *Config) { c.Lab.ClockOff = off.Milliseconds() }
+			sparing{change: change}.play(t)
+			sparing{change: change, undated: true}.play(t)
+			sparing{change: change, known: true}.play(t) // the Date of the list's answer is what tells
+		})
+	}
+}
+
+// Steps of the wall clock while a node runs change nothing, whichever reading was the right one.
+func TestAServerInSlowStartIsSparedWhateverTheWallClockDoesMeanwhile(t *testing.T) {
+	for _, off := range clockSteps {
+		t.Run(off.String(), func(t *testing.T) {
+			t.Parallel()
+			for name, first := range map[string]time.Duration{"right before": 0, "right since": off} {
+				var wall atomic.Int64 // by how much it is off
+				wall.Store(int64(first))
+				sparing{undated: true, change: func(c *Config) {
+					c.Lab.Wall = func() time.Time { return time.Now().Add(time.Duration(wall.Load())) }
+				}, before: func(*running) { wall.Store(int64(off - first)) }}.play(t)
+				if t.Failed() {
+					t.Fatal(name)
+				}
 			}
 		})
 	}
 }
+
+// A clock that was ahead when the node began, and is set right later, is evidence about the servers that were known before, too.
+func TestAStepBackTellsOfServersThatWereTakenForWarm(t *testing.T) {
+	var wall atomic.Int64
+	wall.Store(int64(time.Hour))
+	sparing{undated: true, known: true, change: func(c *Config) {
+		c.Lab.Wall = func() time.Time { return time.Now().Add(time.Duration(wall.Load())) }
+	}, before: func(*running) { wall.Store(0) }}.play(t)
+}
--- a/node/config.go
+++ b/node/config.go
@@ -79,6 +79,7 @@
 	ClockOff  int64 `json:"clock_off_ms"` // by which this process takes the wall clock to be off
 	TellLists bool  `json:"tell_lists"`   // each list that is in force is a line of the log, "list in force" with its version
 
+	Wall func() time.Time                                                  `json:"-"` // the machine's wall clock; nil for the real one
 	Link func(to netip.AddrPort) (after time.Duration, ok bool)            `json:"-"` // holds back a datagram to another node, or loses it; nil for neither
 	Dial func(ctx context.Context, network, addr string) (net.Conn, error) `json:"-"` // to the list service; nil for the program's own way
 }
--- a/node/leases.go
+++ b/node/leases.go
@@ -85,11 +85,10 @@
 	within  time.Duration                  // an attempt is on its way so long after its decision at the latest; windows are longer by it
 	call    time.Duration                  // and so long a call for the list
 	ids     map[balance.ServerID]budget.ID // of servers that are cold
-	starts  map[balance.ServerID]time.Duration
-	seen    map[balance.ServerID]int64  // the start under which a server was first listed
-	past    map[budget.ID]time.Duration // when to forget budgets that are in use no more: one may come again while its window lasts
-	wants   bool                        // a want is to go out
-	wake    time.Duration               // when a timer is due
+	seen    map[balance.ServerID]int64     // the start under which a server was first listed
+	past    map[budget.ID]time.Duration    // when to forget budgets that are in use no more: one may come again while its window lasts
+	wants   bool                           // a want is to go out
+	wake    time.Duration                  // when a timer is due
 	said    budget.State
 	some    bool // said that there are children
 
@@ -131,7 +130,7 @@
 		group = b
 	}
 	s := &leases{set: *set, within: within, call: call, waiting: map[budget.ID][]waiting{}, stands: map[balance.RequestID]budget.ID{}, past: map[budget.ID]time.Duration{}, seen: map[balance.ServerID]int64{},
-		ids: map[balance.ServerID]budget.ID{}, starts: map[balance.ServerID]time.Duration{}, budgets: budget.New(group, boot, 0), homes: map[int]homes{}}
+		ids: map[balance.ServerID]budget.ID{}, budgets: budget.New(group, boot, 0), homes: map[int]homes{}}
 	if s.divider = s.budgets; cfg.Peers.Children != "" {
 		s.parent = budget.NewParent(b, s.budgets, boot, 0)
 		s.divider = s.parent
@@ -336,8 +335,7 @@
 		if _, ok := s.seen[id]; !ok {
 			s.seen[id] = e.Started
 		}
-		since := time.Duration(e.Started) * time.Millisecond
-		if e.State != "up" || since <= 0 {
+		if e.State != "up" || e.Started <= 0 {
 			continue
 		}
 		key := budget.ID{Kind: coldBudget, Of: uint64(id), Since: e.Started}
@@ -345,30 +343,23 @@
 		if known && before != key {
 			s.past[before] = steady + 2*s.budgets.Window()
 		}
-		start := since
-		if set.StartError > 0 { // guards against a wrong start: who is listed so was there by then
-			start = min(since+set.StartError, now)
-			if known && before == key {
-				start = s.starts[id]
-			}
-		}
+		start := l.decide.Started(id)
 		if now >= start+set.ColdFor {
 			continue
 		}
-		s.ids[id], s.starts[id] = key, start
+		s.ids[id] = key
 		delete(s.past, key)
 		full, least := set.Bears(ready), 1
 		if s.seen[id] != e.Started { // it is back under its name
 			full, least = full*balance.BearsUntold, 0
 		}
 		s.divider.Define(steady, budget.Spec{ID: key, Least: least, From: set.ColdFrom,
-			Start: start - time.Duration(l.wall.UnixNano()) + set.FallWindow/2, For: set.ColdFor, Full: full, Window: set.FallWindow + s.within})
+			Start: start - l.origin + set.FallWindow/2, For: set.ColdFor, Full: full, Window: set.FallWindow + s.within})
 	}
 	for id, key := range s.ids {
-		if e, ok := l.servers[id]; !ok || e.State != "up" || now >= s.starts[id]+set.ColdFor {
+		if e, ok := l.servers[id]; !ok || e.State != "up" || now >= l.decide.Started(id)+set.ColdFor {
 			s.past[key] = steady + 2*s.budgets.Window()
 			delete(s.ids, id)
-			delete(s.starts, id)
 		}
 	}
 	for key, at := range s.past {
@@ -379,9 +370,6 @@
 	}
 }
 
-// steady is the time by which leases go: it does not jump, whatever the wall clock does.
-func (l *loop) steady() time.Duration { return time.Since(l.wall) + l.clockOff }
-
 // lease does what is due with time: the wholes grow as servers warm up.
 func (l *loop) lease() {
 	if l.leases != nil {
--- a/node/leases_test.go
+++ b/node/leases_test.go
@@ -37,8 +37,7 @@
 	s := discovery.Server{ID: 7, Addr: "127.0.0.1:4", State: "up", Started: time.Now().Add(-time.Second).UnixMilli()}
 	list := func(state string) {
 		s.State = state
-		l.addresses(&discovery.List{Servers: []discovery.Server{s}})
-		l.wholes()
+		l.listed(&discovery.List{Servers: []discovery.Server{s}})
 	}
 	list("up")
 	part := l.leases.Left(7)
--- a/node/loop.go
+++ b/node/loop.go
@@ -29,17 +29,18 @@
 
 // loop owns the decisions: one goroutine tells them what happens and does what they say.
 type loop struct {
-	log          *zap.Logger
-	trace        bool // each event and action is logged
-	tellLists    bool // each list in force is
-	decide       *balance.Balancer
-	back         *backend.Client
-	list         *discovery.Client
-	events       chan func()     // run by the loop's goroutine
-	ctx          context.Context // ends with the loop
-	wall         time.Time       // the moment that times count from is Unix time 0; this one carries the steady clock
-	clockOff     time.Duration
-	leases       *leases // what may be sent to cold servers, where nodes share it out; nil where each has its fixed part
+	log       *zap.Logger
+	trace     bool // each event and action is logged
+	tellLists bool // each list in force is
+	decide    *balance.Balancer
+	back      *backend.Client
+	list      *discovery.Client
+	events    chan func()     // run by the loop's goroutine
+	ctx       context.Context // ends with the loop
+	clock
+	ahead        time.Duration // by which the clock may be ahead of those by which servers' starts are listed, as the decisions know
+	unchanged    time.Time     // until then the list was as it is held; the zero time where that is not known
+	leases       *leases       // what may be sent to cold servers, where nodes share it out; nil where each has its fixed part
 	pushed       bool
 	onlyDraining bool          // a server that no list names may still take clients
 	drain        time.Duration // a server that drains has it to send its clients away itself
@@ -75,15 +76,15 @@
 	set.Talks = false     // no way to other nodes is built
 	set.TellsLate = false // no server sends such notes on sockets, and an echo may come at once whatever the load
 	dial := settings.Microseconds(cfg.Settings.Ceilings.DialTimeout) * listDials
-	wall := time.Now().Add(ms(cfg.Lab.ClockOff)) // it moves what time.Since gives too: see now and steady
+	clock := newClock(&cfg.Lab)
 	var leases *leases
 	if cfg.Budgets.Lease {
-		leases = newLeases(cfg, &set, uint64(wall.UnixNano())^seed)
+		leases = newLeases(cfg, &set, uint64(clock.origin)^seed)
 		set.Parts = leases
 	}
-	l := &loop{ctx: ctx, leases: leases, clockOff: ms(cfg.Lab.ClockOff), log: log,
+	l := &loop{ctx: ctx, leases: leases, clock: clock, log: log,
 		trace: log.Core().Enabled(zap.DebugLevel), decide: balance.New(set, seed), events: make(chan func(), queue),
-		wall: wall, pushed: set.Pushed, onlyDraining: set.OnlyDraining, drain: ms(cfg.Times.Drain), aim: shortestAim(set),
+		pushed: set.Pushed, onlyDraining: set.OnlyDraining, drain: ms(cfg.Times.Drain), aim: shortestAim(set),
 		version: cfg.Known.Version, known: cfg.Known.Members(balance.ListCached),
 		list: discovery.New(dial, ms(cfg.Times.Watch), cfg.source()), asked: cfg.Discovery,
 		servers: map[balance.ServerID]discovery.Server{}, draining: map[balance.ServerID]bool{},
@@ -108,11 +109,6 @@
 	return l
 }
 
-// now counts from Unix time 0, as the list's start times do, on the steady clock.
-func (l *loop) now() time.Duration {
-	return time.Duration(l.wall.UnixNano()) + time.Since(l.wall) + l.clockOff
-}
-
 func (l *loop) run(k *learned) {
 	l.restore(k)
 	l.handle(l.known)
@@ -540,6 +536,7 @@
 	lives  bool // it has said something
 	failed bool // its end or silence has been told
 	end    context.CancelFunc
+	same   atomic.Pointer[time.Time] // when it last said that nothing has changed
 }
 
 func (w *watch) stop() {
@@ -570,7 +567,13 @@
 	go func() {
 		err := l.list.Watch(ctx, w.addr, w.since, by, discovery.Hearer{
 			List: func(list *discovery.List) { tell(func() { l.told(w, list) }) },
-			Live: func() { tell(func() { l.live(w) }) }, Quiet: func() { tell(func() { l.unheard(w, errSilent) }) }})
+			Live: func() { tell(func() { l.live(w) }) }, Quiet: func() { tell(func() { l.unheard(w, errSilent) }) },
+			Same: func(at time.Time) { w.same.Store(&at) },
+			Dated: func(date, asked, answered time.Time) {
+				if by := l.aheadOf(date, asked, answered); by > 0 {
+					tell(func() { l.clockAhead(by, "list service") })
+				}
+			}})
 		end()
 		tell(func() {
 			l.unheard(w, err)
@@ -587,6 +590,7 @@
 // another one it takes the list. The list held is told of again: where nothing has changed since, the watch may say no more than empty lines.
 func (l *loop) live(w *watch) {
 	w.lives = true
+	l.lookAtWallClock()
 	if w == l.heard && w.addr == l.asked && w.since > 0 {
 		l.handle(balance.Members{Kind: balance.ListChanges})
 	}
@@ -608,13 +612,18 @@
 		l.hearOne()
 	}
 	if w.addr != l.asked { // it may count its versions otherwise, and be old: it can only take servers away any more
-		list.Full = false
+		list.Full, list.Unchanged = false, time.Time{}
 		list.Servers = slices.DeleteFunc(list.Servers, func(s discovery.Server) bool { return s.State == "up" })
 	} else if list.Version < l.version && w.since < l.version {
 		return
 	} else {
 		l.version = list.Version
+		if list.Unchanged.IsZero() {
+			list.Unchanged = l.unchanged
+		}
+		l.unchanged = list.Heard
 	}
+	l.lookAtWallClock()
 	l.listed(list)
 	if l.tellLists {
 		l.log.Info("list in force", zap.Int64("version", list.Version))
@@ -628,6 +637,9 @@
 	}
 	l.log.Warn("the watch on the server list broke", zap.String("discovery", w.addr), zap.Error(err))
 	w.failed, l.watching = true, false
+	if same := w.same.Load(); same != nil && w.addr == l.asked && same.After(l.unchanged) {
+		l.unchanged = *same
+	}
 	if !l.pushed { // where lists are pushed it may say at its return what counts as told then; else nothing more
 		w.stop()
 	}
@@ -649,7 +661,7 @@
 		return
 	}
 	l.log.Info("another discovery is asked", zap.String("discovery", addr))
-	l.asked, l.version, l.watching = addr, 0, false
+	l.asked, l.version, l.watching, l.unchanged = addr, 0, false, time.Time{}
 	l.handle(balance.Members{Kind: balance.ListBroken}) // what failed at the old one slows no retry at this one
 	l.subscribe()
 	l.flush()
@@ -661,12 +673,14 @@
 		clear(l.draining)
 	}
 	l.addresses(list)
-	l.wholes()
 	kind := balance.ListChanges
 	if list.Full {
 		kind = balance.ListFull
 	}
-	l.handle(list.Members(kind))
+	members := list.Members(kind)
+	members.Unchanged = l.at(list.Unchanged)
+	l.handle(members)
+	l.wholes()
 	l.recheck()
 	for _, s := range list.Servers {
 		if s.State == "draining" {
--- a/node/standins_test.go
+++ b/node/standins_test.go
@@ -185,6 +185,7 @@
 	fails   int
 	waits   time.Duration // of a call that fails, before it is told so
 	answers int           // calls that are answered; 0 for all
+	undated bool          // answers have no Date
 	calls   int
 	after   string // what the last call named as the version held
 	cut     func() // breaks all watches
@@ -204,6 +205,9 @@
 		d.after = r.URL.Query().Get("since")
 		fail := d.calls <= d.fails
 		mute, waits := d.answers > 0 && d.calls > d.answers, d.waits
+		if d.undated {
+			w.Header()["Date"] = nil
+		}
 		d.mu.Unlock()
 		if mute {
 			<-r.Context().Done()
