Accept that fails for a moment, a server that breaks after its last word: failing tests

Seen: (1) one ENOBUFS, ENOMEM, EPROTO or ENETDOWN from accept ends the second address for the life of the process, as net/http goes on only after errors that call themselves temporary (EMFILE, ENFILE, ECONNABORTED...). (2) While a process that was told to stop is short of descriptors for 0.2 s, all 20 connections that the machine had accepted are reset with their requests. (3) A server that says BYE or MOVE and closes over a message of its client's sends a reset behind it (any close with unread bytes does); the node resets its client in turn, which may cost it the last word.

--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -7,8 +7,10 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -215,3 +217,42 @@
 		t.Errorf("%d callers", s.Count.Callers.Load())
 	}
 }
+
+// failing is a listener whose first accepts fail, as where the system is short of something for a moment.
+type failing struct {
+	net.Listener
+	errs []error
+}
+
+func (f *failing) Accept() (net.Conn, error) {
+	if len(f.errs) > 0 {
+		err := f.errs[0]
+		f.errs = f.errs[1:]
+		return nil, &net.OpError{Op: "accept", Net: "tcp", Err: os.NewSyscallError("accept4", err)}
+	}
+	return f.Listener.Accept()
+}
+
+// Whatever accept may fail with for a moment, by its page in the manual, the second address answers on.
+func TestAcceptMayFailForAMoment(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	n := &stand{}
+	n.ready.Store(true)
+	s := New(n, Limits{Places: 4, Call: time.Second}, zap.NewNop())
+	done := make(chan struct{})
+	go func() {
+		s.Serve(&failing{l, []error{syscall.ECONNABORTED, syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EPROTO,
+			syscall.EPERM, syscall.ENETDOWN, syscall.EHOSTUNREACH, syscall.ENETUNREACH, syscall.ETIMEDOUT, syscall.EINTR}})
+		close(done)
+	}()
+	t.Cleanup(func() {
+		s.Close()
+		<-done
+	})
+	if status, body, _ := call(t, l.Addr().String(), "GET", "/control/ready"); status != http.StatusOK {
+		t.Errorf("got %d, %q", status, body)
+	}
+}
--- a/internal/frontend/frontend_test.go
+++ b/internal/frontend/frontend_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"io"
 	"net"
+	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -70,3 +72,41 @@
 		}
 	}
 }
+
+// The process is short of descriptors just as it is told to take no more: those that the machine has accepted are taken
+// once there are some again.
+func TestTheLastConnectionsAreTakenWhereAcceptFailsForAWhile(t *testing.T) {
+	s, l, dial := front(t, 30)
+	var clients []func() string
+	for i := range 20 {
+		clients = append(clients, dial(fmt.Sprintf("OPEN %d k c=x,d=5000\r\n", i)))
+	}
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
+		t.Fatal(err)
+	}
+	restore := sync.OnceFunc(func() { syscall.Setrlimit(syscall.RLIMIT_NOFILE, &limit) })
+	t.Cleanup(restore)
+	few := limit
+	few.Cur = 3 // no further one can be opened
+	if err := syscall.Setrlimit(syscall.RLIMIT_NOFILE, &few); err != nil {
+		t.Fatal(err)
+	}
+	served := make(chan struct{})
+	go func() {
+		s.Serve(context.Background(), l)
+		close(served)
+	}()
+	s.Last(l)
+	select {
+	case <-served:
+	case <-time.After(2 * lastMost):
+	}
+	restore()
+	for i, hear := range clients {
+		if got := hear(); got != "BUSY\r\n<nil>" {
+			t.Errorf("client %d got %q", i, got)
+		}
+	}
+	<-served
+}
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -82,6 +82,18 @@
 			server.reset()
 			client.end(syscall.ECONNRESET)
 		}, "server_broke"},
+		"the server breaks after its last word": {func(client, server *wire) { // as where it closes over a message of the client's
+			server.say("BYE\r\n")
+			server.reset()
+			client.hear("BYE\r\n")
+			client.end(io.EOF)
+		}, "server_ended"},
+		"the server breaks after it has sent the client away": {func(client, server *wire) {
+			server.say("MOVE\r\n")
+			server.reset()
+			client.hear("MOVE\r\n")
+			client.end(io.EOF)
+		}, "server_moved"},
 		"a line over the bound from the client": {func(client, server *wire) {
 			go io.WriteString(client.TCPConn, strings.Repeat("x", 5000))
 			server.end(syscall.ECONNRESET)
