Accept goes on past any error; nothing takes a server's last word back

Causes: admin.door handed accept's errors to net/http, which ends at all that do not call themselves temporary; frontend.Serve counted the 0.2 s for the last connections while accept failed, and closed the listener over those that waited; exchange.serverEnds reset the client at any error of the server's side, also behind a last word. Changes: the door accepts until its listener is closed, errors are counted (admin_accept_errors); the time for the last connections begins again after a failure, until the process ends; behind a last word any end is an end in order. Ruled out: net/http's own retry covers ECONNABORTED, EMFILE and ENFILE only.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"log"
 	"net"
@@ -46,8 +47,8 @@
 	Call   time.Duration // a whole call must come within it, and the answer be read within as much
 }
 
-// Counts counts the callers, those with a whole call, and those that made way for others.
-type Counts struct{ Callers, Calls, MadeWay atomic.Int64 }
+// Counts counts the callers, those with a whole call, those that made way for others, and failures to accept one.
+type Counts struct{ Callers, Calls, MadeWay, AcceptErrors atomic.Int64 }
 
 // Server answers calls.
 type Server struct {
@@ -165,10 +166,26 @@
 	server *Server
 }
 
+// acceptPause is how long accepting rests after it has failed, as when descriptors run out.
+const acceptPause = 10 * time.Millisecond
+
+// accept waits for a caller, also past errors: whatever it fails with may be over in a moment, and the HTTP server would end for
+// good at those that do not call themselves temporary.
+func (d *door) accept() (net.Conn, error) {
+	for {
+		c, err := d.Listener.Accept()
+		if err == nil || errors.Is(err, net.ErrClosed) {
+			return c, err
+		}
+		d.server.Count.AcceptErrors.Add(1)
+		time.Sleep(acceptPause)
+	}
+}
+
 // Accept guards against callers that say nothing, or half of something, and keep whole calls out: when the places are full,
 // the longest without a whole call makes way.
 func (d *door) Accept() (net.Conn, error) {
-	c, err := d.Listener.Accept()
+	c, err := d.accept()
 	if err != nil {
 		return nil, err
 	}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -581,8 +581,9 @@
 		why = LineTooLong
 	}
 	x.because(why)
+	said := !x.lastWord.IsZero() // a break behind it, as of a close over unread bytes, must not take it back at the client
 	x.mu.Unlock()
-	if err == io.EOF {
+	if err == io.EOF || said {
 		if rest := x.server.Rest(); len(rest) > 0 {
 			x.client.Write(rest)
 		}
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -79,44 +79,26 @@
 // Last has Serve take the connections that the machine has accepted already, close the listener and return: guards against
 // requests that are taken and lost with it.
 func (s *Server) Last(l *net.TCPListener) {
-	until := time.Now().Add(lastMost)
-	s.last.Store(&until)
+	s.lastWithin(lastMost)
 	l.SetDeadline(time.Unix(1, 0)) // Serve may be waiting for one
 }
 
-// Serve accepts clients until the listener is closed, or until after Last no more come.
+func (s *Server) lastWithin(d time.Duration) {
+	until := time.Now().Add(d)
+	s.last.Store(&until)
+}
+
+// errNoMore tells that after Last no more connections come.
+var errNoMore = errors.New("no more connections come")
+
+// Serve accepts clients until the listener is closed, until after Last no more come, or until ctx ends while accepting fails.
 func (s *Server) Serve(ctx context.Context, l *net.TCPListener) {
-	lulls := 0
-	for failing := false; ; {
-		if until := s.last.Load(); until != nil {
-			if time.Now().After(*until) {
-				l.Close()
-				return
-			}
-			l.SetDeadline(time.Now().Add(quiet))
-		}
-		c, err := l.AcceptTCP()
-		if errors.Is(err, net.ErrClosed) {
+	defer l.Close()
+	for {
+		c, err := s.accept(ctx, l)
+		if err != nil {
 			return
-		} else if errors.Is(err, os.ErrDeadlineExceeded) {
-			if lulls++; lulls > 2 { // the first is Last's own
-				l.Close()
-				return
-			}
-			continue
-		} else if err != nil {
-			s.Count.AcceptErrors.Add(1)
-			if !failing { // one line for each time that it starts
-				s.log.Warn("clients cannot be accepted", zap.Error(err))
-			}
-			failing = true
-			select {
-			case <-ctx.Done():
-			case <-time.After(acceptPause):
-			}
-			continue
 		}
-		failing, lulls = false, 0
 		s.Count.Accepted.Add(1)
 		select {
 		case s.door <- struct{}{}:
@@ -130,6 +112,44 @@
 	}
 }
 
+// accept waits for a connection. An error means that none is to be waited for any more.
+func (s *Server) accept(ctx context.Context, l *net.TCPListener) (*net.TCPConn, error) {
+	lulls, failing := 0, false
+	for {
+		if until := s.last.Load(); until != nil {
+			if time.Now().After(*until) {
+				return nil, errNoMore
+			}
+			l.SetDeadline(time.Now().Add(quiet))
+		}
+		c, err := l.AcceptTCP()
+		switch {
+		case err == nil:
+			return c, nil
+		case errors.Is(err, net.ErrClosed):
+			return nil, err
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			if lulls++; lulls > 2 { // the first is Last's own
+				return nil, errNoMore
+			}
+			continue
+		}
+		s.Count.AcceptErrors.Add(1)
+		if !failing { // one line for each time that it starts
+			s.log.Warn("clients cannot be accepted", zap.Error(err))
+		}
+		failing = true
+		if s.last.Load() != nil { // those that wait have their time once they can be accepted
+			s.lastWithin(lastMost)
+		}
+		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-time.After(acceptPause):
+		}
+	}
+}
+
 // hurry has the longer half of those at the door go soon.
 func (s *Server) hurry() {
 	s.mu.Lock()
--- a/node/node.go
+++ b/node/node.go
@@ -342,6 +342,7 @@
 		add("admin_callers", n.admin.Count.Callers.Load())
 		add("admin_calls", n.admin.Count.Calls.Load())
 		add("admin_made_way", n.admin.Count.MadeWay.Load())
+		add("admin_accept_errors", n.admin.Count.AcceptErrors.Load())
 	}
 	n.loop.leases.counters(add)
 	for i, name := range outcomes {
