--- /dev/null
+++ b/lab/rig/nodes.go
@@ -0,0 +1,185 @@
+package rig
+
+import (
+	"brassmux/lab/emulator"
+	"brassmux/lab/process"
+	"fmt"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+)
+
+// node is a place among the nodes, through the starts of its processes.
+type node struct {
+	index     int
+	now       *process.Process
+	second    *process.Process // under the same name
+	began     time.Time        // this start, until it had word of the list
+	back      time.Time        // when the list service was back, until it had word of it
+	disturbed time.Time        // since when the rig does something to it; the zero time for not
+}
+
+func (r *rig) config(n *node, clock time.Duration) map[string]any {
+	v, c := r.s.Server, r.s.Clients
+	version, known := r.list.Known(n.index)
+	up := []emulator.Entry{}
+	if r.s.List.Unknown {
+		version, known = 0, nil
+	}
+	for _, e := range known {
+		if e.State == "up" {
+			up = append(up, e)
+		}
+	}
+	r.mu.Lock()
+	seed := fmt.Sprintf("%016x", r.rng.Uint64())
+	r.mu.Unlock()
+	us := func(d Dur) int64 { return time.Duration(d).Microseconds() }
+	cfg := map[string]any{"name": fmt.Sprintf("n%d", n.index), "listen": "127.0.0.1:0", "discovery": r.list.Addr(), "seed": seed, "source": emulator.Source(n.index).String(),
+		"limits": map[string]any{"cores": 1, "sockets": 4096},
+		"known":  map[string]any{"version": version, "full": true, "servers": up},
+		"settings": map[string]any{"balancers": max(r.s.Nodes, r.s.Fleet), "index": n.index, "tick_us": 5000, "membership_mode": "on_request",
+			"ceilings": map[string]any{"dial_timeout_us": 200000, "keepalive_us": 5000000, "max_open": 2000, "max_retry_after_us": 1000000,
+				"may_probe": true, "retry_after": true, "send_cap": 3, "peers": r.s.Budgets.Lease},
+			"classes":     []any{map[string]any{"name": "c", "effect": "read_like", "deadline_us": us(c.Deadline)}},
+			"family_info": map[string]any{"message_aim_us": []float64{300000}, "tenant_quota_connections": []float64{r.connections()}},
+			"report":      map[string]any{"fields": []string{"x0"}, "via": "probe"},
+			"rules": map[string]any{"start_error_us": r.clockError().Microseconds(), "cold_from": v.ColdFrom, "cold_us": us(v.ColdFor), "fall_multiple": v.FallMultiple,
+				"fall_us": us(v.FallWindow)}}}
+	if clock != 0 {
+		cfg["lab"] = map[string]any{"clock_off_ms": clock.Milliseconds()}
+	}
+	if r.s.Budgets.Lease {
+		cfg["peers"] = r.peers(n.index)
+		cfg["budgets"] = map[string]any{"lease": true, "floor": r.s.Budgets.Floor}
+		for key, n := range r.s.Budgets.rates() {
+			cfg["budgets"].(map[string]any)[key] = n
+		}
+		cfg["budgets"].(map[string]any)["open_lease_ms"] = time.Duration(r.s.Budgets.OpenLease).Milliseconds()
+	}
+	return cfg
+}
+
+// peers are the ways between the processes as one of them is told.
+func (r *rig) peers(index int) map[string]any {
+	s, p, addrs := r.s, map[string]any{"listen": "127.0.0.1:0"}, []string{}
+	if s.Control > 0 && index < s.Nodes {
+		for _, c := range s.preference(index) {
+			addrs = append(addrs, r.below.Addr(c))
+		}
+		p["control"] = addrs
+		return p
+	}
+	for i := range s.group() {
+		addrs = append(addrs, r.words.Addr(i))
+	}
+	p["nodes"] = addrs
+	if s.Control > 0 {
+		p["children"], p["index"] = "127.0.0.1:0", index-s.Nodes
+	}
+	return p
+}
+
+// clockError is by how much any node's wall clock may be off.
+func (r *rig) clockError() (most time.Duration) {
+	for _, e := range r.s.Events {
+		most = max(most, time.Duration(e.Clock), -time.Duration(e.Clock))
+	}
+	return most
+}
+
+// dayStart stands for the event of the day's start.
+const dayStart = -1
+
+// startNode starts a process of a node, as an event has it, and returns once it serves. Its known list is the service's as it is, so what it is
+// told thereby counts as told.
+func (r *rig) startNode(event int, n *node, clock time.Duration, second bool) *process.Process {
+	if !second {
+		r.ref.Forget(n.index)
+		r.mu.Lock()
+		n.began = time.Now()
+		r.mu.Unlock()
+	}
+	cfg, begun := r.config(n, clock), time.Now()
+	for _, e := range cfg["known"].(map[string]any)["servers"].([]emulator.Entry) {
+		if e.Started > 0 {
+			r.ref.Told(n.index, e.ID, false, time.UnixMilli(e.Started), time.Now())
+		}
+	}
+	p, err := r.starter.Start(r.o.Binary, n.index, cfg, func(p *process.Process, line map[string]any) {
+		for _, kind := range []string{"peers", "children"} {
+			at, ok := line[kind].(string)
+			if !ok || line["msg"] != kind {
+				continue
+			}
+			addr, err := netip.ParseAddrPort(at)
+			switch {
+			case err != nil:
+			case r.s.Control == 0:
+				r.words.At(n.index, addr, second)
+			case n.index < r.s.Nodes || kind == "children":
+				r.below.At(n.index, addr, second)
+			default:
+				r.words.At(n.index-r.s.Nodes, addr, second)
+			}
+		}
+	})
+	if err != nil {
+		r.fail("node %d does not start: %v", n.index, err)
+		return nil
+	}
+	r.mu.Lock()
+	r.starting++
+	if r.logs = append(r.logs, p); second {
+		n.second = p
+	} else {
+		n.now = p
+	}
+	r.mu.Unlock()
+	r.work.Go(func() { r.awaitReady(event, p, begun) })
+	select {
+	case <-p.Serves:
+	case <-p.Ended:
+		r.fail("node %d ended at its start: %s", n.index, p.Of(""))
+	case <-time.After(30 * time.Second):
+		r.fail("node %d does not serve within 30 s", n.index)
+	}
+	return p
+}
+
+// disturb notes that the rig does something to a node from now on, or no more.
+func (r *rig) disturb(n *node, on bool) {
+	r.mu.Lock()
+	from := n.disturbed
+	if on && from.IsZero() {
+		n.disturbed = time.Now()
+	} else if !on {
+		n.disturbed = time.Time{}
+	}
+	r.mu.Unlock()
+	if !on && !from.IsZero() {
+		r.ref.Excuse(n.index, from, time.Now())
+	}
+}
+
+func (r *rig) process(n *node) *process.Process {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return n.now
+}
+
+func (r *rig) killAll() {
+	r.mu.Lock()
+	all := slices.Clone(r.logs)
+	r.mu.Unlock()
+	var gone sync.WaitGroup
+	for _, p := range all {
+		select {
+		case <-p.Ended:
+		default:
+			gone.Go(func() { p.Kill() })
+		}
+	}
+	gone.Wait()
+}
