Late news of a start cost nothing: chance covers a clock that may be wrong

Change: such a start has two moments, by the clocks and by the news; the part goes by the clocks, but never over what a server as young as the news takes by the operators' chance (N + 2 root N + 2, less the one that turns may add).

--- a/balance/starts.go
+++ b/balance/starts.go
@@ -20,7 +20,8 @@
 	told    time.Duration // when it was first heard of: the server runs since then at the latest
 	after   time.Duration // until then the list had no such start; 0 where that is not known
 	floor   time.Duration // the estimate of the process before this one; 0 for none
-	at      time.Duration // the latest moment at which the server may have started, by all of these
+	likely  time.Duration // when the server started by the clocks alone, never later than the news
+	at      time.Duration // the latest moment at which it may have started, by all of these
 
 	turn float64         // this node's among the nodes, from 0 to 1
 	sent []time.Duration // attempts from here, within the last window
@@ -48,13 +49,15 @@
 	return s
 }
 
-// settle works out the latest moment of a start.
+// settle works out when a server started: likely, and at the latest. The two differ where the list would have
+// told of the start before: a clock is wrong, or the news was late.
 func (t *starts) settle(s *start) {
 	estimate := s.upSince + t.ahead + t.off
-	if estimate < s.after { // it would have been told before: a clock is wrong, or the news was late
-		estimate = s.told
+	s.likely = min(max(estimate, s.floor), s.told)
+	s.at = s.likely
+	if estimate < s.after {
+		s.at = s.told
 	}
-	s.at = min(max(estimate, s.floor), s.told)
 }
 
 // clockAhead takes evidence that this instance's time is ahead of a clock.
@@ -124,14 +127,27 @@
 		return left > 0 || left < 0 && r.asks < asksMost-1 // else it went to one of the others blind
 	}
 	b.learnRate(0)
-	age := float64(b.now-s.start.at-b.set.FallWindow/2) / float64(b.set.ColdFor) // the mean
-	share := b.set.ColdFrom + (1-b.set.ColdFrom)*min(max(age, 0), 1)
 	rate := b.rate
 	if b.set.Connections > 0 {
 		rate = b.set.Connections / float64(b.set.Nodes) / max(b.set.ColdFor.Seconds(), 1)
 	}
-	part := rate * share * b.set.FallMultiple * b.set.FallWindow.Seconds() / float64(max(len(b.ready), 1))
+	full := rate * b.set.FallMultiple * b.set.FallWindow.Seconds() / float64(max(len(b.ready), 1))
+	part := full * b.share(s.start.likely)
+	if s.start.at > s.start.likely { // should a clock be wrong, chance covers the difference
+		nodes := float64(b.set.Nodes)
+		young := nodes * full * b.share(s.start.at)
+		part = min(part, (young+chance(young)-1)/nodes)
+	}
 	windowBegan := b.now - b.set.FallWindow
 	s.start.sent = slices.DeleteFunc(s.start.sent, func(at time.Duration) bool { return at <= windowBegan })
 	return b.now >= s.start.rest && float64(len(s.start.sent)) < math.Floor(part+s.start.turn)
 }
+
+// chance is what may come to a cold server in a window beyond n that it bears, by the operators' rule.
+func chance(n float64) float64 { return 2*math.Sqrt(n) + 2 }
+
+// share is the mean part of its capacity in the last window of a server that started at a moment.
+func (b *Balancer) share(started time.Duration) float64 {
+	age := float64(b.now-started-b.set.FallWindow/2) / float64(b.set.ColdFor)
+	return b.set.ColdFrom + (1-b.set.ColdFrom)*min(max(age, 0), 1)
+}
--- a/balance/world_test.go
+++ b/balance/world_test.go
@@ -294,3 +294,48 @@
 		t.Errorf("sent to %d, not to %d, which is at ease", s, second.ID)
 	}
 }
+
+// News of a start that come later than the list's last word that nothing had changed: either the clock is ahead or the news are late. By
+// the clock the server bears more; what all nodes send it stays within what one that has just started takes by chance.
+func TestLateNewsOfAStartCostNothingAndRiskNothing(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		nodes     int
+		quota     float64
+		late      time.Duration // news after the start, by the clock
+		unchanged time.Duration // the list's last word before the news
+	}{
+		{"on time", 4, 400, time.Second, 2 * time.Second},
+		{"three seconds late", 4, 400, 3 * time.Second, time.Second},
+		{"or the clock is an hour ahead", 4, 400, time.Hour, time.Second},
+		{"or the clock is an hour ahead, one node", 1, 4000, time.Hour, time.Second},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			set := site()
+			set.Nodes, set.Connections = c.nodes, c.quota
+			servers := ready(1, 2, 3, 4)
+			total := 0
+			for i := range c.nodes {
+				set.Index = i
+				n := newNode(set, servers...)
+				n.now += 2 * time.Hour
+				started := servers[3]
+				started.UpSince = n.now - c.late
+				n.do(Members{Kind: ListChanges, Servers: []Server{started}, Unchanged: n.now - c.unchanged})
+				for try := range 2000 {
+					if _, s := n.place("safe", fmt.Sprint(i, "-", try)); s == 4 {
+						total++
+					}
+				}
+			}
+			whole := set.Bears(len(servers))
+			young, old := whole*(set.ColdFrom), whole*(set.ColdFrom+(1-set.ColdFrom)*min(c.late.Seconds()/set.ColdFor.Seconds(), 1))
+			if most := min(old+1, young+chance(young)); float64(total) > most && c.late > c.unchanged || float64(total) > old+1 {
+				t.Errorf("%d sent, %.1f is the most", total, most)
+			}
+			if least := min(old, young+chance(young)-1) * 0.6; float64(total) < least {
+				t.Errorf("%d sent, %.1f would do no harm", total, least)
+			}
+		})
+	}
+}
