--- a/lab/emulator/discovery.go
+++ b/lab/emulator/discovery.go
@@ -84,6 +84,16 @@
 	return nil
 }
 
+// OpenAnother opens one more address of the same service.
+func (l *List) OpenAnother(ways Ways) (addr string, err error) {
+	ln, err := Listen(ways)
+	if err != nil {
+		return "", err
+	}
+	l.work.Go(func() { l.server.Serve(ln) })
+	return ln.Addr().String(), nil
+}
+
 // Addr is where the nodes reach it.
 func (l *List) Addr() string { return l.addr }
 
--- a/lab/emulator/server.go
+++ b/lab/emulator/server.go
@@ -15,10 +15,11 @@
 type What int
 
 const (
-	Sent     What = iota // the first line of an attempt has come whole
-	Ended                // an attempt or the connection that it became has ended, on either side
-	Probed               // PING or STATS
-	Accepted             // a connection has come up
+	Sent       What = iota // the first line of an attempt has come whole
+	Ended                  // an attempt or the connection that it became has ended, on either side
+	Probed                 // PING or STATS
+	Accepted               // a connection has come up
+	TurnedAway             // the attempt was answered BUSY: it has not run
 )
 
 // Receipt is something that a server received. Its time is the rig's one clock.
@@ -54,7 +55,10 @@
 	hang  chan struct{} // not nil while it answers nothing
 	gone  bool
 
-	Hung atomic.Int64 // lines that met it hanging
+	spoilt float64 // part of its answers that are none
+
+	Hung   atomic.Int64 // lines that met it hanging
+	Spoilt atomic.Int64 // answers that were none
 }
 
 // NewServer makes one that is not open yet.
@@ -200,6 +204,10 @@
 			stop.Stop()
 			s.open(c, in, r, drain)
 			return
+		case s.spoils():
+			s.Spoilt.Add(1)
+			spoilReport(c)
+			return
 		case words[0] == "STATS" && !drain:
 			fmt.Fprintf(c, "PONG x0=%.3f\r\n", s.Load())
 		case words[0] == "PING" && !drain:
@@ -240,8 +248,19 @@
 		r.At, r.What = time.Now(), Ended
 		s.on(r)
 	}()
-	if drain {
+	turnAway := func() {
+		turned := r
+		turned.At, turned.What = time.Now(), TurnedAway
+		s.on(turned)
 		io.WriteString(c, "BUSY\r\n")
+	}
+	if drain {
+		turnAway()
+		return
+	}
+	if s.spoils() {
+		s.Spoilt.Add(1)
+		spoilAnswer(c, in, r.Request)
 		return
 	}
 	s.mu.Lock()
@@ -250,7 +269,7 @@
 		return
 	} else if float64(len(s.held)) >= 2*float64(s.Kind.Holds)*s.Share(time.Now()) {
 		s.mu.Unlock()
-		io.WriteString(c, "BUSY\r\n")
+		turnAway()
 		return
 	}
 	s.held[c] = true
--- a/lab/process/process.go
+++ b/lab/process/process.go
@@ -25,6 +25,8 @@
 	Serves chan struct{} // closed once it takes clients
 	cmd    *exec.Cmd
 	Ready  chan struct{} // closed once it has answered PONG, by who asks it
+	config *os.File      // which the process reads again at SIGHUP
+	log    sync.Mutex    // held while nobody reads its log
 
 	mu       sync.Mutex
 	addr     string
@@ -35,6 +37,9 @@
 
 const linesMost = 400
 
+// readWithin is how long the log of a process that has ended is waited for.
+const readWithin = time.Second
+
 // Starter starts processes from one thread that lives as long as the rig, since what a child is told of its parent's death
 // hangs on the thread that made it: when the rig is killed, so are they.
 type Starter struct{ jobs chan func() }
@@ -62,31 +67,58 @@
 	return <-done
 }
 
-// Start runs the program as a node. The configuration is a file that has no name any more, so it goes with the processes.
-func (s *Starter) Start(binary string, node int, config map[string]any, heard func(p *Process, line map[string]any)) (*Process, error) {
+// Start runs the program as a node. The configuration is a file that has no name any more, so it goes with the processes. Where
+// prepare is not nil it may change the command before it is started; descriptor 3 is the configuration's.
+func (s *Starter) Start(binary string, node int, config map[string]any, prepare func(*exec.Cmd),
+	heard func(p *Process, line map[string]any)) (*Process, error) {
 	f, err := os.CreateTemp("", "rig")
 	if err != nil {
 		return nil, err
 	}
-	defer f.Close()
 	os.Remove(f.Name())
+	p, err := s.start(binary, node, f, config, prepare, heard)
+	if err != nil {
+		f.Close()
+	}
+	return p, err
+}
+
+func (s *Starter) start(binary string, node int, f *os.File, config map[string]any, prepare func(*exec.Cmd),
+	heard func(p *Process, line map[string]any)) (*Process, error) {
 	if err := json.NewEncoder(f).Encode(config); err != nil {
 		return nil, err
 	}
 	cmd := exec.Command(binary)
 	cmd.Env = []string{"LB_CONFIG=/proc/self/fd/3", "PATH=" + os.Getenv("PATH")}
 	cmd.ExtraFiles = []*os.File{f}
-	out, err := cmd.StderrPipe()
+	if prepare != nil {
+		prepare(cmd)
+	}
+	out, end, err := os.Pipe()
 	if err != nil {
 		return nil, err
 	}
-	p := &Process{Node: node, cmd: cmd, Ended: make(chan struct{}), Serves: make(chan struct{}), Ready: make(chan struct{})}
-	if err := s.Run(cmd); err != nil {
+	cmd.Stderr = end
+	p := &Process{Node: node, cmd: cmd, config: f, Ended: make(chan struct{}), Serves: make(chan struct{}), Ready: make(chan struct{})}
+	err = s.Run(cmd)
+	end.Close()
+	if err != nil {
+		out.Close()
 		return nil, err
 	}
+	read := make(chan struct{})
 	go func() {
 		p.read(out, heard)
+		out.Close()
+		close(read)
+	}()
+	go func() {
 		cmd.Wait()
+		f.Close()
+		select {
+		case <-read:
+		case <-time.After(readWithin): // nobody is to read its log now
+		}
 		p.mu.Lock()
 		p.up = false
 		p.mu.Unlock()
@@ -99,6 +131,8 @@
 	in := bufio.NewScanner(out)
 	in.Buffer(nil, 1<<20)
 	for in.Scan() {
+		p.log.Lock() // while nobody is to read it
+		p.log.Unlock()
 		var line map[string]any
 		json.Unmarshal(in.Bytes(), &line)
 		p.mu.Lock()
@@ -134,6 +168,31 @@
 // Signal sends it one.
 func (p *Process) Signal(s syscall.Signal) { p.cmd.Process.Signal(s) }
 
+// Reload gives it another configuration and sends SIGHUP.
+func (p *Process) Reload(config map[string]any) error {
+	text, err := json.Marshal(config)
+	if err != nil {
+		return err
+	}
+	if _, err := p.config.WriteAt(text, 0); err != nil {
+		return err
+	}
+	if err := p.config.Truncate(int64(len(text))); err != nil {
+		return err
+	}
+	p.Signal(syscall.SIGHUP)
+	return nil
+}
+
+// HoldLog has nobody read its log from now on, so that the pipe fills, or has it read again.
+func (p *Process) HoldLog(on bool) {
+	if on {
+		p.log.Lock()
+	} else {
+		p.log.Unlock()
+	}
+}
+
 // Stop tells it to stop. From now on it counts as no more serving, so that the front sends nobody more.
 func (p *Process) Stop() {
 	p.mu.Lock()
--- a/lab/referee/referee.go
+++ b/lab/referee/referee.go
@@ -26,6 +26,12 @@
 	Allowed func(age time.Duration) float64
 	Cold    time.Duration // a server is cold for so long
 
+	Gone time.Duration // an attempt may begin so long after its client has left, no later
+
+	// Keyed is for how long repeats of a keyed request are dropped, counted from its first attempt that may have run; those of an
+	// unsafe one never are.
+	Keyed time.Duration
+
 	Ready time.Duration // nine in ten processes that one event starts anew are ready within it; 0 means no bound
 }
 
@@ -39,6 +45,9 @@
 	Unanswered int `json:"unanswered"` // no final answer in time
 	After      int `json:"after"`      // something after the final answer
 	Twice      int `json:"twice"`      // an attempt while one was out
+	Repeated   int `json:"repeated"`   // an attempt after one that may have run, where that does its work again
+	Gone       int `json:"for_nobody"` // an attempt that began too long after its client had left
+	Held       int `json:"held"`       // a client that says no request, and was not sent away in its time
 	Late       int `json:"late_sends"` // to a server that drains or is gone, after the grace
 	Over       int `json:"over_whole"` // windows in which a cold server was sent more than the whole
 	Rates      int `json:"over_rates"` // windows in which there was more of something bounded than the whole
@@ -66,6 +75,7 @@
 	open     map[string]map[string]int // by customer and request: attempts and connections at servers
 	further  int
 	starts   map[int][]start // by event
+	held     []heldClient
 
 	// Requests whose node was disturbed, answered in time; attempts at cold servers by nodes that knew; further attempts of requests.
 	// The most connections of one customer at once, where that is bounded.
@@ -92,8 +102,21 @@
 
 type span struct{ from, to time.Time }
 
+// Effect tells what a repeated request does.
+type Effect int
+
+// Effects.
+const (
+	Safe   Effect = iota // no harm
+	Keyed                // none within a window
+	Unsafe               // its work, again
+)
+
 type request struct {
 	node     int
+	effect   Effect
+	left     time.Time // when its client left unanswered; the zero time where it did not
+	ran      time.Time // when its first attempt came that may have run
 	customer string
 	at, due  time.Time
 	answered time.Time
@@ -101,9 +124,17 @@
 
 type attempt struct {
 	server string
+	at     time.Time
 	ended  bool
 }
 
+// heldClient is a client that says no request, and was still there after its time.
+type heldClient struct {
+	what string
+	node int
+	at   time.Time
+}
+
 // suspect is an attempt that came while another of its request seemed to be out.
 type suspect struct {
 	request string
@@ -154,10 +185,50 @@
 }
 
 // Asked tells that a client's first line was taken by a node.
-func (r *Referee) Asked(id string, node int, customer string, at, due time.Time) {
+func (r *Referee) Asked(id string, node int, customer string, effect Effect, at, due time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.asked[id] = &request{node: node, customer: customer, effect: effect, at: at, due: due}
+}
+
+// Left tells that a client ends its sending or its connection now, without an answer: nothing is owed, and nothing may begin.
+func (r *Referee) Left(id string, at time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if q := r.asked[id]; q != nil {
+		q.left = at
+	}
+}
+
+// Held tells that a node did not send away in its time a client that says no request.
+func (r *Referee) Held(what string, node int, at time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.asked[id] = &request{node: node, customer: customer, at: at, due: due}
+	r.held = append(r.held, heldClient{what, node, at})
+}
+
+// TurnedAway tells that a server answered the last attempt of a request BUSY: it has not run.
+func (r *Referee) TurnedAway(server, id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	q, a := r.asked[id], r.attempts[id]
+	if q != nil && a != nil && a.server == server && q.ran.Equal(a.at) {
+		q.ran = time.Time{}
+	}
+}
+
+// effects looks at an attempt of a request whose client may have left, and of which another may have run.
+func (r *Referee) effects(id string, q *request, server string, entered time.Time) {
+	if !q.left.IsZero() && entered.After(q.left.Add(r.rules.Gone+r.rules.Slack)) {
+		r.broke(&r.broken.Gone, entered, "%s, node %d: sent to %s %v after its client left", id, q.node, server, entered.Sub(q.left).Round(time.Millisecond))
+	}
+	again := !q.ran.IsZero()
+	switch {
+	case again && q.effect == Unsafe, again && q.effect == Keyed && entered.After(q.ran.Add(r.rules.Keyed+r.rules.Slack)):
+		r.broke(&r.broken.Repeated, entered, "%s, node %d: sent to %s %v after an attempt that may have run", id, q.node, server, entered.Sub(q.ran).Round(time.Millisecond))
+	case !again:
+		q.ran = entered
+	}
 }
 
 // Answer tells that a client heard a final answer.
@@ -247,6 +318,9 @@
 	if a := r.attempts[id]; a != nil && !a.ended {
 		r.twice = append(r.twice, suspect{id, a, entered, server})
 	}
+	if q := r.asked[id]; q != nil {
+		r.effects(id, q, server, entered)
+	}
 	if q := r.asked[id]; r.attempts[id] == nil && q != nil {
 		r.rate("opens_per_s", q.customer, q.at, entered)
 	} else if r.attempts[id] != nil {
@@ -263,7 +337,7 @@
 			r.broke(&r.broken.Rates, entered, "%s, node %d: %d of customer %s at once", id, node, n, q.customer)
 		}
 	}
-	r.attempts[id] = &attempt{server: server}
+	r.attempts[id] = &attempt{server: server, at: entered}
 	if !started.IsZero() && entered.Before(started.Add(r.rules.Cold)) && r.knows[key{node, server}].Equal(started.Truncate(time.Millisecond)) {
 		r.sends = append(r.sends, send{entered, node, server, id, started})
 	}
@@ -301,12 +375,11 @@
 	for id, q := range r.asked {
 		late := q.due.Add(r.rules.Answer + r.rules.Slack)
 		switch {
+		case !q.left.IsZero():
 		case !q.answered.IsZero() && !q.answered.After(late):
 			r.Answered++
 		case q.answered.IsZero() && now.Before(late):
-		case slices.ContainsFunc(r.excused[q.node], func(s span) bool {
-			return s.from.Before(late) && (s.to.IsZero() || s.to.After(q.at))
-		}):
+		case r.excuses(q.node, q.at, late):
 			r.Excused++
 		default:
 			r.broke(&r.broken.Unanswered, late, "%s, node %d: no answer in its time", id, q.node)
@@ -317,6 +390,11 @@
 			r.broke(&r.broken.Twice, s.at, "%s: sent to %s while out at %s", s.request, s.second, s.first.server)
 		}
 	}
+	for _, h := range r.held {
+		if !r.excuses(h.node, h.at.Add(-heldLook), h.at) {
+			r.broke(&r.broken.Held, h.at, "node %d: %s is held for too long", h.node, h.what)
+		}
+	}
 	r.windows()
 	r.unready(now)
 	for what, spans := range r.rated {
@@ -325,6 +403,14 @@
 	return r.broken, r.history
 }
 
+// heldLook is how long before its end a client that was held may have been disturbed by what the rig did to its node.
+const heldLook = 5 * time.Second
+
+// excuses tells whether the rig did something to a node between two moments.
+func (r *Referee) excuses(node int, from, to time.Time) bool {
+	return slices.ContainsFunc(r.excused[node], func(s span) bool { return s.from.Before(to) && (s.to.IsZero() || s.to.After(from)) })
+}
+
 // Rated tells of something that was let happen between two moments, by a decision of which only that is known.
 func (r *Referee) Rated(kind, of string, from, to time.Time) {
 	r.mu.Lock()
--- a/lab/referee/referee_test.go
+++ b/lab/referee/referee_test.go
@@ -9,7 +9,7 @@
 // A request that nobody here asked is another rig's.
 func TestForeignRequestsAreNoticed(t *testing.T) {
 	r := New(Rules{})
-	r.Asked("a", 0, "c", time.Now(), time.Now())
+	r.Asked("a", 0, "c", Safe, time.Now(), time.Now())
 	r.Sent(0, "s", "a", time.Now(), time.Time{})
 	r.Sent(0, "s", "b", time.Now(), time.Time{})
 	if r.Verdict(time.Now()); r.Foreign != 1 {
@@ -37,7 +37,7 @@
 		want Broken
 	}{
 		"sound": {func(r *Referee) {
-			r.Asked("a", 0, "c", at(0), at(1000))
+			r.Asked("a", 0, "c", Safe, at(0), at(1000))
 			r.Sent(0, "s", "a", at(1), time.Time{})
 			r.Ended("s", "a")
 			r.Sent(0, "t", "a", at(20), time.Time{})
@@ -49,14 +49,18 @@
 				r.Rated("opens_per_s", "b", at(1000*i), at(1000*i))
 			}
 		}, Broken{}},
-		"no answer":       {func(r *Referee) { r.Asked("a", 0, "c", at(0), at(1000)) }, Broken{Unanswered: 1}},
-		"a late answer":   {func(r *Referee) { r.Asked("a", 0, "c", at(0), at(1000)); r.Answer("a", at(1500)) }, Broken{Unanswered: 1}},
-		"closed":          {func(r *Referee) { r.Asked("a", 0, "c", at(0), at(1000)); r.Closed("a", at(10)) }, Broken{Unanswered: 1}},
-		"its node killed": {func(r *Referee) { r.Asked("a", 0, "c", at(0), at(1000)); r.Excuse(0, at(5), at(6)) }, Broken{}},
-		"another killed":  {func(r *Referee) { r.Asked("a", 0, "c", at(0), at(1000)); r.Excuse(1, at(5), at(6)) }, Broken{Unanswered: 1}},
-		"killed before":   {func(r *Referee) { r.Asked("a", 0, "c", at(10), at(1000)); r.Excuse(0, at(5), at(6)) }, Broken{Unanswered: 1}},
-		"a second answer": {func(r *Referee) { r.Asked("a", 0, "c", at(0), at(1000)); r.Answer("a", at(1)); r.Answer("a", at(2)) }, Broken{After: 1}},
-		"one made up":     {func(r *Referee) { r.Answer("a", at(1)) }, Broken{After: 1}},
+		"no answer":       {func(r *Referee) { r.Asked("a", 0, "c", Safe, at(0), at(1000)) }, Broken{Unanswered: 1}},
+		"a late answer":   {func(r *Referee) { r.Asked("a", 0, "c", Safe, at(0), at(1000)); r.Answer("a", at(1500)) }, Broken{Unanswered: 1}},
+		"closed":          {func(r *Referee) { r.Asked("a", 0, "c", Safe, at(0), at(1000)); r.Closed("a", at(10)) }, Broken{Unanswered: 1}},
+		"its node killed": {func(r *Referee) { r.Asked("a", 0, "c", Safe, at(0), at(1000)); r.Excuse(0, at(5), at(6)) }, Broken{}},
+		"another killed":  {func(r *Referee) { r.Asked("a", 0, "c", Safe, at(0), at(1000)); r.Excuse(1, at(5), at(6)) }, Broken{Unanswered: 1}},
+		"killed before":   {func(r *Referee) { r.Asked("a", 0, "c", Safe, at(10), at(1000)); r.Excuse(0, at(5), at(6)) }, Broken{Unanswered: 1}},
+		"a second answer": {func(r *Referee) {
+			r.Asked("a", 0, "c", Safe, at(0), at(1000))
+			r.Answer("a", at(1))
+			r.Answer("a", at(2))
+		}, Broken{After: 1}},
+		"one made up": {func(r *Referee) { r.Answer("a", at(1)) }, Broken{After: 1}},
 		"two at once": {func(r *Referee) {
 			r.Sent(0, "s", "a", at(1), time.Time{})
 			r.Sent(0, "t", "a", at(20), time.Time{})
@@ -78,12 +82,42 @@
 		"too many open": {func(r *Referee) { // the first has ended, six are left
 			for i := range 7 {
 				id := string(rune('a' + i))
-				r.Asked(id, 0, "c", at(0), at(1000))
+				r.Asked(id, 0, "c", Safe, at(0), at(1000))
 				r.Answer(id, at(500))
 				r.Sent(0, "s", id, at(1000*i), time.Time{})
 				r.Ended("s", "a")
 			}
 		}, Broken{Rates: 1}},
+		"an unsafe request repeated": {func(r *Referee) {
+			r.Asked("a", 0, "c", Unsafe, at(0), at(1000))
+			r.Sent(0, "s", "a", at(1), time.Time{})
+			r.TurnedAway("s", "a") // it has not run, so the next one is the first
+			r.Ended("s", "a")
+			r.Sent(0, "t", "a", at(20), time.Time{})
+			r.Ended("t", "a")
+			r.Sent(0, "u", "a", at(40), time.Time{})
+			r.Answer("a", at(50))
+		}, Broken{Repeated: 1}},
+		"a keyed request repeated after its window": {func(r *Referee) {
+			r.Asked("a", 0, "c", Keyed, at(0), at(9000))
+			for i, s := range []string{"s", "t", "u"} { // the window is 2 s
+				r.Sent(0, s, "a", at(1+1500*i), time.Time{})
+				r.Ended(s, "a")
+			}
+			r.Answer("a", at(4000))
+		}, Broken{Repeated: 1}},
+		"for a client that has left": {func(r *Referee) {
+			r.Asked("a", 0, "c", Safe, at(0), at(1000))
+			r.Left("a", at(10))
+			r.Sent(0, "s", "a", at(150), time.Time{})
+			r.Ended("s", "a")
+			r.Sent(0, "t", "a", at(250), time.Time{})
+		}, Broken{Gone: 1}},
+		"a client that says nothing": {func(r *Referee) {
+			r.Held("a client that says nothing", 0, at(9000))
+			r.Held("a client that says nothing", 1, at(9000))
+			r.Excuse(1, at(8000), at(8500))
+		}, Broken{Held: 1}},
 		"to one that drains": {func(r *Referee) {
 			r.Told(0, "s", true, time.Time{}, at(0))
 			r.Sent(0, "s", "a", at(700), time.Time{})
@@ -123,7 +157,7 @@
 		}, Broken{Over: 1}},
 	} {
 		t.Run(name, func(t *testing.T) {
-			r := New(Rules{Answer: 70 * time.Millisecond, Grace: 500 * time.Millisecond, Slack: 100 * time.Millisecond, Ready: 10 * time.Second,
+			r := New(Rules{Answer: 70 * time.Millisecond, Grace: 500 * time.Millisecond, Slack: 100 * time.Millisecond, Gone: 100 * time.Millisecond, Keyed: 2 * time.Second, Ready: 10 * time.Second,
 				Window: 2100 * time.Millisecond, Cold: time.Minute, Rates: map[string]int{"retries_per_s": 2, "opens_per_s": 2, "open_per_customer": 5}, Allowed: func(time.Duration) float64 { return 4 }})
 			c.play(r)
 			if got, history := r.Verdict(time.Now()); got != c.want {
--- a/lab/rig/client.go
+++ b/lab/rig/client.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"brassmux/lab/emulator"
+	"brassmux/lab/referee"
 )
 
 // client wants one connection to stand for its life, and comes again when it is refused or cut off.
@@ -22,6 +23,7 @@
 	until time.Time
 
 	customer string // "" where it is its own
+	effect   referee.Effect
 
 	mu     sync.Mutex
 	id     string // of its last request
@@ -73,6 +75,9 @@
 	r.mu.Lock()
 	life := time.Duration(r.rng.ExpFloat64() * float64(r.s.Clients.Life))
 	c := &client{r: r, key: key, until: time.Now().Add(life)}
+	r.mu.Unlock()
+	c.effect = r.effect()
+	r.mu.Lock()
 	if n := r.s.Clients.Customers; n > 0 {
 		c.customer = fmt.Sprintf("g%d", r.rng.IntN(n))
 	}
@@ -154,7 +159,7 @@
 	c.id = id
 	c.mu.Unlock()
 	deadline := time.Duration(r.s.Clients.Deadline)
-	line := fmt.Sprintf("OPEN %s %s c=c,d=%d", id, c.key, deadline.Milliseconds())
+	line := fmt.Sprintf("OPEN %s %s c=%s,d=%d", id, c.key, className(c.effect), deadline.Milliseconds())
 	if c.customer != "" {
 		line += ",g=" + c.customer
 	}
@@ -167,7 +172,7 @@
 		return 0, false
 	}
 	r.count("requests")
-	r.ref.Asked(id, n.index, cmp.Or(c.customer, c.key), asked, asked.Add(deadline))
+	r.ref.Asked(id, n.index, cmp.Or(c.customer, c.key), c.effect, asked, asked.Add(deadline))
 	in := bufio.NewReader(conn)
 	conn.SetReadDeadline(asked.Add(deadline + time.Second))
 	answer, err := in.ReadString('\n')
--- a/lab/rig/nodes.go
+++ b/lab/rig/nodes.go
@@ -1,13 +1,17 @@
 package rig
 
 import (
-	"brassmux/lab/emulator"
-	"brassmux/lab/process"
 	"fmt"
 	"net/netip"
+	"os/exec"
 	"slices"
 	"sync"
 	"time"
+
+	"brassmux/lab/emulator"
+	"brassmux/lab/process"
+	"brassmux/lab/referee"
+	"brassmux/lab/shim"
 )
 
 // node is a place among the nodes, through the starts of its processes.
@@ -18,10 +22,30 @@
 	began     time.Time        // this start, until it had word of the list
 	back      time.Time        // when the list service was back, until it had word of it
 	disturbed time.Time        // since when the rig does something to it; the zero time for not
+	shim      *shim.Shim       // under its process; nil where there is none
+	elsewhere bool             // its process asks the list service's other address
+}
+
+// under gives what is put under a process of a node that is started now, and how its command is prepared for that; nil where
+// the scenario wants none. The process is started under the wall clock that the node's machine has now.
+func (r *rig) under(n *node, event int) (*shim.Shim, func(*exec.Cmd), error) {
+	if r.library == nil {
+		return nil, nil, nil
+	}
+	s, err := r.library.New(r.o.Seed<<16 + uint64(n.index)<<8 + uint64(event+1))
+	if err != nil {
+		return nil, nil, err
+	}
+	r.mu.Lock()
+	if n.shim != nil {
+		s.Step(n.shim.Offset())
+	}
+	r.mu.Unlock()
+	return s, func(cmd *exec.Cmd) { r.library.Prepare(s, cmd) }, nil
 }
 
 func (r *rig) config(n *node, clock time.Duration) map[string]any {
-	v, c := r.s.Server, r.s.Clients
+	v := r.s.Server
 	version, known := r.list.Known(n.index)
 	up := []emulator.Entry{}
 	if r.s.List.Unknown {
@@ -42,10 +66,10 @@
 		"settings": map[string]any{"balancers": max(r.s.Nodes, r.s.Fleet), "index": n.index, "tick_us": 5000, "membership_mode": "on_request",
 			"ceilings": map[string]any{"dial_timeout_us": 200000, "keepalive_us": 5000000, "max_open": 2000, "max_retry_after_us": 1000000,
 				"may_probe": true, "retry_after": true, "send_cap": 3, "peers": r.s.Budgets.Lease},
-			"classes":     []any{map[string]any{"name": "c", "effect": "read_like", "deadline_us": us(c.Deadline)}},
+			"classes":     r.classes(),
 			"family_info": map[string]any{"message_aim_us": []float64{300000}, "tenant_quota_connections": []float64{r.connections()}},
 			"report":      map[string]any{"fields": []string{"x0"}, "via": "probe"},
-			"rules": map[string]any{"start_error_us": r.clockError().Microseconds(), "cold_from": v.ColdFrom, "cold_us": us(v.ColdFor), "fall_multiple": v.FallMultiple,
+			"rules": map[string]any{"cold_from": v.ColdFrom, "cold_us": us(v.ColdFor), "fall_multiple": v.FallMultiple,
 				"fall_us": us(v.FallWindow)}}}
 	if clock != 0 {
 		cfg["lab"] = map[string]any{"clock_off_ms": clock.Milliseconds()}
@@ -81,12 +105,14 @@
 	return p
 }
 
-// clockError is by how much any node's wall clock may be off.
-func (r *rig) clockError() (most time.Duration) {
-	for _, e := range r.s.Events {
-		most = max(most, time.Duration(e.Clock), -time.Duration(e.Clock))
-	}
-	return most
+// classes are those of the nodes' settings: one of each effect, of which the first is named like the servers' stand-ins know it.
+func (r *rig) classes() (all []any) {
+	deadline := time.Duration(r.s.Clients.Deadline).Microseconds()
+	return append(all,
+		map[string]any{"name": className(referee.Safe), "effect": "read_like", "deadline_us": deadline},
+		map[string]any{"name": className(referee.Unsafe), "effect": "non_idempotent", "deadline_us": deadline},
+		map[string]any{"name": className(referee.Keyed), "effect": "idempotency_key", "key_scope": "all",
+			"window_us": keyedWindow.Microseconds(), "deadline_us": deadline})
 }
 
 // dayStart stands for the event of the day's start.
@@ -107,7 +133,12 @@
 			r.ref.Told(n.index, e.ID, false, time.UnixMilli(e.Started), time.Now())
 		}
 	}
-	p, err := r.starter.Start(r.o.Binary, n.index, cfg, func(p *process.Process, line map[string]any) {
+	under, prepare, err := r.under(n, event)
+	if err != nil {
+		r.fail("node %d does not start: %v", n.index, err)
+		return nil
+	}
+	p, err := r.starter.Start(r.o.Binary, n.index, cfg, prepare, func(p *process.Process, line map[string]any) {
 		for _, kind := range []string{"peers", "children"} {
 			at, ok := line[kind].(string)
 			if !ok || line["msg"] != kind {
@@ -129,7 +160,13 @@
 		r.fail("node %d does not start: %v", n.index, err)
 		return nil
 	}
+	if under != nil {
+		go under.Serve()
+	}
 	r.mu.Lock()
+	if !second {
+		n.shim = under
+	}
 	r.starting++
 	if r.logs = append(r.logs, p); second {
 		n.second = p
--- a/lab/rig/rig.go
+++ b/lab/rig/rig.go
@@ -12,6 +12,7 @@
 	"brassmux/lab/emulator"
 	"brassmux/lab/process"
 	"brassmux/lab/referee"
+	"brassmux/lab/shim"
 )
 
 // Options say how a scenario is played.
@@ -29,7 +30,9 @@
 	s       *Scenario
 	o       Options
 	starter *process.Starter
+	library *shim.Library // nil where no process runs under a shim
 	list    *emulator.List
+	other   string          // another address of the list service
 	words   *emulator.Words // among the nodes, or among the control machines
 	below   *emulator.Words // between the nodes and the control machines, by the processes' numbers; nil where there are none
 	ref     *referee.Referee
@@ -87,10 +90,18 @@
 		ready: map[int][]time.Duration{}, unready: map[int]int{},
 		rng: rand.New(rand.NewPCG(o.Seed, 1)), totals: map[string]int{}, peaks: map[string][]time.Time{}, effects: make([]int, len(s.Events)), sum: map[string]float64{}}
 	defer r.starter.Close()
+	if s.Shim {
+		library, err := shim.Build()
+		if err != nil {
+			return nil, err
+		}
+		defer library.Remove()
+		r.library = library
+	}
 	v := s.Server
 	connections := r.connections()
 	r.ref = referee.New(referee.Rules{Answer: 70 * time.Millisecond, Grace: time.Duration(v.Grace), Slack: 100 * time.Millisecond,
-		Ready: readyWithin, Rates: s.Budgets.rates(), Window: time.Duration(v.FallWindow), Cold: time.Duration(v.ColdFor),
+		Gone: 100 * time.Millisecond, Keyed: keyedWindow, Ready: readyWithin, Rates: s.Budgets.rates(), Window: time.Duration(v.FallWindow), Cold: time.Duration(v.ColdFor),
 		Allowed: func(age time.Duration) float64 { // by the mean share of the window
 			mean := max(age.Seconds()-time.Duration(v.FallWindow).Seconds()/2, 0) / time.Duration(v.ColdFor).Seconds()
 			share := min(v.ColdFrom+(1-v.ColdFrom)*mean, 1)
@@ -114,6 +125,9 @@
 	if err := r.list.Open(r.ways("list")); err != nil {
 		return nil, err
 	}
+	if r.other, err = r.list.OpenAnother(r.ways("list")); err != nil {
+		return nil, err
+	}
 	defer r.stopServers()
 	for range s.Servers {
 		if err := r.newServer(time.Time{}); err != nil {
@@ -139,6 +153,7 @@
 	go r.watchClock()
 	go r.measure()
 	r.work.Go(r.arrivals)
+	r.work.Go(r.odds)
 	for i, e := range s.Events {
 		r.work.Go(func() {
 			if r.sleep(time.Until(r.begun.Add(time.Duration(e.At)))) {
@@ -336,6 +351,8 @@
 		if !x.Server.Started.IsZero() {
 			r.count("attempts at servers that started")
 		}
+	case emulator.TurnedAway:
+		r.ref.TurnedAway(x.Server.ID, x.Request)
 	case emulator.Ended:
 		r.ref.Ended(x.Server.ID, x.Request)
 	case emulator.Probed:
--- a/lab/rig/scenario.go
+++ b/lab/rig/scenario.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"brassmux/lab/scenario"
+	"brassmux/lab/shim"
 )
 
 // Scenario is a scripted day. Times are written as in "1.5s".
@@ -26,6 +27,7 @@
 	Server  Server  `toml:"server"`
 	List    List    `toml:"list"`
 	Budgets Budgets `toml:"budgets"`
+	Shim    bool    `toml:"shim"` // processes run under a shim, so that their wall clocks can be stepped and their system calls fail
 	Events  []Event `toml:"events"`
 }
 
@@ -41,6 +43,9 @@
 	Deadline  Dur     `toml:"deadline"`
 	Rejoin    [2]Dur  `toml:"rejoin"`
 	Uneven    float64 `toml:"uneven"` // a tenth of the nodes, one at the least, gets so many times what another does; 0 means 1
+	Odd       float64 `toml:"odd"`    // clients a second that misbehave
+	Unsafe    float64 `toml:"unsafe"` // part of the clients whose requests must not be repeated
+	Keyed     float64 `toml:"keyed"`  // and whose repeats are dropped for a while
 }
 
 // Server says what each server is like.
@@ -103,7 +108,10 @@
 	Lose  float64 `toml:"lose"`  // parts of the words between nodes that are lost,
 	Twice float64 `toml:"twice"` // come twice,
 	Late  float64 `toml:"late"`  // or come late and so in another order
-	Clock Dur     `toml:"clock"` // by which a restarted node's wall clock is off
+	Clock Dur     `toml:"clock"` // by which a restarted node's wall clock is off, or by which it is stepped
+
+	Calls  []string `toml:"calls"`  // system calls that fail by chance: accept, socket, connect
+	Chance float64  `toml:"chance"` // of a call to fail, or of a server's answer to be spoilt
 }
 
 // group is how many deal with one another as equals: the control machines, or the nodes where there are none.
@@ -141,7 +149,11 @@
 	return slices.IndexFunc(e.Nodes, func(n int) bool { return n < 0 || n >= s.Nodes+s.Control })
 }
 
-var kinds = []string{"kill", "stop", "pause", "twin", "split", "link", "replace_servers", "crash_servers", "hang_servers", "list_down", "list_stuck"}
+var kinds = []string{"kill", "stop", "pause", "twin", "split", "link", "replace_servers", "crash_servers", "hang_servers", "list_down", "list_stuck",
+	"reload", "log_stuck", "clock_step", "syscalls", "spoil_servers"}
+
+// calls are the system calls that may be made to fail.
+var calls = map[string]shim.Call{"accept": shim.Accept, "socket": shim.Socket, "connect": shim.Connect}
 
 //go:embed scenarios/*.toml
 var kept embed.FS
@@ -186,6 +198,8 @@
 		{"clients.deadline", c.Deadline >= Dur(100*time.Millisecond), "0.1s or more"},
 		{"clients.rejoin", c.Rejoin[0] > 0 && c.Rejoin[1] >= c.Rejoin[0], "two times over 0, the shorter first"},
 		{"clients.uneven", c.Uneven >= 0 && c.Uneven <= 1000, "0 to 1000"},
+		{"clients.odd", c.Odd >= 0 && c.Odd <= 1000, "0 to 1000"},
+		{"clients.unsafe", c.Unsafe >= 0 && c.Keyed >= 0 && c.Unsafe+c.Keyed <= 1, "0 to 1, and no more than 1 with clients.keyed"},
 		{"server.holds", v.Holds > 0, "over 0"},
 		{"server.cold_from", v.ColdFrom > 0 && v.ColdFrom <= 1, "over 0, at most 1"},
 		{"server.cold_for", v.ColdFor > 0, "over 0"},
@@ -229,6 +243,12 @@
 			return fmt.Errorf("events[%d]: lose, twice and late must be 0 to 1", i)
 		case s.List.Told > 0 && (e.Do == "list_stuck" || e.Do == "link" && e.Link == "list"):
 			return fmt.Errorf("events[%d]: with list.told the service is the same to all nodes", i)
+		case e.Chance < 0 || e.Chance > 1:
+			return fmt.Errorf("events[%d].chance: must be 0 to 1", i)
+		case !s.Shim && (e.Do == "clock_step" || e.Do == "syscalls"):
+			return fmt.Errorf("events[%d].do: %s needs shim = true", i, e.Do)
+		case e.Do == "syscalls" && (len(e.Calls) == 0 || slices.ContainsFunc(e.Calls, func(c string) bool { return calls[c] == 0 })):
+			return fmt.Errorf("events[%d].calls: %q are not of accept, socket, connect", i, e.Calls)
 		case e.Do != "link":
 		case !slices.Contains([]string{"peers", "children", "list", "servers", "clients"}, e.Link):
 			return fmt.Errorf("events[%d].link: %q is none of peers, children, list, servers, clients", i, e.Link)
--- a/lab/rig/trouble.go
+++ b/lab/rig/trouble.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"brassmux/lab/emulator"
+	"brassmux/lab/process"
 )
 
 // acted notes that an event was seen to act, at who met it.
@@ -132,6 +133,35 @@
 				}
 			})
 		}
+	case "reload":
+		nodes := r.chosen(e)
+		r.inTurn(e, len(nodes), func(i int) { r.reload(at, nodes[i]) })
+	case "log_stuck":
+		r.eachFor(r.chosen(e), lasts, func(n *node, p *process.Process, on bool) {
+			if p.HoldLog(on); on {
+				r.acted(at, 1)
+			}
+		})
+	case "clock_step":
+		r.eachFor(r.chosen(e), lasts, func(n *node, p *process.Process, on bool) {
+			if on {
+				r.step(n, time.Duration(e.Clock))
+				r.acted(at, 1)
+			} else {
+				r.step(n, 0)
+			}
+		})
+	case "syscalls":
+		r.eachFor(r.chosen(e), lasts, func(n *node, p *process.Process, on bool) { r.failCalls(at, e, n, on) })
+	case "spoil_servers":
+		for _, s := range r.some(e) {
+			s.Spoil(e.Chance)
+			r.work.Go(func() {
+				r.sleep(lasts)
+				s.Spoil(0)
+				r.acted(at, int(s.Spoilt.Load()))
+			})
+		}
 	case "list_stuck": // and those who ask it call anew meanwhile
 		before := r.list.Behind.Load()
 		nodes := r.chosen(e)
@@ -156,6 +186,59 @@
 	}
 }
 
+// eachFor does something to the processes that nodes have now, and undoes it after a while.
+func (r *rig) eachFor(nodes []*node, lasts time.Duration, do func(n *node, p *process.Process, on bool)) {
+	var all []*process.Process
+	for _, n := range nodes {
+		p := r.process(n)
+		all = append(all, p)
+		do(n, p, true)
+	}
+	r.sleep(lasts)
+	for i, n := range nodes {
+		do(n, all[i], false)
+	}
+}
+
+// reload has a node's process ask the other address of the list service.
+func (r *rig) reload(at int, n *node) {
+	cfg, p := r.config(n, 0), r.process(n)
+	r.mu.Lock()
+	if n.elsewhere = !n.elsewhere; n.elsewhere {
+		cfg["discovery"] = r.other
+	}
+	r.mu.Unlock()
+	if err := p.Reload(cfg); err != nil {
+		r.fail("node %d cannot be reloaded: %v", n.index, err)
+		return
+	}
+	r.acted(at, 1)
+}
+
+// step has the wall clock of a node's machine be off.
+func (r *rig) step(n *node, off time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n.shim.Step(off)
+}
+
+// failCalls has system calls of a node's process fail by chance, or no more.
+func (r *rig) failCalls(at int, e Event, n *node, on bool) {
+	r.mu.Lock()
+	s := n.shim
+	r.mu.Unlock()
+	for _, call := range e.Calls {
+		if on {
+			s.Fail(calls[call], e.Chance)
+		} else {
+			s.Fail(calls[call], 0)
+		}
+	}
+	if !on {
+		r.acted(at, int(s.Failed.Load()))
+	}
+}
+
 // half tells on which side of a split a process is: that of the first zones, or of the first nodes where there is one zone.
 func (r *rig) half(index int) bool {
 	s := r.s
@@ -236,7 +319,7 @@
 				}
 			}
 		}
-		if e.Link == "clients" || e.Link == "servers" {
+		if e.Link == "clients" { // trouble at servers frees no request of its answer
 			r.disturb(n, true)
 		}
 	}
@@ -248,7 +331,7 @@
 			w.SetOdds(e.Lose, e.Twice, e.Late)
 		}
 	}, lasts)
-	if e.Link == "clients" || e.Link == "servers" {
+	if e.Link == "clients" {
 		time.Sleep(100 * time.Millisecond)
 		for _, n := range nodes {
 			r.disturb(n, false)
--- a/lab/scale/real.go
+++ b/lab/scale/real.go
@@ -61,7 +61,7 @@
 	n.version = f.template["known"].(map[string]any)["version"].(int64)
 	f.mu.Unlock()
 	n.told = make(chan struct{}, 1)
-	p, err := f.starter.Start(f.o.Binary, n.number, c, func(_ *process.Process, line map[string]any) {
+	p, err := f.starter.Start(f.o.Binary, n.number, c, nil, func(_ *process.Process, line map[string]any) {
 		switch line["msg"] {
 		case "peers":
 			if text, ok := line["peers"].(string); ok {
--- a/lab/scenario/scenario.go
+++ b/lab/scenario/scenario.go
@@ -25,6 +25,9 @@
 	return err
 }
 
+// MarshalText writes one.
+func (d Duration) MarshalText() ([]byte, error) { return []byte(time.Duration(d).String()), nil }
+
 // Kept names the scenarios in the folder scenarios of what is embedded.
 func Kept(in embed.FS) (names []string) {
 	files, _ := fs.Glob(in, "scenarios/*.toml")
--- a/lab/shim/shim.go
+++ b/lab/shim/shim.go
@@ -119,13 +119,29 @@
 	}
 	defer syscall.Close(listener)
 	for {
-		err := s.answer(listener)
-		if err != nil && !errors.Is(err, syscall.EINTR) && !errors.Is(err, syscall.EAGAIN) {
-			return nil // ENOENT: the process has ended
+		switch err := s.answer(listener); {
+		case err == nil, errors.Is(err, syscall.EINTR):
+		case errors.Is(err, syscall.ENOENT): // a call was interrupted and comes again, or the process has ended
+			if hungUp(listener) {
+				return nil
+			}
+		default:
+			return err
 		}
 	}
 }
 
+// hungUp tells whether no process has the filter any more.
+func hungUp(listener int) bool {
+	const pollHangUp = 0x10
+	p := struct {
+		fd              int32
+		events, revents int16
+	}{fd: int32(listener)}
+	_, _, errno := syscall.Syscall(syscall.SYS_POLL, uintptr(unsafe.Pointer(&p)), 1, 0)
+	return errno == 0 && p.revents&pollHangUp != 0
+}
+
 func (s *Shim) closeShared() {
 	s.shared.Close()
 	if s.clock != nil {
@@ -190,8 +206,8 @@
 		s.Failed.Add(1)
 		r = response{id: n.id, error: -int32(errno)}
 	}
-	if _, _, errno := syscall.Syscall(syscall.SYS_IOCTL, uintptr(listener), notifySend, uintptr(unsafe.Pointer(&r))); errno != 0 && errno != syscall.ENOENT {
-		return errno // ENOENT: the call was interrupted, and comes again
+	if _, _, errno := syscall.Syscall(syscall.SYS_IOCTL, uintptr(listener), notifySend, uintptr(unsafe.Pointer(&r))); errno != 0 {
+		return errno
 	}
 	return nil
 }
