--- a/lab/referee/referee_test.go
+++ b/lab/referee/referee_test.go
@@ -66,6 +66,20 @@
 			r.Sent(0, "t", "a", at(20), time.Time{})
 			r.Ended("s", "a") // long after
 		}, Broken{Twice: 1}},
+		"two at once, as the end of one was held back": {func(r *Referee) {
+			r.Asked("a", 0, "c", Safe, at(0), at(1000))
+			r.Sent(0, "s", "a", at(1), time.Time{})
+			r.Sent(0, "t", "a", at(200), time.Time{})
+			r.Muffled(0, at(100), at(300))
+			r.Answer("a", at(250))
+		}, Broken{}},
+		"two at once, beside another node's link": {func(r *Referee) {
+			r.Asked("a", 0, "c", Safe, at(0), at(1000))
+			r.Sent(0, "s", "a", at(1), time.Time{})
+			r.Sent(0, "t", "a", at(200), time.Time{})
+			r.Muffled(1, at(100), at(300))
+			r.Answer("a", at(250))
+		}, Broken{Twice: 1}},
 		"retries over the whole": {func(r *Referee) {
 			for i := range 5 { // two are the whole; each request is tried twice
 				id := string(rune('a' + i))
--- a/lab/rig/odd.go
+++ b/lab/rig/odd.go
@@ -87,6 +87,8 @@
 	case err == nil:
 		c.r.ref.Answer(c.id, time.Now())
 		word, _, _ = strings.Cut(strings.TrimSpace(line), " ")
+	case errors.Is(err, net.ErrClosed):
+		c.r.ref.Left(c.id, time.Now())
 	case !errors.Is(err, os.ErrDeadlineExceeded):
 		c.r.ref.Closed(c.id, time.Now())
 	}
--- a/lab/rig/trouble.go
+++ b/lab/rig/trouble.go
@@ -323,6 +323,7 @@
 			r.disturb(n, true)
 		}
 	}
+	begun := time.Now()
 	r.fault(at, ways, func(w *emulator.Way, on bool) {
 		if w.Set(mode(on, modes[e.Mode]), time.Duration(e.Delay)); !on {
 			w.Set(emulator.Pass, 0)
@@ -331,6 +332,11 @@
 			w.SetOdds(e.Lose, e.Twice, e.Late)
 		}
 	}, lasts)
+	if holds := e.Mode == "drop" || e.Mode == "stall" || e.Delay > 0; holds && e.Link == "servers" && e.Way != "to" {
+		for _, n := range nodes {
+			r.ref.Muffled(n.index, begun, time.Now().Add(time.Duration(e.Delay)))
+		}
+	}
 	if e.Link == "clients" {
 		time.Sleep(100 * time.Millisecond)
 		for _, n := range nodes {
