An answer that is overtaken by its own close, and starts without a second try: failing tests

Seen: (1) an exchange that is answered just as its client ends its sending closes the connection before the answer is written: after 5 answers that arrived, the 6th of 2000 was lost. (2) Where the folder for upgrades cannot be written when a process starts, no next process finds it for its whole life: connections are moved, not handed over, and budgets of servers in slow start are spent by two. (3) A process that is short of descriptors (or ENOBUFS, ENFILE) in the moment of its start ends with an error.

--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -170,3 +170,30 @@
 		})
 	}
 }
+
+// An answer that was given arrives, also where its client ends its sending in the same moment: it is there, and reads on.
+func TestAnAnswerThatIsGivenArrives(t *testing.T) {
+	given := 0
+	for range 2000 {
+		client, far := pair(t)
+		x := New(&Head{Wait: time.Minute}, client, &Tally{}, deaf{}, Limits{Linger: time.Minute}, zap.NewNop())
+		ended := make(chan struct{})
+		go func() {
+			x.FromClient()
+			close(ended)
+		}()
+		go far.(*net.TCPConn).CloseWrite()
+		answered := x.Answer(Refused, "BUSY")
+		far.SetReadDeadline(time.Now().Add(10 * time.Second))
+		heard, err := io.ReadAll(far)
+		if answered && (string(heard) != "BUSY\r\n" || err != nil) {
+			t.Fatalf("after %d answers that arrived: got %q, %v", given, heard, err)
+		} else if answered {
+			given++
+		}
+		<-ended
+	}
+	if given == 0 {
+		t.Error("no answer was given")
+	}
+}
--- a/node/handover_test.go
+++ b/node/handover_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"os"
+	"path/filepath"
 	"strings"
 	"syscall"
 	"testing"
@@ -357,3 +358,20 @@
 		})
 	}
 }
+
+// The folder where the processes of a node meet cannot be written to for a while, as where a disk is full: the next process
+// still finds this one afterwards.
+func TestTheNextProcessFindsThisOneOnceTheFolderCanBeWritten(t *testing.T) {
+	h := newHost(t, "s-1")
+	change, path := inherited(t)
+	folder := filepath.Dir(path)
+	if err := os.Remove(folder); err != nil {
+		t.Fatal(err)
+	}
+	n := start(t, change, h)
+	n.until("the fault", func() bool { return n.counter("handover_faults") > 0 })
+	if err := os.Mkdir(folder, 0o700); err != nil {
+		t.Fatal(err)
+	}
+	serves(t, another(t, path))
+}
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -695,3 +696,34 @@
 	}
 	n.code("first_line_long")
 }
+
+// Where the process is short of descriptors just as it starts, it waits a moment for its address.
+func TestAStartOutlastsAMomentWithoutDescriptors(t *testing.T) {
+	list := newLister(t, 0)
+	cfg := config(t, list)
+	cfg.Admin = "127.0.0.1:0"
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
+		t.Fatal(err)
+	}
+	few := limit
+	few.Cur = 3 // no further one can be opened
+	if err := syscall.Setrlimit(syscall.RLIMIT_NOFILE, &few); err != nil {
+		t.Fatal(err)
+	}
+	restored := make(chan struct{})
+	time.AfterFunc(100*time.Millisecond, func() {
+		syscall.Setrlimit(syscall.RLIMIT_NOFILE, &limit)
+		close(restored)
+	})
+	n, err := New(cfg, nil)
+	<-restored
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	stop()
+	if err := n.Run(ctx); err != nil {
+		t.Error(err)
+	}
+}
