An answer is written before its connection closes; starts and folders get a second try

Causes: Exchange.Answer wrote in a goroutine that held no side of the exchange, so that FromClient, seeing the client's end, closed the connection first (internal/exchange/exchange.go, Answer and sideDone); awaitNext gave up for good at the first failure of upgrade.Listen; New ended at any error of listen. Same mistake elsewhere: Stand and Move write under a side of their own; frontend.answer writes before it returns.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -146,14 +146,19 @@
 		log: log, begun: now, up: make(chan struct{}), ended: make(chan struct{})}
 }
 
-// settle ends an exchange that waits, once. It returns how to call off the attempt that is out.
-func (x *Exchange) settle(why Reason) (cancel func(), first bool) {
+// settle ends an exchange that waits, once. It returns how to call off the attempt that is out. Where an answer is to be written the
+// connection is held until sideDone is called for it: guards against a client that ends its sending in this moment, whose side
+// would close the connection before.
+func (x *Exchange) settle(why Reason, answers bool) (cancel func(), first bool) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	if x.phase != waiting {
 		return nil, false
 	}
 	x.phase, x.reason = over, why
+	if answers {
+		x.sides.Add(1)
+	}
 	close(x.up)
 	return x.cancel, true
 }
@@ -161,7 +166,7 @@
 // Answer gives the final answer that is not a server's, and tells whether no other was given. The caller does not wait for
 // the client.
 func (x *Exchange) Answer(why Reason, line string) bool {
-	cancel, first := x.settle(why)
+	cancel, first := x.settle(why, true)
 	if first {
 		if why == Refused {
 			x.tally.Refused.Add(1)
@@ -175,6 +180,7 @@
 			x.client.WriteLine(line, x.limits.Linger)
 			x.client.CloseWrite()
 			x.client.SetReadDeadline(time.Now().Add(x.limits.Linger))
+			x.sideDone()
 		}()
 	}
 	return first
@@ -358,7 +364,7 @@
 // left ends an exchange that waits, as its client has gone, once. Until its answer a client has nothing more to say: who ends its
 // sending has gone like one that closes.
 func (x *Exchange) left() bool {
-	cancel, first := x.settle(ClientLeft)
+	cancel, first := x.settle(ClientLeft, false)
 	if first {
 		if cancel != nil {
 			cancel()
--- a/node/config.go
+++ b/node/config.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"brassmux/internal/discovery"
+	"brassmux/internal/momentary"
 	"brassmux/internal/peers"
 	"brassmux/internal/settings"
 )
@@ -160,7 +161,7 @@
 	if path == "" {
 		return c, errors.New("LB_CONFIG names no file")
 	}
-	data, err := os.ReadFile(path)
+	data, err := momentary.Value(func() ([]byte, error) { return os.ReadFile(path) })
 	if err != nil {
 		return c, fmt.Errorf("LB_CONFIG: %w", err)
 	}
--- a/node/handover.go
+++ b/node/handover.go
@@ -191,23 +191,49 @@
 // awaitNext attends to the process that is to come after this one, and to another where that fails.
 func (n *Node) awaitNext() (stop func()) {
 	path := upgrade.Path(n.cfg.HandoverIn, n.cfg.Listen)
-	if path == "" || !n.listenForNext(path) {
+	if path == "" {
 		return func() {}
 	}
+	n.offer(path)
 	return func() {
 		n.other.mu.Lock()
 		defer n.other.mu.Unlock()
 		n.other.over = true
-		n.other.listener.Close()
+		if n.other.listener != nil {
+			n.other.listener.Close()
+		}
 	}
 }
 
-// listenForNext takes the place where the next process looks; again where that had it already, and has failed.
+// offerEvery is how often a process tries to take the place where the next one looks, where it could not.
+const offerEvery = time.Second
+
+// offer takes the place where the next process looks. Where that fails, as in a folder that cannot be written for a while, it
+// is tried again until the node ends.
+func (n *Node) offer(path string) {
+	if n.listenForNext(path) {
+		return
+	}
+	go func() {
+		again := time.NewTicker(offerEvery)
+		defer again.Stop()
+		for settled := false; !settled; settled = n.listenForNext(path) {
+			select {
+			case <-n.work.Done():
+				return
+			case <-again.C:
+			}
+		}
+	}()
+}
+
+// listenForNext takes the place where the next process looks; again where that had it already, and has failed. It tells whether
+// that is settled: it is also where no more processes are to come.
 func (n *Node) listenForNext(path string) bool {
 	n.other.mu.Lock()
 	defer n.other.mu.Unlock()
 	if n.other.over {
-		return false
+		return true
 	}
 	l, err := upgrade.Listen(path)
 	if err != nil {
@@ -278,7 +304,7 @@
 		h.end()
 		n.life.relieve(false)
 		if now, _ := n.life.now(); now != stopping { // else the next process lives, and the place is its own
-			n.listenForNext(upgrade.Path(n.cfg.HandoverIn, n.cfg.Listen))
+			n.offer(upgrade.Path(n.cfg.HandoverIn, n.cfg.Listen))
 		}
 	}()
 	if err := link.Send(upgrade.Message{Kind: upgrade.Relieved}, tellWithin); err != nil {
--- a/node/node.go
+++ b/node/node.go
@@ -22,6 +22,7 @@
 	"brassmux/internal/backend"
 	"brassmux/internal/exchange"
 	"brassmux/internal/frontend"
+	"brassmux/internal/momentary"
 	"brassmux/internal/settings"
 )
 
@@ -55,7 +56,7 @@
 	n := &Node{cfg: cfg, log: log.With(zap.String("node", cfg.Name)), listener: listener, life: newLife()}
 	n.other.attending = make(chan struct{}, 1)
 	if cfg.Admin != "" {
-		if n.second, err = net.Listen("tcp", cfg.Admin); err != nil {
+		if n.second, err = listenTCP(cfg.Admin); err != nil {
 			listener.Close()
 			return nil, fmt.Errorf("config: admin (or LB_ADMIN): %w", err)
 		}
@@ -84,10 +85,15 @@
 	return n, nil
 }
 
+// listenTCP takes an address, also where the system is short of something for a moment.
+func listenTCP(addr string) (net.Listener, error) {
+	return momentary.Value(func() (net.Listener, error) { return net.Listen("tcp", addr) })
+}
+
 // listener is the inherited socket, or one of the node's own.
 func (c *Config) listener() (*net.TCPListener, error) {
 	if c.ListenFD == 0 {
-		l, err := net.Listen("tcp", c.Listen)
+		l, err := listenTCP(c.Listen)
 		if err != nil {
 			return nil, fmt.Errorf("config: listen: %w", err)
 		}
