Restarts and stops beside servers in slow start, and at the door: failing tests

(2) A process that was told to stop sends 17 of 40 clients to a server in slow start while the next process may run already with the same budget. (3) Half a line at the door when a stop is shorter than the first line's time (an inherited socket, or short deadlines): the process ends without a word, which resets the client.

--- a/balance/fleet_test.go
+++ b/balance/fleet_test.go
@@ -358,3 +358,32 @@
 		t.Errorf("the warm one is full: %v", acts)
 	}
 }
+
+// A node is killed and starts anew within a window, from a list that is older than the start of a cold server: what the
+// process before sent counts still, though nothing is known of it.
+func TestARestartWithinAWindowSpendsNoBudgetTwice(t *testing.T) {
+	set := site()
+	set.Nodes, set.Connections = 1, 4000
+	servers := ready(1, 2, 3, 4)
+	now := time.Hour
+	started := servers[3]
+	started.UpSince = now - time.Second
+	sent := 0
+	for range 3 { // three processes, one after the other
+		n := &node{Balancer: New(set, 7), now: now, next: 1}
+		n.do(Members{Kind: ListCached, Servers: servers})
+		n.now += 50 * ms
+		n.do(Members{Kind: ListChanges, Servers: []Server{started}})
+		for i := range 1000 {
+			if _, s := n.place("safe", fmt.Sprint(i)); s == 4 {
+				sent++
+			}
+		}
+		now = n.now + 50*ms
+	}
+	age := now - started.UpSince
+	whole := set.Bears(len(servers)) * (set.ColdFrom + (1-set.ColdFrom)*age.Seconds()/set.ColdFor.Seconds())
+	if float64(sent) > whole+1 {
+		t.Errorf("%d sent within a window, %.1f is the most", sent, whole+1)
+	}
+}
--- a/node/clock_test.go
+++ b/node/clock_test.go
@@ -153,3 +153,39 @@
 		c.Lab.Wall = func() time.Time { return time.Now().Add(time.Duration(wall.Load())) }
 	}, before: func(*running) { wall.Store(0) }}.play(t)
 }
+
+// A process that is told to stop leaves servers in slow start to the next one, which may run already.
+func TestAProcessThatStopsSendsNothingToServersInSlowStart(t *testing.T) {
+	hosts := []*host{newHost(t, "s-1"), newHost(t, "s-2")}
+	n := start(t, func(c *Config) {
+		coldSite(c)
+		c.Settings.Rules.ColdFrom = 1
+		c.Settings.Family.Quotas = []float64{10_000}
+		c.Settings.Ceilings.MayProbe = false
+		c.Times.Accept, c.Times.Stop = 2000, 4000
+		c.Known.Servers[1].Started = time.Now().Add(-10 * time.Second).UnixMilli()
+	}, hosts...)
+	counts := []*atomic.Int64{takeAll(t, hosts[0]), takeAll(t, hosts[1])}
+	ask := func(i int) {
+		client := n.open(fmt.Sprintf("k%d", i), "")
+		client.line()
+		client.Close()
+	}
+	asked := 0
+	n.until("a client at the server in slow start", func() bool {
+		ask(asked)
+		asked++
+		return counts[1].Load() > 0
+	})
+	n.stop()
+	n.until("the stop", func() bool { return n.logs.FilterMessage("stopping").Len() > 0 })
+	n.held() // the loop has been told
+	before := counts[1].Load()
+	for range 40 {
+		ask(asked)
+		asked++
+	}
+	if got := counts[1].Load() - before; got > 0 {
+		t.Errorf("%d of 40 went to the server in slow start", got)
+	}
+}
--- a/node/moments_test.go
+++ b/node/moments_test.go
@@ -944,3 +944,23 @@
 		t.Error("what is newer is not taken")
 	}
 }
+
+// The process may end before the time of a first line does: who is at the door is told before, not reset.
+func TestWhoIsAtTheDoorIsToldBeforeTheProcessEnds(t *testing.T) {
+	for _, own := range []bool{true, false} {
+		change, _ := inherited(t)
+		n := start(t, func(c *Config) {
+			if !own {
+				change(c)
+			}
+			c.Times.Accept, c.Times.Stop, c.Times.Linger = 100, 300, 1000
+		}, newHost(t, "s-1"))
+		client := n.dial()
+		client.say("OPEN half")
+		n.until("the client", func() bool { return n.front.AtDoor() == 1 })
+		n.stop()
+		n.wait()
+		client.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
+		client.hear("ERR no request in time\r\n")
+	}
+}
