Budgets rest a window after any restart, a stop spends none; the door closes in time

Causes: members() had only starts of the cached list rest; a process that was told to stop went on spending its part; HangUp gave inherited sockets the whole first line's time, and could lengthen what a connection had left.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -60,7 +60,9 @@
 	full, group     float64       // fullLoad and groupLoad, where late messages tell that it was too much
 	boot            uint8         // tells this start from others
 	boots           map[int]uint8 // what the nodes said last of theirs
-	relieved        bool          // another process of this node spends the cold budgets
+	begun           bool          // it was told of something, the first time at born
+	born            time.Duration
+	relieved        bool // another process of this node spends the cold budgets
 }
 
 type server struct {
@@ -132,6 +134,9 @@
 // Handle takes one event and returns what to do. The slice is valid until the next call.
 func (b *Balancer) Handle(now time.Duration, ev Event) []Action {
 	b.now, b.out = max(b.now, now), b.out[:0]
+	if !b.begun {
+		b.begun, b.born = true, b.now
+	}
 	b.table.expire(b.now)
 	switch ev := ev.(type) {
 	case Members:
@@ -297,9 +302,8 @@
 			s.aside, s.signs = 0, 0
 			s.start = b.starts.listed(e, ev.Unchanged, b.now)
 			s.start.turn = b.turn(e)
-			if ev.Kind == ListCached { // this node may have sent it some before it restarted itself
-				s.start.rest = b.now + b.set.FallWindow
-			}
+			// this node may have sent it some before it restarted itself
+			s.start.rest = max(s.start.rest, b.born+b.set.FallWindow)
 		}
 		s.Server, s.Weight, s.unlisted = e, cmp.Or(max(e.Weight, 0), 1), false
 	}
--- a/balance/world_test.go
+++ b/balance/world_test.go
@@ -130,6 +130,7 @@
 		set := site()
 		set.StartError, set.Connections = c.err, 400
 		n := newNode(set)
+		n.now += set.FallWindow // what a process before this one did is past
 		only := ready(2)[0]
 		only.UpSince = n.now - 7*time.Second
 		n.do(Members{Kind: ListChanges, Servers: []Server{only}})
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -50,7 +50,7 @@
 	ids   *ids
 	wait  sync.WaitGroup
 	mu    sync.Mutex
-	fresh []*lines.Conn             // those at the door, in the order in which they came, but for the hurried ones
+	fresh []fresh                   // those at the door, in the order in which they came, but for the hurried ones
 	first time.Duration             // what the next one's first line may take
 	last  atomic.Pointer[time.Time] // until then those come still that the machine has accepted; nil while all do
 	Count Counts
@@ -62,6 +62,12 @@
 		door: make(chan struct{}, cfg.Door), ids: newIDs(), first: cfg.FirstLine}
 }
 
+// fresh is a connection at the door, and until when its first line may come.
+type fresh struct {
+	conn  *lines.Conn
+	until time.Time
+}
+
 // hurried is what a connection at the door has left when others wait for its place. A client's first line
 // follows its connection at once.
 const hurried = 50 * time.Millisecond
@@ -155,8 +161,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	n := (len(s.fresh) + 1) / 2
-	for _, c := range s.fresh[:n] {
-		c.SetReadDeadline(time.Now().Add(hurried))
+	for _, f := range s.fresh[:n] {
+		f.conn.SetReadDeadline(time.Now().Add(hurried))
 	}
 	s.fresh = slices.Delete(s.fresh, 0, n)
 }
@@ -165,14 +171,20 @@
 func (s *Server) enter(c *lines.Conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.fresh = append(s.fresh, c)
-	c.SetReadDeadline(time.Now().Add(s.first))
+	f := fresh{c, time.Now().Add(s.first)}
+	s.fresh = append(s.fresh, f)
+	c.SetReadDeadline(f.until)
+}
+
+// atDoor is the place of a connection among the fresh ones; -1 where it was hurried. s.mu is held.
+func (s *Server) atDoor(c *lines.Conn) int {
+	return slices.IndexFunc(s.fresh, func(f fresh) bool { return f.conn == c })
 }
 
 // leave gives the place of a connection at the door to the next.
 func (s *Server) leave(c *lines.Conn) {
 	s.mu.Lock()
-	if i := slices.Index(s.fresh, c); i >= 0 {
+	if i := s.atDoor(c); i >= 0 {
 		s.fresh = slices.Delete(s.fresh, i, i+1)
 	}
 	s.mu.Unlock()
@@ -188,13 +200,17 @@
 // Wait returns when all connections have ended.
 func (s *Server) Wait() { s.wait.Wait() }
 
-// HangUp gives connections at the door that much time, and those that come to it later.
+// HangUp gives connections at the door that much time at the most, and those that come to it later.
 func (s *Server) HangUp(within time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.first = within
-	for _, c := range s.fresh {
-		c.SetReadDeadline(time.Now().Add(within))
+	s.first = min(s.first, within)
+	until := time.Now().Add(within)
+	for i := range s.fresh {
+		if f := &s.fresh[i]; until.Before(f.until) {
+			f.until = until
+			f.conn.SetReadDeadline(until)
+		}
 	}
 }
 
@@ -331,7 +347,7 @@
 	c.WriteLine(line, s.cfg.Exchange.Linger)
 	c.CloseWrite()
 	s.mu.Lock()
-	if slices.Contains(s.fresh, c) { // else others wait for its place
+	if s.atDoor(c) >= 0 { // else others wait for its place
 		c.SetReadDeadline(time.Now().Add(s.cfg.Exchange.Linger))
 	}
 	s.mu.Unlock()
--- a/node/handover.go
+++ b/node/handover.go
@@ -284,7 +284,7 @@
 	}
 	now, _ := n.life.now()
 	parts := n.loop.handOn(now == outOfService)
-	defer n.loop.tell(func() { n.loop.handle(balance.Relieved{By: false}) })
+	defer n.loop.tell(func() { n.loop.relieve(false) })
 	for _, m := range parts {
 		if err := link.Send(m, tellWithin); err != nil {
 			n.fault("what is known", err)
@@ -369,7 +369,7 @@
 func (l *loop) handOn(out bool) (parts []upgrade.Message) {
 	l.ask(func() {
 		memory := l.decide.Memory(l.now())
-		l.handle(balance.Relieved{By: true})
+		l.relieve(true)
 		for some := range slices.Chunk(slices.Collect(maps.Values(l.servers)), upgrade.PartMost) {
 			parts = append(parts, upgrade.Message{Kind: upgrade.Learned,
 				List: &discovery.List{Version: l.version, Full: true, Servers: some}})
@@ -389,6 +389,10 @@
 	return parts
 }
 
+// relieve tells the decisions whether another process of this node spends the budgets of cold servers. One that stops spends none
+// any more, whoever else does.
+func (l *loop) relieve(by bool) { l.handle(balance.Relieved{By: by || l.leaves}) }
+
 // standing gives the requests that are open; some of them do not stand yet.
 func (l *loop) standing() (all []*exchange.Exchange) {
 	l.ask(func() {
--- a/node/leases.go
+++ b/node/leases.go
@@ -559,8 +559,11 @@
 	})
 }
 
-// leave gives all that this node holds to the others.
+// leave gives all that this node holds to the others. What its servers in slow start bear is left to the process that comes next, which may
+// run already.
 func (l *loop) leave() {
+	l.leaves = true
+	l.relieve(true)
 	if s := l.leases; s != nil {
 		l.shared(s.divider.Leave(s.clock()))
 	}
--- a/node/loop.go
+++ b/node/loop.go
@@ -48,6 +48,7 @@
 	watching     bool
 	calls        int    // for the list, or turns to make one
 	emptying     bool   // what is handled empties a server or this node
+	leaves       bool   // the process was told to stop
 	ending       bool   // nothing is sent on any more
 	heard        *watch // the last one that was opened
 	heardBefore  *watch // the one before it, until the last one has told anything
--- a/node/node.go
+++ b/node/node.go
@@ -201,14 +201,17 @@
 	n.log.Info("stopping")
 	n.loop.tell(n.loop.leave)
 	t := n.cfg.Times
-	words, end := time.After(ms(t.Stop)-min(lastWords, ms(t.Stop)/2)), time.After(ms(t.Stop))
+	untilWords := ms(t.Stop) - min(lastWords, ms(t.Stop)/2)
+	lastWordsAt := time.Now().Add(untilWords)
+	words, end := time.After(untilWords), time.After(ms(t.Stop))
 	last := time.Now().Add(ms(t.Stop - t.Linger)) // a client may take that long to go
 	own := n.cfg.ListenFD == 0
 	if own {
 		time.Sleep(ms(t.Accept)) // the front still sends clients here
-		n.front.HangUp(ms(t.Linger))
+		n.front.HangUp(min(ms(t.Linger), time.Until(lastWordsAt)))
 		n.front.Last(n.listener)
-	} else { // those at the door have the time that every first line has
+	} else { // those at the door have the time that every first line has, if the process has it
+		n.front.HangUp(untilWords)
 		n.listener.Close()
 	}
 	gone := make(chan struct{})
