Starts known before any other clock was seen count as of the news

Seen: lab/rig TestNeverMoreThanTheWholeBelowControlMachines, once the rig no longer told nodes by how much clocks are off: a process that begins with a clock 30 s ahead takes a server in slow start for warm until the list service's first answer brings its Date, and asks and grants by that: 6 sent in a window of 3.9. Change: until a clock is seen by which starts are listed (Date), a start without a last word of the list before it has two moments, as late news have: what is divided among nodes goes by the news, a node's fixed part by the clock within the operators' chance. After: that test, 84 s, passes; balance and the clock tests of node pass.

--- a/balance/api.go
+++ b/balance/api.go
@@ -71,6 +71,7 @@
 	Connections  float64       // open at once on all servers, that these are to bear; 0 means unknown
 
 	LeftMargin   time.Duration // by which a request's Left may be off, either way; answers may be that much later
+	ClockUnsure  bool          // until Clock tells, nothing is known of the clock by which starts are listed; else it is this instance's
 	StartError   time.Duration // by which a server's UpSince may be off, either way, besides what Clock tells
 	OnlyDraining bool          // only a listed Draining binds: who is Gone without it may still be sent to
 }
@@ -175,7 +176,10 @@
 
 // Clock tells that this instance's time may be ahead of the wall clock by which servers' starts are listed. The most that was
 // told so counts.
-type Clock struct{ Ahead time.Duration }
+type Clock struct {
+	Ahead time.Duration // 0 for not
+	Sure  bool          // such a clock was seen; else it is only known that this instance's was wrong
+}
 
 // Opened is a connection that stood already when this node started; Attempt 0 made it.
 type Opened struct {
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -122,7 +122,7 @@
 	b := &Balancer{set: set, rng: rand.New(rand.NewPCG(seed, 0)),
 		servers: map[ServerID]*server{}, requests: map[RequestID]*request{}, orders: map[string][]*server{},
 		table:  table{bound: set.MaxOpen, entries: map[string]*entry{}},
-		starts: starts{all: map[ServerID]*start{}, off: set.StartError},
+		starts: starts{all: map[ServerID]*start{}, sure: !set.ClockUnsure, off: set.StartError},
 		boots:  map[int]uint8{}, boot: uint8(1 + seed%64), full: 1, group: easyLoad, old: math.MaxInt64,
 	}
 	if set.TellsLate {
@@ -158,7 +158,7 @@
 	case Slow:
 		b.slow(ev)
 	case Clock:
-		b.starts.clockAhead(ev.Ahead)
+		b.starts.clockSeen(ev.Ahead, ev.Sure)
 	case Timer:
 		if ev.Token == timerSubscribe {
 			b.out = append(b.out, Subscribe{})
--- a/balance/starts.go
+++ b/balance/starts.go
@@ -34,6 +34,7 @@
 type starts struct {
 	all   map[ServerID]*start
 	ahead time.Duration // by which this instance's time is ahead of the slowest clock seen
+	sure  bool          // another clock was seen by which starts are listed
 	off   time.Duration // by which a listed start may be off, either way
 }
 
@@ -49,23 +50,24 @@
 	return s
 }
 
-// settle works out when a server started: likely, and at the latest. The two differ where the list would have
-// told of the start before: a clock is wrong, or the news was late.
+// settle works out when a server started: likely, and at the latest. The two differ where the list would
+// have told of the start before, as then a clock is wrong or the news was late, and where nothing tells
+// whether this instance's own clock is right.
 func (t *starts) settle(s *start) {
 	estimate := s.upSince + t.ahead + t.off
 	s.likely = min(max(estimate, s.floor), s.told)
 	s.at = s.likely
-	if estimate < s.after {
+	if estimate < s.after || !t.sure && s.after == 0 {
 		s.at = s.told
 	}
 }
 
-// clockAhead takes evidence that this instance's time is ahead of a clock.
-func (t *starts) clockAhead(by time.Duration) {
-	if by <= t.ahead {
+// clockSeen takes evidence of by how much this instance's time is ahead of a clock.
+func (t *starts) clockSeen(by time.Duration, sure bool) {
+	if by <= t.ahead && (t.sure || !sure) {
 		return
 	}
-	t.ahead = by
+	t.ahead, t.sure = max(t.ahead, by), t.sure || sure
 	for _, s := range t.all {
 		t.settle(s)
 	}
--- a/node/clock.go
+++ b/node/clock.go
@@ -62,18 +62,19 @@
 
 // lookAtWallClock takes a step back of this machine's wall clock as evidence that it was ahead before.
 func (l *loop) lookAtWallClock() {
-	l.clockAhead(l.stepped(), "this machine")
+	l.clockSeen(l.stepped(), false)
 }
 
-// clockAhead has the decisions reckon with a clock that may be ahead of those by which servers' starts are listed.
-func (l *loop) clockAhead(by time.Duration, witness string) {
-	if by <= l.ahead {
+// clockSeen has the decisions reckon with a clock that may be ahead of those by which servers' starts are listed; sure tells that
+// such a clock was seen.
+func (l *loop) clockSeen(ahead time.Duration, sure bool) {
+	if ahead <= l.ahead && (l.sure || !sure) {
 		return
 	}
-	if by >= l.ahead+dateResolution { // else it is no more than how clocks are kept right
-		l.log.Warn("the clock of this process may be ahead", zap.Duration("ahead", by), zap.String("witness", witness))
+	if ahead >= l.ahead+dateResolution { // else it is no more than how clocks are kept right
+		l.log.Warn("the clock of this process may be ahead", zap.Duration("ahead", ahead), zap.Bool("by_the_list_service", sure))
 	}
-	l.ahead = by
-	l.handle(balance.Clock{Ahead: by})
+	l.ahead, l.sure = max(l.ahead, ahead), l.sure || sure
+	l.handle(balance.Clock{Ahead: l.ahead, Sure: l.sure})
 	l.wholes()
 }
--- a/node/loop.go
+++ b/node/loop.go
@@ -39,6 +39,7 @@
 	ctx       context.Context // ends with the loop
 	clock
 	ahead        time.Duration // by which the clock may be ahead of those by which servers' starts are listed, as the decisions know
+	sure         bool          // one of those was seen
 	unchanged    time.Time     // until then the list was as it is held; the zero time where that is not known
 	leases       *leases       // what may be sent to cold servers, where nodes share it out; nil where each has its fixed part
 	pushed       bool
@@ -74,6 +75,7 @@
 func newLoop(ctx context.Context, cfg *Config, log *zap.Logger) *loop {
 	seed, _ := cfg.seed()
 	set := cfg.Settings.Settings()
+	set.ClockUnsure = true
 	set.Talks = false     // no way to other nodes is built
 	set.TellsLate = false // no server sends such notes on sockets, and an echo may come at once whatever the load
 	dial := settings.Microseconds(cfg.Settings.Ceilings.DialTimeout) * listDials
@@ -571,9 +573,8 @@
 			Live: func() { tell(func() { l.live(w) }) }, Quiet: func() { tell(func() { l.unheard(w, errSilent) }) },
 			Same: func(at time.Time) { w.same.Store(&at) },
 			Dated: func(date, asked, answered time.Time) {
-				if by := l.aheadOf(date, asked, answered); by > 0 {
-					tell(func() { l.clockAhead(by, "list service") })
-				}
+				ahead := l.aheadOf(date, asked, answered)
+				tell(func() { l.clockSeen(ahead, true) })
 			}})
 		end()
 		tell(func() {
