One place decides whether an attempt may start, and counts what would break a rule

Doubts about the clock alone refuse nobody: who would be refused is placed by the clocks (TestDoubtsAboutTheClockRefuseNobody). The list service's Date is taken with the watch's first sign of life, so that no further event stands in the loop's queue.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -35,6 +35,8 @@
 	fullMost  = 0.8              // load by its book up to which a server takes more of a group that it holds
 	roomMost  = 0.3              // and of another
 	oneCore   = 1e6              // work a second that a core does
+
+	noneReady = "none ready" // why a request is refused for which no server is left
 )
 
 // Balancer is one node's decisions. It is not safe for concurrent use.
@@ -62,6 +64,7 @@
 	boots           map[int]uint8 // what the nodes said last of theirs
 	begun           bool          // it was told of something, the first time at born
 	born            time.Duration
+	trusting        bool // clocks are, as a request would be refused otherwise
 	relieved        bool // another process of this node spends the cold budgets
 }
 
@@ -412,6 +415,15 @@
 }
 
 func (b *Balancer) choose(r *request) (s *server, why string) {
+	if s, why = b.pick(r); s == nil && why == noneReady {
+		b.trusting = true
+		s, why = b.pick(r)
+		b.trusting = false
+	}
+	return s, why
+}
+
+func (b *Balancer) pick(r *request) (s *server, why string) {
 	if len(r.tries)-r.unsent >= b.set.MaxAttempts || r.deadline-b.now <= b.set.Tick && len(r.tries) > 0 {
 		return nil, "tries spent"
 	}
@@ -460,7 +472,7 @@
 	} else if over {
 		return top, "full"
 	}
-	return top, "none ready"
+	return top, noneReady
 }
 
 // walk is the ranking; past its top the servers where the group stands come first.
--- a/balance/starts.go
+++ b/balance/starts.go
@@ -22,6 +22,7 @@
 	floor   time.Duration // the estimate of the process before this one; 0 for none
 	likely  time.Duration // when the server started by the clocks alone, never later than the news
 	at      time.Duration // the latest moment at which it may have started, by all of these
+	unseen  bool          // nothing tells whether the clocks behind likely are right
 
 	turn float64         // this node's among the nodes, from 0 to 1
 	sent []time.Duration // attempts from here, within the last window
@@ -56,8 +57,8 @@
 func (t *starts) settle(s *start) {
 	estimate := s.upSince + t.ahead + t.off
 	s.likely = min(max(estimate, s.floor), s.told)
-	s.at = s.likely
-	if estimate < s.after || !t.sure && s.after == 0 {
+	s.at, s.unseen = s.likely, !t.sure && s.after == 0
+	if estimate < s.after || s.unseen {
 		s.at = s.told
 	}
 }
@@ -112,7 +113,16 @@
 }
 
 func (b *Balancer) cold(s *server) bool {
-	return s.UpSince > 0 && b.now < s.start.at+b.set.ColdFor
+	return s.UpSince > 0 && b.now < b.began(s.start)+b.set.ColdFor
+}
+
+// began is when a server started, to be on the safe side; by the clocks alone for a request that would be
+// refused otherwise, where nothing speaks against them.
+func (b *Balancer) began(s *start) time.Duration {
+	if b.trusting && s.unseen {
+		return s.likely
+	}
+	return s.at
 }
 
 // turn guards against nodes that send a cold server none, or all at once.
@@ -135,7 +145,7 @@
 	}
 	full := rate * b.set.FallMultiple * b.set.FallWindow.Seconds() / float64(max(len(b.ready), 1))
 	part := full * b.share(s.start.likely)
-	if s.start.at > s.start.likely { // should a clock be wrong, chance covers the difference
+	if b.began(s.start) > s.start.likely { // should a clock be wrong, chance covers the difference
 		nodes := float64(b.set.Nodes)
 		young := nodes * full * b.share(s.start.at)
 		part = min(part, (young+chance(young)-1)/nodes)
--- a/balance/world_test.go
+++ b/balance/world_test.go
@@ -340,3 +340,38 @@
 		})
 	}
 }
+
+// A process that has seen no clock but its own doubts all starts that its first list tells. It goes by other servers as
+// long as there are some, and refuses nobody for its doubts alone.
+func TestDoubtsAboutTheClockRefuseNobody(t *testing.T) {
+	for _, c := range []struct {
+		doubted int // of four servers, those with a start long ago by the clock
+		sure    bool
+		most    float64 // of 400 clients, those that the fourth may get
+	}{{1, false, 6}, {4, false, 400}, {1, true, 400}} {
+		set := site()
+		set.ClockUnsure, set.Nodes, set.Connections = true, 1, 40
+		servers := ready(1, 2, 3, 4)
+		for i := range c.doubted {
+			servers[3-i].UpSince = time.Hour
+		}
+		n := &node{Balancer: New(set, 7), now: 2 * time.Hour, next: 1}
+		n.do(Members{Kind: ListCached, Servers: servers})
+		n.now += set.FallWindow
+		if c.sure {
+			n.do(Clock{Sure: true})
+		}
+		refused, fourth := 0, 0
+		for i := range 400 {
+			switch _, s := n.place("safe", fmt.Sprint(i)); s {
+			case 0:
+				refused++
+			case 4:
+				fourth++
+			}
+		}
+		if refused > 0 || float64(fourth) > c.most || c.most > 100 && fourth < 50 {
+			t.Errorf("%+v: %d refused, %d at the fourth server", c, refused, fourth)
+		}
+	}
+}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -108,7 +108,9 @@
 	ID       balance.RequestID
 	Head     *Head
 	Deadline time.Time
-	Tries    int // attempts started; the node counts them
+	Tries    int       // attempts started; the node counts them, and keeps what follows
+	Out      bool      // one is
+	Ran      time.Time // when the first began that may have run; the zero time where none has
 
 	client *lines.Conn
 	tally  *Tally
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -229,6 +229,10 @@
 	x := exchange.New(head, c, tally, s.sink, s.cfg.Exchange, s.log)
 	go s.take(x) // it may have to wait, and a client that leaves meanwhile is to be seen at once
 	x.FromClient()
+	if x.Owed() {
+		s.Count.Unanswered.Add(1)
+		s.log.Error("a request has ended without an answer", zap.ByteString("id", head.ID))
+	}
 }
 
 // Adopt goes on with a connection that another process has handed over; run is called with its exchange before
--- a/node/loop.go
+++ b/node/loop.go
@@ -3,9 +3,6 @@
 import (
 	"container/heap"
 	"context"
-	"errors"
-	"math/rand/v2"
-	"net"
 	"slices"
 	"strconv"
 	"sync/atomic"
@@ -64,7 +61,8 @@
 	speeds       map[balance.ServerID]*speed
 	timers       timers
 	shadow       *shadow // decides by other settings, to be counted; nil where none are watched
-	figures      bool    // someone may ask for figures
+	rules        rules
+	figures      bool // someone may ask for figures
 	classes      map[string]*exchange.Tally
 	hosts        struct{ known, excluded atomic.Int64 } // as lately counted
 	count        struct {
@@ -95,6 +93,7 @@
 	if leases != nil {
 		leases.clock = l.steady
 	}
+	l.rules = rules{classes: set.Classes, log: log}
 	l.list.Dial, l.tellLists = cfg.Lab.Dial, cfg.Lab.TellLists
 	l.figures, l.classes = cfg.Admin != "", map[string]*exchange.Tally{}
 	for name := range set.Classes {
@@ -201,36 +200,7 @@
 func (l *loop) do(a balance.Action) {
 	switch a := a.(type) {
 	case balance.Attempt:
-		if x := l.open[a.ID]; x != nil {
-			e := l.servers[a.Server]
-			attempt := exchange.Attempt{Number: x.Tries, Server: a.Server, Addr: e.Addr, Start: e.Started}
-			x.Tries++
-			end := func(o balance.Outcome) { go l.Closed(x, attempt, o, 0, nil) } // not from here, as it tells the loop
-			// Where it has no room a further attempt is given up at once: to wait comes on top of what it has waited already.
-			if attempt.Number > 0 && !l.affordAtOnce(retryBudget, 0) {
-				end(balance.Moot)
-				return
-			}
-			decided := time.Now()
-			if a.Within > 0 {
-				attempt.Bind(decided.Add(a.Within))
-			}
-			l.afford(sendBudget, uint64(a.Server), answerWait, func(ok bool) {
-				if !ok {
-					end(balance.Moot)
-					return
-				} else if l.void(attempt) { // the list has changed while it waited
-					end(balance.Unsent)
-					return
-				}
-				if s := l.leases; s != nil && (attempt.Number > 0 && s.on[retryBudget] || s.cold(a.Server)) {
-					attempt.Bind(decided.Add(s.within))
-				} else if s != nil && s.on[sendBudget] {
-					attempt.Bind(time.Now().Add(s.within))
-				}
-				l.back.Attempt(x, attempt, a.Timeout)
-			})
-		}
+		l.attempt(a)
 	case balance.Refuse:
 		l.refuse(a.ID, a.RetryIn)
 	case balance.Fail:
@@ -352,31 +322,6 @@
 		Left: time.Until(x.Deadline), Again: h.Again}
 }
 
-// returnPause is the time between two tries to take a connection back to its server.
-const returnPause = 200 * time.Millisecond
-
-// standAgain takes a connection that stood before back to its server. That needs no decision, but an address:
-// while no list has named the server, it waits. The decisions hear of it once it is up.
-func (l *loop) standAgain(x *exchange.Exchange) {
-	if !x.Owed() { // it has left meanwhile
-		return
-	}
-	id := balance.ServerID(settings.NamedServer(string(x.Head.At)))
-	if addr := l.servers[id].Addr; addr != "" {
-		l.afford(sendBudget, uint64(id), answerWait, func(ok bool) {
-			if ok {
-				l.back.Attempt(x, exchange.Attempt{Server: id, Addr: addr, Start: l.servers[id].Started, By: l.leases.by(sendBudget)}, 0)
-			} else {
-				l.notBack(x, balance.Moot)
-			}
-		})
-		l.flush()
-		return
-	}
-	l.returns = append(l.returns, x)
-	time.AfterFunc(time.Until(x.Deadline), func() { l.tell(func() { l.noReturn(x) }) })
-}
-
 // end has every request that still waits fail, now and from now on: the process is to end.
 func (l *loop) end() {
 	l.ending = true
@@ -392,14 +337,6 @@
 	l.handle(balance.Left{ID: x.ID})
 }
 
-// noReturn fails a connection whose server no list has named in its time.
-func (l *loop) noReturn(x *exchange.Exchange) {
-	if i := slices.Index(l.returns, x); i >= 0 {
-		l.returns = slices.Delete(l.returns, i, i+1)
-		l.fail(x, "no such server")
-	}
-}
-
 // Left is part of exchange.Sink.
 func (l *loop) Left(x *exchange.Exchange) {
 	l.tell(func() {
@@ -434,6 +371,7 @@
 func (l *loop) Closed(x *exchange.Exchange, a exchange.Attempt, outcome balance.Outcome, took time.Duration,
 	report *balance.Report) {
 	l.tell(func() {
+		l.rules.ended(x, outcome, took)
 		owed := x.Owed()
 		if owed && len(x.Head.At) > 0 {
 			l.notBack(x, outcome)
@@ -446,15 +384,6 @@
 	})
 }
 
-// notBack tries once more where the server has not seen the connection, else fails it.
-func (l *loop) notBack(x *exchange.Exchange, outcome balance.Outcome) {
-	if outcome.NeverRan() && time.Until(x.Deadline) > returnPause {
-		time.AfterFunc(returnPause, func() { l.tell(func() { l.standAgain(x) }) })
-		return
-	}
-	l.fail(x, "not up again")
-}
-
 // Message is part of exchange.Sink. While the loop has more to do, a measurement is dropped.
 func (l *loop) Message(x *exchange.Exchange, server balance.ServerID, took time.Duration) {
 	select {
@@ -498,253 +427,6 @@
 	}
 }
 
-// subscribe follows the list from the version held. Each watch ends in one ListFailed.
-func (l *loop) subscribe() {
-	if l.watching {
-		return
-	}
-	l.watching = true
-	l.calls++
-	turn := l.calls
-	l.afford(callBudget, 0, callWait, func(ok bool) {
-		if turn != l.calls {
-			return // another discovery is asked meanwhile
-		} else if ok {
-			l.watch()
-			return
-		}
-		time.AfterFunc(callPause/2+rand.N(callPause), func() {
-			l.tell(func() {
-				if turn == l.calls {
-					l.watching = false
-					l.subscribe()
-					l.flush()
-				}
-			})
-		})
-	})
-}
-
-// A call that all nodes have no room for waits for their answer for callWait, and is tried again after callPause on the mean.
-const (
-	callWait  = time.Second
-	callPause = 500 * time.Millisecond
-)
-
-// watch is one call for the list and its changes.
-type watch struct {
-	addr   string
-	since  int64
-	opened time.Time
-	lives  bool // it has said something
-	failed bool // its end or silence has been told
-	end    context.CancelFunc
-	same   atomic.Pointer[time.Time] // when it last said that nothing has changed
-}
-
-func (w *watch) stop() {
-	if w != nil {
-		w.end()
-	}
-}
-
-// watch opens a watch. The one before it, where that has told anything, is heard on until this one has: guards against what was
-// written to it and not read yet as this one is opened, since it fell silent or another discovery is asked now. All
-// that counts as told.
-func (l *loop) watch() {
-	ctx, end := context.WithCancel(l.ctx)
-	w, by := &watch{addr: l.asked, since: l.version, opened: time.Now(), end: end}, l.leases.by(callBudget)
-	if l.heardBefore == nil {
-		l.heardBefore = l.heard
-	} else {
-		l.heard.stop() // it has told nothing
-	}
-	l.heard = w
-	tell := func(do func()) {
-		l.tell(func() {
-			if w == l.heard || w == l.heardBefore { // else another has replaced it
-				do()
-			}
-		})
-	}
-	go func() {
-		err := l.list.Watch(ctx, w.addr, w.since, by, discovery.Hearer{
-			List: func(list *discovery.List) { tell(func() { l.told(w, list) }) },
-			Live: func() { tell(func() { l.live(w) }) }, Quiet: func() { tell(func() { l.unheard(w, errSilent) }) },
-			Same: func(at time.Time) { w.same.Store(&at) },
-			Dated: func(date, asked, answered time.Time) {
-				ahead := l.aheadOf(date, asked, answered)
-				tell(func() { l.clockSeen(ahead, true) })
-			}})
-		end()
-		tell(func() {
-			l.unheard(w, err)
-			if w == l.heardBefore {
-				l.heardBefore = nil
-			}
-		})
-	}()
-}
-
-var errSilent = errors.New("discovery is silent")
-
-// live ends the watch before one that is heard now, on the same discovery: what that has still to say this one will say too. Of
-// another one it takes the list. The list held is told of again: where nothing has changed since, the watch may say no more than empty lines.
-func (l *loop) live(w *watch) {
-	w.lives = true
-	l.lookAtWallClock()
-	if w == l.heard && w.addr == l.asked && w.since > 0 {
-		l.handle(balance.Members{Kind: balance.ListChanges})
-	}
-	if w == l.heard && l.heardBefore != nil && l.heardBefore.addr == w.addr {
-		l.hearOne()
-	}
-}
-
-// hearOne ends the watch before the last.
-func (l *loop) hearOne() {
-	l.heardBefore.stop()
-	l.heardBefore = nil
-}
-
-// told takes what a watch says. Guards against two watches on one discovery of which the newer was asked first and says
-// what the older has said already: that would bring back a server that drains.
-func (l *loop) told(w *watch, list *discovery.List) {
-	if w == l.heard {
-		l.hearOne()
-	}
-	if w.addr != l.asked { // it may count its versions otherwise, and be old: it can only take servers away any more
-		list.Full, list.Unchanged = false, time.Time{}
-		list.Servers = slices.DeleteFunc(list.Servers, func(s discovery.Server) bool { return s.State == "up" })
-	} else if list.Version < l.version && w.since < l.version {
-		return
-	} else {
-		l.version = list.Version
-		if list.Unchanged.IsZero() {
-			list.Unchanged = l.unchanged
-		}
-		l.unchanged = list.Heard
-	}
-	l.lookAtWallClock()
-	l.listed(list)
-	if l.tellLists {
-		l.log.Info("list in force", zap.Int64("version", list.Version))
-	}
-}
-
-// unheard has another watch opened after a while, once for each that ends or falls silent.
-func (l *loop) unheard(w *watch, err error) {
-	if w.failed || w != l.heard {
-		return
-	}
-	l.log.Warn("the watch on the server list broke", zap.String("discovery", w.addr), zap.Error(err))
-	w.failed, l.watching = true, false
-	if same := w.same.Load(); same != nil && w.addr == l.asked && same.After(l.unchanged) {
-		l.unchanged = *same
-	}
-	if !l.pushed { // where lists are pushed it may say at its return what counts as told then; else nothing more
-		w.stop()
-	}
-	kind := balance.ListFailed
-	if w.lives && time.Since(w.opened) >= l.list.Silence { // then nothing is known of how busy discovery is
-		kind = balance.ListBroken // else it may end each call soon, and is to be spared
-	}
-	took := time.Since(w.opened)
-	if dial := (&net.OpError{}); w.lives || errors.As(err, &dial) && dial.Op == "dial" { // it did not wait
-		took = 0
-	}
-	l.handle(balance.Members{Kind: kind, Took: took})
-}
-
-// rediscover follows the list of another discovery, at once: the decisions' own retry may be seconds away.
-// Another discovery may count its versions otherwise, so all of its list is asked for.
-func (l *loop) rediscover(addr string) {
-	if addr == l.asked {
-		return
-	}
-	l.log.Info("another discovery is asked", zap.String("discovery", addr))
-	l.asked, l.version, l.watching, l.unchanged = addr, 0, false, time.Time{}
-	l.handle(balance.Members{Kind: balance.ListBroken}) // what failed at the old one slows no retry at this one
-	l.subscribe()
-	l.flush()
-}
-
-func (l *loop) listed(list *discovery.List) {
-	if list.Full {
-		clear(l.servers)
-		clear(l.draining)
-	}
-	l.addresses(list)
-	kind := balance.ListChanges
-	if list.Full {
-		kind = balance.ListFull
-	}
-	members := list.Members(kind)
-	members.Unchanged = l.at(list.Unchanged)
-	l.handle(members)
-	l.wholes()
-	l.recheck()
-	for _, s := range list.Servers {
-		if s.State == "draining" {
-			l.leaving(balance.ServerID(s.ID))
-		}
-	}
-	waiting := l.returns
-	l.returns = nil
-	for _, x := range waiting {
-		l.standAgain(x)
-	}
-}
-
-// void tells whether a server is no more what it was when an attempt at it was decided: it drains or is gone, has another
-// address, at which another may be, or has started anew. A list without a server is no word that it takes nobody where
-// only draining binds.
-func (l *loop) void(a exchange.Attempt) bool {
-	e, listed := l.servers[a.Server]
-	return listed && (e.State != "up" || e.Addr != a.Addr || e.Started != a.Start) || !listed && !l.onlyDraining
-}
-
-// recheck takes back what has been decided by the list before this one and is not on its way yet: guards against the
-// time that a connection takes to come up, in which a server may begin to drain. A connection that stood before is
-// nothing new to its server while that drains.
-func (l *loop) recheck() {
-	for _, x := range l.open {
-		x.CallOff(func(a exchange.Attempt) bool {
-			if len(x.Head.At) > 0 && l.servers[a.Server].State == "draining" {
-				return false
-			}
-			return l.void(a)
-		})
-	}
-}
-
-// leaving has the clients of a server moved that drains and in a while has not sent them away itself.
-func (l *loop) leaving(id balance.ServerID) {
-	time.AfterFunc(l.drain, func() {
-		l.tell(func() {
-			if l.draining[id] {
-				l.handle(balance.Leaving{Server: id})
-			}
-		})
-	})
-}
-
-func (l *loop) addresses(list *discovery.List) {
-	for _, s := range list.Servers {
-		if s.State == "removed" {
-			delete(l.servers, balance.ServerID(s.ID))
-			delete(l.speeds, balance.ServerID(s.ID))
-		} else {
-			l.servers[balance.ServerID(s.ID)] = s
-		}
-		if s.State == "draining" {
-			l.draining[balance.ServerID(s.ID)] = true
-		} else {
-			delete(l.draining, balance.ServerID(s.ID))
-		}
-	}
-}
-
 // timer is one of the decisions', and timers holds them, the next one first.
 type timer struct {
 	at     time.Duration
--- a/node/moments_test.go
+++ b/node/moments_test.go
@@ -716,7 +716,7 @@
 	hold := n.holdLoop()
 	client := n.dial()
 	client.say("OPEN id k c=pay,d=20\r\n")
-	n.until("the request", func() bool { return n.front.Count.Requests.Load() == 1 && len(n.loop.events) > 0 })
+	n.until("the request", func() bool { return len(n.loop.events) == 1 })
 	time.Sleep(25 * time.Millisecond)
 	close(hold)
 	if line := client.line(); !strings.HasPrefix(line, "BUSY") { // it has not run
--- a/node/node.go
+++ b/node/node.go
@@ -353,6 +353,8 @@
 		add("admin_made_way", n.admin.Count.MadeWay.Load())
 		add("admin_accept_errors", n.admin.Count.AcceptErrors.Load())
 	}
+	n.loop.rules.counters(add)
+	add("rule_unanswered", f.Unanswered.Load())
 	n.loop.leases.counters(add)
 	for i, name := range outcomes {
 		add("attempts_"+name, b.Outcomes[i].Load())
