--- a/balance/balance.go
+++ b/balance/balance.go
@@ -62,6 +62,7 @@
 	full, group     float64       // fullLoad and groupLoad, where late messages tell that it was too much
 	boot            uint8         // tells this start from others
 	boots           map[int]uint8 // what the nodes said last of theirs
+	looked          int           // servers looked at: what an event costs
 	begun           bool          // it was told of something, the first time at born
 	born            time.Duration
 	trusting        bool // clocks are, as a request would be refused otherwise
@@ -269,6 +270,7 @@
 // watch guards against a wave placed on reports of idle servers, where no late message tells of it.
 func (b *Balancer) watch() {
 	b.watched = false
+	b.looked += len(b.ready)
 	for _, s := range b.ready {
 		n := len(s.held) // what came since its report is to be reckoned with
 		if n > 0 && (2*s.since >= n || s.reportedLoad*float64(n) > easyLoad*float64(n-s.since)) {
@@ -336,6 +338,7 @@
 
 func (b *Balancer) relist() {
 	clear(b.orders)
+	b.looked += len(b.servers)
 	b.ready = b.ready[:0]
 	for id, s := range b.servers {
 		if s.State == Ready {
@@ -440,6 +443,7 @@
 	var top *server
 	over, late := false, false // what is left to it are cold servers that have budget; or servers at ease
 	for at, s := range b.walk(r) {
+		b.looked++
 		if over && !b.cold(s) || !b.allowed(r, s) {
 			continue
 		}
@@ -482,6 +486,7 @@
 		return order
 	}
 	past := func(s *server) bool { return s != order[0] && b.most(r, s) == easyLoad }
+	b.looked += 2 * len(order)
 	first := slices.DeleteFunc(slices.Clone(order), past)
 	return append(first, slices.DeleteFunc(slices.Clone(order), func(s *server) bool { return !past(s) })...)
 }
@@ -588,6 +593,7 @@
 		return order
 	}
 	buf, order := append(make([]byte, 0, 64), name...), slices.Clone(b.ready)
+	b.looked += len(order)
 	for _, s := range order {
 		h := xxhash.Sum64(binary.LittleEndian.AppendUint64(buf, uint64(s.ID)))
 		s.score = -s.Weight / math.Log((float64(h>>11)+0.5)/(1<<53))
--- a/lab/rig/result.go
+++ b/lab/rig/result.go
@@ -1,8 +1,6 @@
 package rig
 
 import (
-	"brassmux/lab/process"
-	"brassmux/lab/referee"
 	"fmt"
 	"maps"
 	"math"
@@ -10,6 +8,9 @@
 	"strings"
 	"syscall"
 	"time"
+
+	"brassmux/lab/process"
+	"brassmux/lab/referee"
 )
 
 // Result is what a run has counted.
@@ -129,6 +130,12 @@
 	delete(r.sum, "ts")
 	res := &Result{Scenario: r.s.Name, Seed: r.o.Seed, Nodes: r.s.Nodes, Totals: r.totals, Effects: r.effects, Counters: r.sum}
 	res.Broken, res.History = r.ref.Verdict(time.Now())
+	for name, n := range r.sum { // what the program itself held back
+		if strings.HasPrefix(name, "rule_") && n > 0 {
+			res.Broken.Asserted += int(n)
+			res.History = append(res.History, fmt.Sprintf("%s: %.0f by the nodes' own count", name, n))
+		}
+	}
 	res.Totals["answered in time"], res.Totals["excused"] = r.ref.Answered, r.ref.Excused
 	res.Totals["attempts at cold servers"], res.Totals["further attempts"] = r.ref.Cold, r.ref.Further
 	res.ColdUsed = math.Round(r.ref.ColdUsed*1000) / 1000
