--- a/internal/cli/lab.go
+++ b/internal/cli/lab.go
@@ -53,7 +53,7 @@
 	run.Flags().Uint64Var(&seeds, "seeds", 5, "how many seeds to play")
 	run.Flags().IntVar(&nodes, "nodes", 0, "how many nodes, in place of the scenario's")
 	run.Flags().StringVar(&out, "json", "", "write all results to this file")
-	lab.AddCommand(run, rigCommand(stdout), soakCommand(stdout), slopesCommand(stdout), capacityCommand(stdout), scaleCommand(stdout), scalePartCommand(stdout))
+	lab.AddCommand(run, rigCommand(stdout), soakCommand(stdout), sizesCommand(stdout), slopesCommand(stdout), capacityCommand(stdout), scaleCommand(stdout), scalePartCommand(stdout))
 	return lab
 }
 
--- a/lab/referee/referee.go
+++ b/lab/referee/referee.go
@@ -51,7 +51,7 @@
 	Late       int `json:"late_sends"` // to a server that drains or is gone, after the grace
 	Over       int `json:"over_whole"` // windows in which a cold server was sent more than the whole
 	Rates      int `json:"over_rates"` // windows in which there was more of something bounded than the whole
-	Asserted   int `json:"asserted"`    // by the program's own count: held back just before it would have happened
+	Asserted   int `json:"asserted"`   // by the program's own count: held back just before it would have happened
 	Unready    int `json:"unready"`    // events of which more than a tenth of the processes that they started anew were not ready in time
 }
 
