No clock is ahead by more than the least age at which a start was heard of

Change: the doubt about the clock is one bound for all starts, the least age at which any was heard of (a list's newest start is a witness), in place of what a watch last said of each list; the words 'unchanged' of watches, lists and the module's events are gone again.

--- a/balance/api.go
+++ b/balance/api.go
@@ -148,9 +148,6 @@
 	Kind    ListKind
 	Servers []Server
 	Took    time.Duration // with ListFailed: how long the call waited at the service; 0 where none came up, or it told a list
-
-	// Unchanged is until when the list was surely as this instance had it: what is new lies after it. 0 where that is not known.
-	Unchanged time.Duration
 }
 
 // ListKind tells how a Members event is to be read.
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -126,7 +126,7 @@
 	b := &Balancer{set: set, rng: rand.New(rand.NewPCG(seed, 0)),
 		servers: map[ServerID]*server{}, requests: map[RequestID]*request{}, orders: map[string][]*server{},
 		table:  table{bound: set.MaxOpen, entries: map[string]*entry{}},
-		starts: starts{all: map[ServerID]*start{}, sure: !set.ClockUnsure, off: set.StartError},
+		starts: newStarts(set),
 		boots:  map[int]uint8{}, boot: uint8(1 + seed%64), full: 1, group: easyLoad, old: math.MaxInt64,
 	}
 	if set.TellsLate {
@@ -305,7 +305,7 @@
 			continue
 		} else if e.UpSince != s.UpSince {
 			s.aside, s.signs = 0, 0
-			s.start = b.starts.listed(e, ev.Unchanged, b.now)
+			s.start = b.starts.listed(e, ev.Kind == ListCached, b.now)
 			s.start.turn = b.turn(e)
 			// this node may have sent it some before it restarted itself
 			s.start.rest = max(s.start.rest, b.born+b.set.FallWindow)
--- a/balance/starts.go
+++ b/balance/starts.go
@@ -18,11 +18,10 @@
 type start struct {
 	upSince time.Duration // as listed, by some wall clock; it names the start
 	told    time.Duration // when it was first heard of: the server runs since then at the latest
-	after   time.Duration // until then the list had no such start; 0 where that is not known
 	floor   time.Duration // the estimate of the process before this one; 0 for none
 	likely  time.Duration // when the server started by the clocks alone, never later than the news
 	at      time.Duration // the latest moment at which it may have started, by all of these
-	unseen  bool          // nothing tells whether the clocks behind likely are right
+	cached  bool          // this process began with it: it was no news
 
 	turn float64         // this node's among the nodes, from 0 to 1
 	sent []time.Duration // attempts from here, within the last window
@@ -35,45 +34,66 @@
 type starts struct {
 	all   map[ServerID]*start
 	ahead time.Duration // by which this instance's time is ahead of the slowest clock seen
-	sure  bool          // another clock was seen by which starts are listed
+	doubt time.Duration // by which it may be ahead beyond that, for all that is known
 	off   time.Duration // by which a listed start may be off, either way
 }
 
-// listed gives the start of a server as a list names it now. Until unchanged the list was as it was heard
-// before; 0 where that is not known.
-func (t *starts) listed(e Server, unchanged, now time.Duration) *start {
+func newStarts(set Settings) starts {
+	t := starts{all: map[ServerID]*start{}, off: set.StartError}
+	if set.ClockUnsure {
+		t.doubt = math.MaxInt64 / 4
+	}
+	return t
+}
+
+// listed gives the start of a server as a list names it now; cached tells that this instance begins with
+// it.
+func (t *starts) listed(e Server, cached bool, now time.Duration) *start {
 	s := t.all[e.ID]
 	if s == nil || s.upSince != e.UpSince {
-		s = &start{upSince: e.UpSince, told: now, after: unchanged}
+		s = &start{upSince: e.UpSince, told: now, cached: cached}
 		t.all[e.ID] = s
+		t.heard(s)
 	}
 	t.settle(s)
 	return s
 }
 
-// settle works out when a server started: likely, and at the latest. The two differ where the list would
-// have told of the start before, as then a clock is wrong or the news was late, and where nothing tells
-// whether this instance's own clock is right.
+// heard bounds the doubt by a start: however far this instance's time is ahead, the start looks as much
+// older than it is. So it is ahead by no more than the least age at which any start was ever heard of.
+func (t *starts) heard(s *start) {
+	if s.upSince == 0 {
+		return
+	}
+	if age := max(s.told-s.upSince-t.ahead-t.off, 0); age < t.doubt {
+		t.doubt = age
+		t.settleAll()
+	}
+}
+
+// settle works out when a server started: likely, and at the latest.
 func (t *starts) settle(s *start) {
 	estimate := s.upSince + t.ahead + t.off
 	s.likely = min(max(estimate, s.floor), s.told)
-	s.at, s.unseen = s.likely, !t.sure && s.after == 0
-	if estimate < s.after || s.unseen {
-		s.at = s.told
-	}
+	s.at = min(max(estimate+t.doubt, s.floor), s.told)
 }
 
-// clockSeen takes evidence of by how much this instance's time is ahead of a clock.
-func (t *starts) clockSeen(by time.Duration, sure bool) {
-	if by <= t.ahead && (t.sure || !sure) {
-		return
-	}
-	t.ahead, t.sure = max(t.ahead, by), t.sure || sure
+func (t *starts) settleAll() {
 	for _, s := range t.all {
 		t.settle(s)
 	}
 }
 
+// clockSeen takes evidence of by how much this instance's time is ahead of a clock; sure tells that starts
+// are listed by that one.
+func (t *starts) clockSeen(by time.Duration, sure bool) {
+	t.ahead = max(t.ahead, by)
+	if sure {
+		t.doubt = 0
+	}
+	t.settleAll()
+}
+
 // learned takes what the process before this one knew of a start.
 func (t *starts) learned(s *start, at, told time.Duration) {
 	if told > 0 {
@@ -117,9 +137,9 @@
 }
 
 // began is when a server started, to be on the safe side; by the clocks alone for a request that would be
-// refused otherwise, where nothing speaks against them.
+// refused otherwise, where the start is no news.
 func (b *Balancer) began(s *start) time.Duration {
-	if b.trusting && s.unseen {
+	if b.trusting && s.cached {
 		return s.likely
 	}
 	return s.at
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -25,9 +25,6 @@
 	Version int64    `json:"version"`
 	Full    bool     `json:"full"`
 	Servers []Server `json:"servers"`
-
-	Heard     time.Time `json:"-"` // when it had come
-	Unchanged time.Time `json:"-"` // when the watch last told before that nothing had changed; the zero time where it has not
 }
 
 // Server is one entry.
@@ -132,10 +129,9 @@
 
 // Hearer takes what a watch says. Its functions are called from goroutines of the watch's own.
 type Hearer struct {
-	List  func(*List)        // the list, or changes to it
-	Live  func()             // the first sign of life, also one that tells nothing
-	Quiet func()             // each time that it has said nothing for the silence
-	Same  func(at time.Time) // each time that it says that nothing has changed; may be nil
+	List  func(*List) // the list, or changes to it
+	Live  func()      // the first sign of life, also one that tells nothing
+	Quiet func()      // each time that it has said nothing for the silence
 
 	// Dated is told the Date of an answer, with the moments between which discovery's clock showed it; may be nil.
 	Dated func(date, asked, answered time.Time)
@@ -210,7 +206,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return fmt.Errorf("discovery answers %s", resp.Status)
 	}
-	in := &heard{from: resp.Body, alive: alive, same: hear.Same}
+	in := &heard{from: resp.Body, alive: alive}
 	for lists := json.NewDecoder(in); ; in.since = 0 { // they may come indented, over several lines
 		var l List
 		switch err := lists.Decode(&l); {
@@ -224,23 +220,18 @@
 		if err := l.Check(); err != nil {
 			return fmt.Errorf("discovery sends a bad list: %w", err)
 		}
-		l.Heard, l.Unchanged = time.Now(), in.unchanged
 		if err := change(&l); err != nil {
 			return err
 		}
-		in.unchanged = l.Heard
 	}
 }
 
 // heard is what a watch says, lists and the empty lines between them.
 type heard struct {
 	from  io.Reader
-	alive func()          // called for whatever comes
-	same  func(time.Time) // called for each empty line between lists; may be nil
-	since int             // bytes since the last list
-	err   error           // why no more comes
-
-	unchanged time.Time // when the list was last told, or told to be as before
+	alive func() // called for whatever comes
+	since int    // bytes since the last list
+	err   error  // why no more comes
 }
 
 func (h *heard) Read(p []byte) (int, error) {
@@ -248,13 +239,8 @@
 	if n > 0 {
 		h.alive()
 	}
-	if len(bytes.Trim(p[:n], "\r\n")) > 0 {
+	if len(bytes.Trim(p[:n], "\r\n")) > 0 { // else nothing has changed
 		h.since += n
-	} else if n > 0 && h.since == 0 { // nothing has changed
-		h.unchanged = time.Now()
-		if h.same != nil {
-			h.same(h.unchanged)
-		}
 	}
 	if h.since > listMost {
 		n, err = 0, fmt.Errorf("discovery sends a list over %d bytes", listMost)
--- a/node/loop.go
+++ b/node/loop.go
@@ -37,7 +37,6 @@
 	clock
 	ahead        time.Duration // by which the clock may be ahead of those by which servers' starts are listed, as the decisions know
 	sure         bool          // one of those was seen
-	unchanged    time.Time     // until then the list was as it is held; the zero time where that is not known
 	leases       *leases       // what may be sent to cold servers, where nodes share it out; nil where each has its fixed part
 	pushed       bool
 	onlyDraining bool          // a server that no list names may still take clients
--- a/node/watch.go
+++ b/node/watch.go
@@ -56,7 +56,6 @@
 	lives  bool // it has said something
 	failed bool // its end or silence has been told
 	end    context.CancelFunc
-	same   atomic.Pointer[time.Time]     // when it last said that nothing has changed
 	ahead  atomic.Pointer[time.Duration] // by how much this node's clock may be ahead of the service's, as its answer bears a Date
 }
 
@@ -89,7 +88,6 @@
 		err := l.list.Watch(ctx, w.addr, w.since, by, discovery.Hearer{
 			List: func(list *discovery.List) { tell(func() { l.told(w, list) }) },
 			Live: func() { tell(func() { l.live(w) }) }, Quiet: func() { tell(func() { l.unheard(w, errSilent) }) },
-			Same: func(at time.Time) { w.same.Store(&at) },
 			Dated: func(date, asked, answered time.Time) {
 				ahead := l.aheadOf(date, asked, answered)
 				w.ahead.Store(&ahead)
@@ -135,16 +133,12 @@
 		l.hearOne()
 	}
 	if w.addr != l.asked { // it may count its versions otherwise, and be old: it can only take servers away any more
-		list.Full, list.Unchanged = false, time.Time{}
+		list.Full = false
 		list.Servers = slices.DeleteFunc(list.Servers, func(s discovery.Server) bool { return s.State == "up" })
 	} else if list.Version < l.version && w.since < l.version {
 		return
 	} else {
 		l.version = list.Version
-		if list.Unchanged.IsZero() {
-			list.Unchanged = l.unchanged
-		}
-		l.unchanged = list.Heard
 	}
 	l.lookAtWallClock()
 	l.listed(list)
@@ -160,9 +154,6 @@
 	}
 	l.log.Warn("the watch on the server list broke", zap.String("discovery", w.addr), zap.Error(err))
 	w.failed, l.watching = true, false
-	if same := w.same.Load(); same != nil && w.addr == l.asked && same.After(l.unchanged) {
-		l.unchanged = *same
-	}
 	if !l.pushed { // where lists are pushed it may say at its return what counts as told then; else nothing more
 		w.stop()
 	}
@@ -184,7 +175,7 @@
 		return
 	}
 	l.log.Info("another discovery is asked", zap.String("discovery", addr))
-	l.asked, l.version, l.watching, l.unchanged = addr, 0, false, time.Time{}
+	l.asked, l.version, l.watching = addr, 0, false
 	l.handle(balance.Members{Kind: balance.ListBroken}) // what failed at the old one slows no retry at this one
 	l.subscribe()
 	l.flush()
@@ -200,9 +191,7 @@
 	if list.Full {
 		kind = balance.ListFull
 	}
-	members := list.Members(kind)
-	members.Unchanged = l.at(list.Unchanged)
-	l.handle(members)
+	l.handle(list.Members(kind))
 	l.wholes()
 	l.recheck()
 	for _, s := range list.Servers {
