--- a/lab/rig/nodes.go
+++ b/lab/rig/nodes.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"net"
 	"net/netip"
+	"os"
 	"os/exec"
 	"slices"
 	"sync"
@@ -24,13 +26,48 @@
 	disturbed time.Time        // since when the rig does something to it; the zero time for not
 	shim      *shim.Shim       // under its process; nil where there is none
 	elsewhere bool             // its process asks the list service's other address
+	socket    *os.File         // on which its processes listen, one after the other; nil where each has its own
+	addr      string           // that socket's
+	folder    string           // where two of them meet in an upgrade
 }
 
-// under gives what is put under a process of a node that is started now, and how its command is prepared for that; nil where
-// the scenario wants none. The process is started under the wall clock that the node's machine has now.
+// listen opens the socket that a node's processes inherit.
+func (n *node) listen() error {
+	l, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		return err
+	}
+	defer l.Close() // the file is a copy
+	n.addr = l.Addr().String()
+	if n.socket, err = l.File(); err != nil {
+		return err
+	}
+	n.folder, err = os.MkdirTemp("", "n") // a socket's name must be short
+	return err
+}
+
+// close gives up what listen took.
+func (n *node) close() {
+	if n.socket != nil {
+		n.socket.Close()
+		os.RemoveAll(n.folder)
+	}
+}
+
+// inherits has a command that was not started yet inherit the node's socket.
+func (n *node) inherits(cmd *exec.Cmd) {
+	const firstExtra = 3
+	if n.socket != nil {
+		cmd.Env = append(cmd.Env, fmt.Sprintf("LB_LISTEN_FD=%d", firstExtra+len(cmd.ExtraFiles)), "TMPDIR="+n.folder)
+		cmd.ExtraFiles = append(cmd.ExtraFiles, n.socket)
+	}
+}
+
+// under gives what is put under a process of a node that is started now, nil where the scenario wants nothing, and how its command is
+// prepared. The process is started under the wall clock that the node's machine has now.
 func (r *rig) under(n *node, event int) (*shim.Shim, func(*exec.Cmd), error) {
 	if r.library == nil {
-		return nil, nil, nil
+		return nil, n.inherits, nil
 	}
 	s, err := r.library.New(r.o.Seed<<16 + uint64(n.index)<<8 + uint64(event+1))
 	if err != nil {
@@ -41,7 +78,10 @@
 		s.Step(n.shim.Offset())
 	}
 	r.mu.Unlock()
-	return s, func(cmd *exec.Cmd) { r.library.Prepare(s, cmd) }, nil
+	return s, func(cmd *exec.Cmd) {
+		r.library.Prepare(s, cmd)
+		n.inherits(cmd)
+	}, nil
 }
 
 func (r *rig) config(n *node, clock time.Duration) map[string]any {
@@ -71,6 +111,9 @@
 			"report":      map[string]any{"fields": []string{"x0"}, "via": "probe"},
 			"rules": map[string]any{"cold_from": v.ColdFrom, "cold_us": us(v.ColdFor), "fall_multiple": v.FallMultiple,
 				"fall_us": us(v.FallWindow)}}}
+	if n.socket != nil {
+		cfg["listen"] = n.addr
+	}
 	if clock != 0 {
 		cfg["lab"] = map[string]any{"clock_off_ms": clock.Milliseconds()}
 	}
--- a/lab/rig/rig.go
+++ b/lab/rig/rig.go
@@ -140,7 +140,13 @@
 	defer r.killAll()
 	var ready sync.WaitGroup
 	for i := range s.Nodes + s.Control {
-		r.nodes = append(r.nodes, &node{index: i})
+		n := &node{index: i}
+		if r.nodes = append(r.nodes, n); s.Inherit {
+			defer n.close()
+			if err := n.listen(); err != nil {
+				return nil, err
+			}
+		}
 	}
 	for _, n := range r.nodes {
 		ready.Go(func() { r.startNode(dayStart, n, 0, false) })
--- a/lab/rig/scenario.go
+++ b/lab/rig/scenario.go
@@ -27,7 +27,8 @@
 	Server  Server  `toml:"server"`
 	List    List    `toml:"list"`
 	Budgets Budgets `toml:"budgets"`
-	Shim    bool    `toml:"shim"` // processes run under a shim, so that their wall clocks can be stepped and their system calls fail
+	Shim    bool    `toml:"shim"`    // processes run under a shim, so that their wall clocks can be stepped and their system calls fail
+	Inherit bool    `toml:"inherit"` // each node has a listening socket that its processes inherit, so that they can be upgraded
 	Events  []Event `toml:"events"`
 }
 
@@ -150,7 +151,7 @@
 }
 
 var kinds = []string{"kill", "stop", "pause", "twin", "split", "link", "replace_servers", "crash_servers", "hang_servers", "list_down", "list_stuck",
-	"reload", "log_stuck", "clock_step", "syscalls", "spoil_servers"}
+	"upgrade", "reload", "log_stuck", "clock_step", "syscalls", "spoil_servers"}
 
 // calls are the system calls that may be made to fail.
 var calls = map[string]shim.Call{"accept": shim.Accept, "socket": shim.Socket, "connect": shim.Connect}
@@ -247,6 +248,8 @@
 			return fmt.Errorf("events[%d].chance: must be 0 to 1", i)
 		case !s.Shim && (e.Do == "clock_step" || e.Do == "syscalls"):
 			return fmt.Errorf("events[%d].do: %s needs shim = true", i, e.Do)
+		case !s.Inherit && e.Do == "upgrade":
+			return fmt.Errorf("events[%d].do: upgrade needs inherit = true", i)
 		case e.Do == "syscalls" && (len(e.Calls) == 0 || slices.ContainsFunc(e.Calls, func(c string) bool { return calls[c] == 0 })):
 			return fmt.Errorf("events[%d].calls: %q are not of accept, socket, connect", i, e.Calls)
 		case e.Do != "link":
--- a/lab/rig/soak.go
+++ b/lab/rig/soak.go
@@ -33,9 +33,10 @@
 	if d.rng.IntN(3) == 0 {
 		s.Budgets = Budgets{Lease: true, Floor: 0.5}
 	}
+	s.Inherit = d.rng.IntN(2) == 0
 	for at := quiet; at < k.Length-2*quiet; at += time.Duration(d.span(1, 2.5)) {
 		for range 2 + d.rng.IntN(2) {
-			s.Events = append(s.Events, d.event(at+time.Duration(d.span(0, 0.5)), nodes))
+			s.Events = append(s.Events, d.event(at+time.Duration(d.span(0, 0.5)), nodes, s.Inherit))
 		}
 	}
 	return s
@@ -68,7 +69,7 @@
 }
 
 // event draws a trouble.
-func (d *drawing) event(at time.Duration, nodes int) Event {
+func (d *drawing) event(at time.Duration, nodes int, inherit bool) Event {
 	e := Event{At: Dur(at), Nodes: d.some(nodes), Over: d.span(0, 0.5), For: d.lasts(at, 0.3, 2)}
 	draw := []func(){
 		func() { e.Do, e.For = "kill", d.span(0.05, 0.4) },
@@ -103,6 +104,10 @@
 			e.Do, e.Link, e.Way, e.Mode = "link", "list", "both", []string{"reset", "stall"}[d.rng.IntN(2)]
 		},
 	}
+	if inherit {
+		upgrade := func() { e.Do = "upgrade" }
+		draw = append(draw, upgrade, upgrade, upgrade)
+	}
 	draw[d.rng.IntN(len(draw))]()
 	if slices.Contains([]string{"list_stuck", "link", "log_stuck", "clock_step", "syscalls", "hang_servers", "spoil_servers", "list_down"}, e.Do) {
 		e.Over = 0
--- a/lab/rig/trouble.go
+++ b/lab/rig/trouble.go
@@ -133,6 +133,9 @@
 				}
 			})
 		}
+	case "upgrade":
+		nodes := r.chosen(e)
+		r.inTurn(e, len(nodes), func(i int) { r.upgrade(at, nodes[i]) })
 	case "reload":
 		nodes := r.chosen(e)
 		r.inTurn(e, len(nodes), func(i int) { r.reload(at, nodes[i]) })
@@ -200,6 +203,32 @@
 	}
 }
 
+// upgrade starts a node's next process beside the one that serves, which is told to stop once the next serves.
+func (r *rig) upgrade(at int, n *node) {
+	before := r.process(n)
+	next := r.startNode(at, n, 0, false)
+	if next == nil {
+		return
+	}
+	if _, up := next.Serving(); up {
+		r.acted(at, 1)
+	}
+	r.stopProcess(n, before)
+}
+
+// stopProcess tells a process of a node to stop, and waits until it has. It tells whether it did so in time.
+func (r *rig) stopProcess(n *node, p *process.Process) bool {
+	p.Stop()
+	select {
+	case <-p.Ended:
+		return true
+	case <-time.After(10 * time.Second):
+		r.fail("node %d did not stop within 10 s of SIGTERM: %s", n.index, p.Of(""))
+		p.Kill()
+		return false
+	}
+}
+
 // reload has a node's process ask the other address of the list service.
 func (r *rig) reload(at int, n *node) {
 	cfg, p := r.config(n, 0), r.process(n)
@@ -208,7 +237,13 @@
 		cfg["discovery"] = r.other
 	}
 	r.mu.Unlock()
-	if err := p.Reload(cfg); err != nil {
+	err := p.Reload(cfg)
+	select {
+	case <-p.Ended: // it was killed meanwhile
+		return
+	default:
+	}
+	if err != nil {
 		r.fail("node %d cannot be reloaded: %v", n.index, err)
 		return
 	}
@@ -362,13 +397,8 @@
 			r.acted(at, 1)
 		}
 	} else {
-		p.Stop()
-		select {
-		case <-p.Ended:
+		if r.stopProcess(n, p) {
 			r.acted(at, 1)
-		case <-time.After(10 * time.Second):
-			r.fail("node %d did not stop within 10 s of SIGTERM: %s", n.index, p.Of(""))
-			p.Kill()
 		}
 	}
 	if r.sleep(time.Duration(e.For)) {
