A machine's shortage blamed on servers, lines passed on after a MOVE: failing tests

Seen: (1) one EMFILE, ENFILE, ENOBUFS, ENOMEM, EADDRNOTAVAIL or ENETUNREACH of this machine's own sets the server aside for 1.5 s and takes one of the request's attempts: three of them within microseconds refuse it. (2) Between the MOVE that a client is sent and the close of its server a line of the client's is still passed on, and lost there.

--- a/internal/backend/probe_test.go
+++ b/internal/backend/probe_test.go
@@ -5,6 +5,8 @@
 	"context"
 	"io"
 	"net"
+	"os"
+	"syscall"
 	"testing"
 	"time"
 
@@ -284,3 +286,28 @@
 		})
 	}
 }
+
+// What this machine is short of for a moment says nothing of a server: it is asked all the same, and not set aside.
+func TestAMomentWithoutSocketsIsNoFaultOfTheServer(t *testing.T) {
+	for _, errno := range []syscall.Errno{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL, syscall.ENETUNREACH} {
+		a := newAsker(t, func(_ int, c net.Conn, in *bufio.Reader) { answer(c, in, "PONG x0=0.5\r\n") })
+		connect, failures := a.cfg.Connect, 3
+		a.cfg.Connect = func(ctx context.Context, addr string) (net.Conn, error) {
+			if failures--; failures >= 0 {
+				return nil, &net.OpError{Op: "dial", Net: "tcp", Err: os.NewSyscallError("connect", errno)}
+			}
+			return connect(ctx, addr)
+		}
+		if p := a.ask(); p.Outcome != balance.OK || p.Report == nil || p.Report.Load != 0.5 {
+			t.Errorf("%v: got %+v", errno, p)
+		}
+	}
+	t.Run("lasting", func(t *testing.T) { // told in the time that a connection has
+		a := newAsker(t, func(int, net.Conn, *bufio.Reader) {})
+		a.cfg.Dial = 50 * time.Millisecond
+		a.cfg.Connect = func(context.Context, string) (net.Conn, error) { return nil, syscall.EMFILE }
+		if p := a.ask(); p.Outcome != balance.ConnectFailed || p.Took < a.cfg.Dial || p.Took > a.cfg.Probe {
+			t.Errorf("got %+v", p)
+		}
+	})
+}
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -202,3 +202,43 @@
 		t.Error("no answer was given")
 	}
 }
+
+// Once a client is told to MOVE, nothing of it goes to its server any more: it would be lost there.
+func TestNothingIsPassedOnAfterTheMove(t *testing.T) {
+	for range 300 {
+		client, asker := pair(t)
+		server, far := pair(t)
+		io.WriteString(far, "UP r\r\n")
+		line, err := server.ReadLine()
+		if err != nil {
+			t.Fatal(err)
+		}
+		stands := make(chan struct{})
+		x := New(&Head{Wait: time.Minute}, client, &Tally{}, sink{accepted: func() { close(stands) }},
+			Limits{Linger: time.Second, Silence: time.Minute, Notice: time.Minute}, zap.NewNop())
+		x.Attempting(Attempt{}, func() {})
+		ended := make(chan struct{})
+		go func() {
+			x.FromClient()
+			close(ended)
+		}()
+		go x.Stand(server, line, noReport)
+		<-stands
+		x.Move()
+		in := bufio.NewReader(asker)
+		asker.SetDeadline(time.Now().Add(10 * time.Second))
+		for _, want := range []string{"UP r\r\n", "MOVE\r\n"} {
+			if got, err := in.ReadString('\n'); got != want {
+				t.Fatalf("got %q, %v", got, err)
+			}
+		}
+		x.mu.Lock()
+		passes := x.phase == standing
+		x.mu.Unlock()
+		if passes {
+			t.Fatal("a line of the client's would be passed on after its MOVE")
+		}
+		asker.Close()
+		<-ended
+	}
+}
