A shortage of this machine is no server's fault; nothing follows a MOVE to the server

Causes: backend.dial gave every error of connect to the decisions as the server's; Exchange.deadline left the phase standing until the relay had returned. Changes: dial tries again every 10 ms while this machine is short of something, in the time that a connection has (attempts stay bound to their clients and lists by Sending); the phase is over before MOVE is written.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -11,11 +11,13 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"brassmux/balance"
 	"brassmux/internal/exchange"
 	"brassmux/internal/lines"
+	"brassmux/internal/momentary"
 )
 
 // Config holds what the servers' side is told.
@@ -144,14 +146,31 @@
 	return balance.ConnectFailed
 }
 
+// dialPause is the time between two tries where this machine is short of something.
+const dialPause = 10 * time.Millisecond
+
+// dial makes a connection. Where this machine is short of sockets, ports or routes for a moment it tries again in the time that
+// a connection has: guards against a server that is set aside for that.
 func (c *Client) dial(ctx context.Context, addr string) (*lines.Conn, error) {
-	conn, err := c.cfg.Connect(ctx, addr)
-	if err != nil {
-		return nil, err
+	for until := time.Now().Add(c.cfg.Dial); ; {
+		conn, err := c.cfg.Connect(ctx, addr)
+		if err == nil {
+			return lines.New(conn.(*net.TCPConn)), nil
+		} else if !ownShortage(err) || time.Now().After(until) {
+			return nil, err
+		}
+		select {
+		case <-time.After(dialPause):
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
 	}
-	return lines.New(conn.(*net.TCPConn)), nil
 }
 
+// ownShortage tells that a connection failed before anything reached its server, for want of something that this machine may have
+// again in a moment.
+func ownShortage(err error) bool { return momentary.Is(err) || errors.Is(err, syscall.ENETUNREACH) }
+
 // Report reads a load report at the end of a server's line; nil where there is none.
 func (c *Client) Report(line []byte) *balance.Report {
 	text := bytes.TrimSpace(line)
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -556,6 +556,7 @@
 		outcome = balance.Cancelled
 	}
 	if x.moving {
+		x.phase = over // no line of the client's goes to the server behind the MOVE
 		x.mu.Unlock()
 		x.client.WriteLine("MOVE", x.limits.Linger)
 		x.closeClient()
