--- a/lab/process/process.go
+++ b/lab/process/process.go
@@ -32,6 +32,7 @@
 	addr     string
 	counters map[string]float64
 	lines    []string // of its log, the last ones
+	crash    []string // from where the runtime tells of a crash or a data race on
 	up       bool
 }
 
@@ -136,6 +137,11 @@
 		var line map[string]any
 		json.Unmarshal(in.Bytes(), &line)
 		p.mu.Lock()
+		if len(p.crash) > 0 || line == nil && crashes(in.Text()) {
+			if p.crash = append(p.crash, in.Text()); len(p.crash) > crashMost {
+				p.crash = p.crash[:crashMost]
+			}
+		}
 		if p.lines = append(p.lines, in.Text()); len(p.lines) > linesMost {
 			p.lines = append([]string{p.lines[0]}, p.lines[len(p.lines)-linesMost/2:]...)
 		}
@@ -158,6 +164,26 @@
 	io.Copy(io.Discard, out)
 }
 
+// crashMost bounds the lines that are kept of a crash.
+const crashMost = 60
+
+// crashes tells whether a line that is none of the log's own is the beginning of what Go's runtime tells of a crash or a data race.
+func crashes(line string) bool {
+	for _, begin := range []string{"panic: ", "fatal error: ", "WARNING: DATA RACE", "SIG"} {
+		if strings.HasPrefix(line, begin) {
+			return true
+		}
+	}
+	return false
+}
+
+// Crash gives what the runtime told of a crash or a data race; "" for none.
+func (p *Process) Crash() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return strings.Join(p.crash, "\n")
+}
+
 // Serving gives where it takes clients, and whether it does.
 func (p *Process) Serving() (addr string, up bool) {
 	p.mu.Lock()
--- a/lab/referee/referee.go
+++ b/lab/referee/referee.go
@@ -52,6 +52,7 @@
 	Over       int `json:"over_whole"` // windows in which a cold server was sent more than the whole
 	Rates      int `json:"over_rates"` // windows in which there was more of something bounded than the whole
 	Asserted   int `json:"asserted"`   // by the program's own count: held back just before it would have happened
+	Crashed    int `json:"crashed"`    // processes that crashed, or in which the race detector saw a data race
 	Unready    int `json:"unready"`    // events of which more than a tenth of the processes that they started anew were not ready in time
 }
 
--- a/lab/rig/result.go
+++ b/lab/rig/result.go
@@ -130,6 +130,12 @@
 	delete(r.sum, "ts")
 	res := &Result{Scenario: r.s.Name, Seed: r.o.Seed, Nodes: r.s.Nodes, Totals: r.totals, Effects: r.effects, Counters: r.sum}
 	res.Broken, res.History = r.ref.Verdict(time.Now())
+	for _, p := range r.logs {
+		if told := p.Crash(); told != "" {
+			res.Broken.Crashed++
+			res.History = append(res.History, fmt.Sprintf("node %d crashed:\n%s", p.Node, told))
+		}
+	}
 	for name, n := range r.sum { // what the program itself held back
 		if strings.HasPrefix(name, "rule_") && n > 0 {
 			res.Broken.Asserted += int(n)
--- a/lab/rig/trouble.go
+++ b/lab/rig/trouble.go
@@ -1,6 +1,8 @@
 package rig
 
 import (
+	"errors"
+	"os"
 	"syscall"
 	"time"
 
@@ -237,13 +239,9 @@
 		cfg["discovery"] = r.other
 	}
 	r.mu.Unlock()
-	err := p.Reload(cfg)
-	select {
-	case <-p.Ended: // it was killed meanwhile
+	if err := p.Reload(cfg); errors.Is(err, os.ErrClosed) { // the process has been killed meanwhile
 		return
-	default:
-	}
-	if err != nil {
+	} else if err != nil {
 		r.fail("node %d cannot be reloaded: %v", n.index, err)
 		return
 	}
