--- a/lab/capacity/process.go
+++ b/lab/capacity/process.go
@@ -53,7 +53,6 @@
 	addr  string
 	bytes int           // of its configuration
 	up    time.Duration // from the start of its process until it takes clients
-	lines chan string
 }
 
 func (b *bench) child(ctx context.Context, config map[string]any) (*child, error) {
--- a/lab/process/process.go
+++ b/lab/process/process.go
@@ -26,7 +26,6 @@
 	cmd    *exec.Cmd
 	Ready  chan struct{} // closed once it has answered PONG, by who asks it
 	config *os.File      // which the process reads again at SIGHUP
-	log    sync.Mutex    // held while nobody reads its log
 
 	mu       sync.Mutex
 	addr     string
@@ -34,7 +33,9 @@
 	lines    []string // of its log, the last ones
 	crash    []string // from where the runtime tells of a crash or a data race on
 	up       bool
-	told     bool // it was told to stop, or killed
+	told     bool          // it was told to stop, or killed
+	holds    int           // who wants its log not to be read
+	held     chan struct{} // closed when the last of them ends
 }
 
 const linesMost = 400
@@ -133,8 +134,7 @@
 	in := bufio.NewScanner(out)
 	in.Buffer(nil, 1<<20)
 	for in.Scan() {
-		p.log.Lock() // while nobody is to read it
-		p.log.Unlock()
+		p.awaitRead()
 		var line map[string]any
 		json.Unmarshal(in.Bytes(), &line)
 		p.mu.Lock()
@@ -211,12 +211,29 @@
 	return nil
 }
 
-// HoldLog has nobody read its log from now on, so that the pipe fills, or has it read again.
+// HoldLog has nobody read its log from now on, so that the pipe fills, or ends one such hold.
 func (p *Process) HoldLog(on bool) {
-	if on {
-		p.log.Lock()
-	} else {
-		p.log.Unlock()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch {
+	case on:
+		if p.holds++; p.holds == 1 {
+			p.held = make(chan struct{})
+		}
+	case p.holds > 0:
+		if p.holds--; p.holds == 0 {
+			close(p.held)
+		}
+	}
+}
+
+// awaitRead waits while nobody is to read its log.
+func (p *Process) awaitRead() {
+	p.mu.Lock()
+	held, holds := p.held, p.holds
+	p.mu.Unlock()
+	if holds > 0 {
+		<-held
 	}
 }
 
