One reader of a process's usage and one limit of descriptors in the laboratory

Found on reading the change once more: lab sizes read /proc a second time beside lab scale, and raised the limit of descriptors as the rig and lab scale do; all three call lab/process now, and lab sizes says where descriptors are too few. clock.at has no case for the zero time any more, which nothing gives it; the comment of a rule named more than the rule holds. Behaviour is as it was.

--- a/internal/cli/sizes.go
+++ b/internal/cli/sizes.go
@@ -50,7 +50,6 @@
 }
 
 func playSizes(stdout io.Writer, s rig.Sizes, out string) error {
-	rig.RaiseDescriptors()
 	all, err := s.Run()
 	if err != nil {
 		return err
--- a/lab/rig/rig.go
+++ b/lab/rig/rig.go
@@ -6,7 +6,6 @@
 	"os"
 	"slices"
 	"sync"
-	"syscall"
 	"time"
 
 	"brassmux/lab/emulator"
@@ -78,13 +77,8 @@
 		}
 		o.Binary = self
 	}
-	var limit syscall.Rlimit
-	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err == nil {
-		limit.Cur = limit.Max
-		syscall.Setrlimit(syscall.RLIMIT_NOFILE, &limit)
-		if need := uint64((s.Nodes+s.Control)*(8+s.Servers) + 4*s.Clients.Standing + 500); need > limit.Cur {
-			return nil, fmt.Errorf("%d descriptors are wanted, %d are allowed", need, limit.Cur)
-		}
+	if err := process.RaiseDescriptors((s.Nodes+s.Control)*(8+s.Servers) + 4*s.Clients.Standing + 500); err != nil {
+		return nil, err
 	}
 	r := &rig{s: s, o: o, starter: process.NewStarter(), over: make(chan struct{}), links: map[linkKey]*emulator.Way{},
 		ready: map[int][]time.Duration{}, unready: map[int]int{},
--- a/lab/rig/sizes.go
+++ b/lab/rig/sizes.go
@@ -7,12 +7,11 @@
 	"math/rand/v2"
 	"net"
 	"os"
-	"os/exec"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"brassmux/lab/emulator"
@@ -69,6 +68,9 @@
 			return nil, err
 		}
 	}
+	if err := process.RaiseDescriptors(3*slices.Max(s.Servers) + 1000); err != nil { // a listener each, and connections
+		return nil, err
+	}
 	for _, servers := range s.Servers {
 		r, err := s.play(servers)
 		if err != nil {
@@ -114,7 +116,7 @@
 	}
 	starter := process.NewStarter()
 	defer starter.Close()
-	node, err := starter.Start(s.Binary, 0, p.config(), func(*exec.Cmd) {}, func(*process.Process, map[string]any) {})
+	node, err := starter.Start(s.Binary, 0, p.config(), nil, func(*process.Process, map[string]any) {})
 	if err != nil {
 		return nil, err
 	}
@@ -126,7 +128,7 @@
 	case <-time.After(30 * time.Second):
 		return nil, fmt.Errorf("the node does not serve within 30 s")
 	}
-	return p.day(node)
+	return p.day(node), nil
 }
 
 // config is the node's: one of a large fleet whose traffic is its own part.
@@ -160,11 +162,9 @@
 }
 
 // day has clients come and the list change while the node is watched.
-func (p *sizePlay) day(node *process.Process) (*SizeResult, error) {
-	before, err := processorTime(node.PID())
-	if err != nil {
-		return nil, err
-	}
+func (p *sizePlay) day(node *process.Process) *SizeResult {
+	pid := strconv.Itoa(node.PID())
+	before := process.UsageOf(pid)
 	r := &SizeResult{Servers: len(p.servers)}
 	rng := rand.New(rand.NewPCG(p.Seed, 4))
 	begun, end := time.Now(), time.Now().Add(p.Length)
@@ -178,20 +178,17 @@
 		if now := time.Now(); change.Before(now) {
 			change = change.Add(time.Second)
 			p.list.Change(p.servers[rng.IntN(len(p.servers))], "up")
-			r.Descriptors = max(r.Descriptors, openDescriptors(node.PID()))
+			r.Descriptors = max(r.Descriptors, process.UsageOf(pid).Descriptors)
 		}
 	}
-	after, err := processorTime(node.PID())
-	if err != nil {
-		return nil, err
-	}
-	r.CPU, r.Memory = (after - before).Seconds(), peakMemory(node.PID())
+	after := process.UsageOf(pid)
+	r.CPU, r.Memory = (after.CPU - before.CPU).Seconds(), after.Peak/(1<<20)
 	r.Connections, r.ListBytes = p.connections.Load(), p.listBytes.Load()
 	clients.Wait()
 	if n := p.asked.Load(); n > 0 {
 		r.Served = float64(p.up.Load()) / float64(n)
 	}
-	return r, nil
+	return r
 }
 
 // client asks once, and stays for a while.
@@ -212,47 +209,3 @@
 		io.Copy(io.Discard, c)
 	}
 }
-
-// processorTime is what a process has used.
-func processorTime(pid int) (time.Duration, error) {
-	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
-	if err != nil {
-		return 0, err
-	}
-	_, after, _ := strings.Cut(string(data), ") ")
-	fields := strings.Fields(after)
-	const user, system, ticks = 11, 12, 100 // places behind the name, see proc(5); USER_HZ
-	if len(fields) <= system {
-		return 0, fmt.Errorf("/proc/%d/stat is short", pid)
-	}
-	u, _ := strconv.Atoi(fields[user])
-	s, _ := strconv.Atoi(fields[system])
-	return time.Duration(u+s) * time.Second / ticks, nil
-}
-
-// peakMemory is the most that a process had resident, in megabytes; 0 where it has gone.
-func peakMemory(pid int) float64 {
-	data, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
-	for line := range strings.Lines(string(data)) {
-		if value, ok := strings.CutPrefix(line, "VmHWM:"); ok {
-			kilobytes, _ := strconv.ParseFloat(strings.Fields(value)[0], 64)
-			return kilobytes / 1024
-		}
-	}
-	return 0
-}
-
-// openDescriptors counts those of a process.
-func openDescriptors(pid int) int {
-	all, _ := os.ReadDir(fmt.Sprintf("/proc/%d/fd", pid))
-	return len(all)
-}
-
-// RaiseDescriptors lets this process have as many descriptors as it may.
-func RaiseDescriptors() {
-	var limit syscall.Rlimit
-	if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit) == nil {
-		limit.Cur = limit.Max
-		syscall.Setrlimit(syscall.RLIMIT_NOFILE, &limit)
-	}
-}
--- a/lab/scale/part.go
+++ b/lab/scale/part.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -27,6 +26,7 @@
 
 	"brassmux/internal/discovery"
 	"brassmux/lab/emulator"
+	"brassmux/lab/process"
 	"brassmux/node"
 )
 
@@ -58,7 +58,7 @@
 	}
 	clock lateness
 	begun time.Time
-	began usage
+	began process.Usage
 }
 
 func (p *part) tell(r report) {
@@ -83,7 +83,7 @@
 		p.clock.begin()
 	case doEnd:
 		now := use()
-		s := &span{Seconds: time.Since(p.begun).Seconds(), CPU: (now.cpu - p.began.cpu).Seconds(), Resident: now.resident, Files: now.files,
+		s := &span{Seconds: time.Since(p.begun).Seconds(), CPU: (now.CPU - p.began.CPU).Seconds(), Resident: now.Resident, Files: now.Descriptors,
 			Flows: map[string]flow{}}
 		s.Late, s.Looks = p.clock.was()
 		p.role.counted(s)
@@ -142,43 +142,12 @@
 	return float64(l.most.Microseconds()) / 1000, l.late / max(l.looks, 1)
 }
 
-// usage is what a process has used.
-type usage struct {
-	cpu      time.Duration
-	resident float64
-	files    int
-}
-
-func use() (u usage) {
+// use is what this process has used, its processor time to the microsecond.
+func use() process.Usage {
 	var r syscall.Rusage
 	syscall.Getrusage(syscall.RUSAGE_SELF, &r)
-	u = used("self")
-	u.cpu = time.Duration(r.Utime.Nano() + r.Stime.Nano())
-	return u
-}
-
-// used looks at a process from outside.
-func used(pid string) (u usage) {
-	if data, err := os.ReadFile("/proc/" + pid + "/stat"); err == nil {
-		if _, after, ok := bytes.Cut(data, []byte(") ")); ok {
-			f := bytes.Fields(after)
-			for _, at := range []int{11, 12} { // of user and system, in ticks of 10 ms
-				if at < len(f) {
-					n, _ := strconv.ParseInt(string(f[at]), 10, 64)
-					u.cpu += time.Duration(n) * 10 * time.Millisecond
-				}
-			}
-		}
-	}
-	if data, err := os.ReadFile("/proc/" + pid + "/statm"); err == nil {
-		if f := bytes.Fields(data); len(f) > 1 {
-			n, _ := strconv.ParseFloat(string(f[1]), 64)
-			u.resident = n * float64(os.Getpagesize())
-		}
-	}
-	if files, err := os.ReadDir("/proc/" + pid + "/fd"); err == nil {
-		u.files = len(files)
-	}
+	u := process.UsageOf("self")
+	u.CPU = time.Duration(r.Utime.Nano() + r.Stime.Nano())
 	return u
 }
 
--- a/lab/scale/real.go
+++ b/lab/scale/real.go
@@ -26,7 +26,7 @@
 	version int64
 	told    chan struct{}
 
-	began    usage
+	began    process.Usage
 	begun    time.Time
 	counters map[string]float64
 	pid      int
@@ -122,27 +122,27 @@
 func (n *realNode) begin() {
 	n.counters = n.ask()
 	n.pid = n.process().PID()
-	n.began, n.begun = used(strconv.Itoa(n.process().PID())), time.Now()
+	n.began, n.begun = process.UsageOf(strconv.Itoa(n.process().PID())), time.Now()
 }
 
 // finish adds what it used to its role.
 func (n *realNode) finish(roles *map[string]Role) {
-	now, took := used(strconv.Itoa(n.process().PID())), time.Since(n.begun).Seconds()
+	now, took := process.UsageOf(strconv.Itoa(n.process().PID())), time.Since(n.begun).Seconds()
 	d := n.ask()
 	if n.process().PID() == n.pid { // else it has started anew, and so have they
 		for k, v := range n.counters {
 			d[k] -= v
 		}
 	} else {
-		n.began.cpu = 0
+		n.began.CPU = 0
 	}
 	r := (*roles)["real"]
 	r.Machines, r.Processes = r.Machines+1, r.Processes+1
 	mean := func(to *float64, x float64) { *to = round(*to + (x-*to)/float64(r.Machines)) }
-	cores, mb := (now.cpu-n.began.cpu).Seconds()/took, now.resident/1e6
+	cores, mb := (now.CPU-n.began.CPU).Seconds()/took, now.Resident/1e6
 	mean(&r.CPU, cores)
 	mean(&r.Resident, mb)
-	mean(&r.Files, float64(now.files))
+	mean(&r.Files, float64(now.Descriptors))
 	r.MostCPU, r.MostMB = max(r.MostCPU, round(cores)), max(r.MostMB, round(mb))
 	for _, x := range []struct {
 		f            *flow
--- a/lab/scale/scale.go
+++ b/lab/scale/scale.go
@@ -17,7 +17,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"brassmux/lab/emulator"
@@ -192,13 +191,8 @@
 		o.Log = io.Discard
 	}
 	most := o.Nodes[len(o.Nodes)-1]
-	var limit syscall.Rlimit
-	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err == nil {
-		limit.Cur = limit.Max
-		syscall.Setrlimit(syscall.RLIMIT_NOFILE, &limit)
-		if need := uint64(2*most + 1000); need > limit.Cur {
-			return nil, fmt.Errorf("%d descriptors are wanted, %d are allowed", need, limit.Cur)
-		}
+	if err := process.RaiseDescriptors(2*most + 1000); err != nil {
+		return nil, err
 	}
 	r := &Result{Scenario: o.Scenario, Seed: o.Seed, Control: o.Control, For: o.For.Seconds()}
 	for _, n := range o.Nodes {
@@ -717,7 +711,7 @@
 	f.say("%s; %d know that most do as they do", whom(keepers), by)
 	resident := 0.0
 	for _, p := range f.procs() {
-		resident += used(strconv.Itoa(p.cmd.Process.Pid)).resident
+		resident += process.UsageOf(strconv.Itoa(p.cmd.Process.Pid)).Resident
 	}
 	if f.say("%.0f MB resident", resident/1e6); resident > memory()/2 {
 		f.fault("%.0f MB are in use, over half of the machine's memory", resident/1e6)
--- a/node/clock.go
+++ b/node/clock.go
@@ -37,13 +37,8 @@
 // steady counts from the process's beginning.
 func (c *clock) steady() time.Duration { return time.Since(c.base) }
 
-// at is now at another moment, which has a monotonic reading; 0 for the zero time.
-func (c *clock) at(t time.Time) time.Duration {
-	if t.IsZero() {
-		return 0
-	}
-	return c.origin + t.Sub(c.base)
-}
+// at is now at another moment, which has a monotonic reading.
+func (c *clock) at(t time.Time) time.Duration { return c.origin + t.Sub(c.base) }
 
 // stepped is by how much the wall clock has been set back since the process began; negative where it was set forward.
 func (c *clock) stepped() time.Duration { return c.now() - sinceUnix(c.wall()) }
--- a/node/rules.go
+++ b/node/rules.go
@@ -17,7 +17,7 @@
 	noSecondCopy    rule = iota // no attempt while another of its request is out
 	noUnsafeRepeat              // none after one that may have run, where that does its work again
 	noRepeatTooLate             // nor where repeats are dropped, but no longer
-	noneToDraining              // none to a server that the list has drain or does not name
+	noneToDraining              // none to a server that the list has drain
 	ruleCount
 )
 
