--- a/review/_standin/clients.go
+++ b/review/_standin/clients.go
@@ -96,6 +96,9 @@
 	f.rec.add(time.Now(), "client sent at %.3f to %s: %s; answer after %.3f s: %q", f.rec.at(sentAt), n.name, line,
 		time.Since(sentAt).Seconds(), text)
 	word, _, _ := strings.Cut(text, " ")
+	if err != nil {
+		time.Sleep(200 * time.Millisecond) // a process that was killed has ended by then
+	}
 	switch {
 	case err != nil && (n.cmd != process || n.hasExited()):
 		return "killed"
