--- a/review/_standin/node.go
+++ b/review/_standin/node.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -39,14 +40,18 @@
 	return string(match[1]), nil
 }
 
-// freeAddr returns a loopback address with a port that is free.
+// freeAddr returns a loopback address with a port that is free, and that the system gives to no other connection
+// meanwhile: it is below the usual range of those.
 func freeAddr() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	var err error
+	for range 50 {
+		var listener net.Listener
+		if listener, err = net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", 12000+rand.IntN(18000))); err == nil {
+			defer listener.Close()
+			return listener.Addr().String(), nil
+		}
 	}
-	defer listener.Close()
-	return listener.Addr().String(), nil
+	return "", err
 }
 
 // writeConfig writes the configuration file.
