Requests wait for the endpoint list where a silent watch may have missed a drain

Cause: after its watch had fallen silent a node placed requests by the old list for as long as no new one came (balance/ranking.go looks at the age of the list only where health checks are allowed). All nodes call at once, and discovery takes calls in turn, 2 to 9 s for one of each node, so some have their list only after the 6 s within which a change counts as received.

Calling sooner alone cannot mend it: at 7.6 s for all nodes the last one has its list over 8 s after the first call, whoever calls when.

Where health checks are not allowed, a request waits for the list from 6 s and the grace of drains, less 0.15 s, after the last list or heartbeat. It is rejected only when a tenth of its time is left. Attempts are not sent later than that either. A call that fails at once shows that discovery is down, where no change can count, and the list stays in use; after 20 s without a list it is used in any case. A silence is noticed after 2.4 s in place of 3.6 s; nodes that need the list do not back off for nodes x 50 ms. An empty line before or within a list no longer confirms the old one, as waiting requests would go by it.

--- a/balance/actions.go
+++ b/balance/actions.go
@@ -43,6 +43,10 @@
 	Token uint64
 }
 
+// ListAwaited reports that a request waits for a list, because the current one is older than
+// Config.MaxListAge. The node has nothing to do.
+type ListAwaited struct{ ID RequestID }
+
 // WatchEndpoints opens a watch of the endpoint list.
 type WatchEndpoints struct{}
 
@@ -56,5 +60,6 @@
 func (HealthCheck) action()    {}
 func (SendGossip) action()     {}
 func (SetTimer) action()       {}
+func (ListAwaited) action()    {}
 func (WatchEndpoints) action() {}
 func (Log) action()            {}
--- a/balance/admission.go
+++ b/balance/admission.go
@@ -23,10 +23,11 @@
 	healthCheckCount int // servers checked for it, or noMoreHealthChecks
 	notSentCount     int // attempts that ended with NotSent
 
-	established  bool // a connection was accepted
-	answered     bool // no further answer is needed
-	awaitingLoad bool // waiting for a load report
-	waitTimerSet bool // the timer that limits this wait was set
+	listWaitEnd  time.Duration // end of the wait for a list; 0 if the request has not waited for one
+	established  bool          // a connection was accepted
+	answered     bool          // no further answer is needed
+	awaitingLoad bool          // waiting for a load report
+	waitTimerSet bool          // the timer that limits this wait was set
 }
 
 // rankingKey returns the key that ranks the servers. All connections of a group share one key.
@@ -57,9 +58,13 @@
 	b.connectionRateUpdatedAt = b.now
 }
 
-// place sends a request to a server, lets it wait for the load of that server, or answers it with a rejection
-// or failure.
+// place sends a request to a server, lets it wait for a list or for the load of that server, or answers it
+// with a rejection or failure.
 func (b *Balancer) place(r *request) {
+	if b.listAge.isExpired(b.now) {
+		b.awaitList(r)
+		return
+	}
 	s, reason := b.selectServer(r)
 	if s == nil {
 		b.rejectOrFail(r, reason)
@@ -69,6 +74,7 @@
 		return
 	}
 	timeout, sendWithin := b.attemptLimits(r)
+	sendWithin = b.listAge.limitSending(b.now, sendWithin)
 	if b.inSlowStart(s) {
 		b.countSlowStartAttempt(s)
 	}
@@ -106,6 +112,7 @@
 // deleted.
 func (b *Balancer) markAnswered(r *request) {
 	r.answered = true
+	delete(b.listAge.waiting, r.ID)
 	if !slices.ContainsFunc(r.attempts, func(a attempt) bool { return a.inFlight }) {
 		b.affinity.release(r.affinity, b.now)
 		delete(b.requests, r.ID)
--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -8,13 +8,14 @@
 )
 
 const (
-	// freshnessWindow is the time for which a load report, a late message or a failure is taken into account.
+	// freshnessWindow is the time for which a load report, a late message or a failure is taken into
+	// account.
 	freshnessWindow = 1500 * time.Millisecond
 
 	// targetUtilisation is the utilisation up to which a server gets connections of any group.
 	targetUtilisation = 0.6
-	// maxGroupUtilisation is the utilisation up to which a server gets connections of a group that it already
-	// has.
+	// maxGroupUtilisation is the utilisation up to which a server gets connections of a group that it
+	// already has.
 	maxGroupUtilisation = 0.85
 	// maxUtilisation is the utilisation above which a server gets no connections if late messages are
 	// reported. It is below 1 because load reports are old and load varies.
@@ -43,6 +44,7 @@
 	affinity affinityTable
 
 	listStaleAt  time.Duration // when the endpoint list becomes stale
+	listAge      listAge
 	watchBackoff time.Duration // pause before the last watch request
 
 	utilisationLimit      float64 // above which a server gets no connections
@@ -66,8 +68,8 @@
 	serversVisited int // in all events so far; a measure of their cost
 }
 
-// New returns a Balancer without servers. The seed initialises its random number generator and has to differ
-// between nodes.
+// New returns a Balancer without servers. The seed initialises its random number generator and has to
+// differ between nodes.
 func New(config Config, seed uint64) *Balancer {
 	config.NodeCount = max(config.NodeCount, 1)
 	config.MaxAttempts = max(config.MaxAttempts, 1)
@@ -80,6 +82,7 @@
 		requests:              map[RequestID]*request{},
 		affinity:              newAffinityTable(config.MaxOpenRequests),
 		listStaleAt:           math.MaxInt64,
+		listAge:               newListAge(config),
 		utilisationLimit:      1,
 		groupUtilisationLimit: targetUtilisation,
 		startTimes:            newStartTracker(config),
@@ -132,22 +135,27 @@
 	return b.actions
 }
 
-// Timer tokens. A token of timerRequest or higher belongs to the request with the ID token - timerRequest.
+// Timer tokens. A token from timerRequest up to timerListWait belongs to the request with the ID token -
+// timerRequest.
 const (
 	timerWatchEndpoints = 1
 	timerUtilisation    = 2
 	timerGossip         = 3
 	timerRequest        = 4
+	// The end of a request's wait for a list has the token timerListWait + ID.
+	timerListWait = 1 << 63
 )
 
 func (b *Balancer) handleTimer(token uint64) {
-	switch token {
-	case timerWatchEndpoints:
+	switch {
+	case token == timerWatchEndpoints:
 		b.emit(WatchEndpoints{})
-	case timerUtilisation:
+	case token == timerUtilisation:
 		b.checkUtilisation()
-	case timerGossip:
+	case token == timerGossip:
 		b.gossipAllLoads()
+	case token >= timerListWait:
+		b.endListWait(RequestID(token - timerListWait))
 	default:
 		b.endLoadWait(RequestID(token - timerRequest))
 	}
@@ -156,8 +164,8 @@
 // emit adds an action to the result of the current event.
 func (b *Balancer) emit(action Action) { b.actions = append(b.actions, action) }
 
-// jitter returns a random duration between 0.5 d and 1.5 d, so that nodes and clients do not act at the same
-// time.
+// jitter returns a random duration between 0.5 d and 1.5 d, so that nodes and clients do not act at the
+// same time.
 func (b *Balancer) jitter(d time.Duration) time.Duration {
 	return time.Duration(float64(d) * (0.5 + b.rng.Float64()))
 }
--- a/balance/endpoints.go
+++ b/balance/endpoints.go
@@ -77,7 +77,9 @@
 	if b.config.GossipEnabled && ev.Kind == ListCached {
 		b.emit(SetTimer{time.Duration(b.rng.Float64() * float64(gossipInterval)), timerGossip})
 	}
+	b.listAge.observe(b.now, ev)
 	b.scheduleWatch(ev)
+	b.resumeListWaits()
 }
 
 // mergeEndpoint applies an entry of an endpoint list. inCachedList is set if the list is a ListCached.
@@ -142,11 +144,13 @@
 	}
 }
 
-// nextWatchBackoff returns the pause after a failed call. If there are many nodes, they back off further from
-// an overloaded service, so that it can work through its queue.
+// nextWatchBackoff returns the pause after a failed call. If there are many nodes, they back off further
+// from an overloaded service, so that it can work through its queue. Nodes whose requests would wait for
+// the list do not: the service can take a call of every node in less time than such a backoff.
 func (b *Balancer) nextWatchBackoff(serviceWait, roundDuration time.Duration) time.Duration {
 	maxBackoff, extraDelay := maxWatchBackoff, -serviceWait
-	if roundDuration > maxBackoff && (serviceWait > overloadedServiceWait || b.watchBackoff > maxBackoff) {
+	mayBackOff := roundDuration > maxBackoff && !b.listAge.isUrgent(b.now)
+	if mayBackOff && (serviceWait > overloadedServiceWait || b.watchBackoff > maxBackoff) {
 		maxBackoff, extraDelay = 4*roundDuration, b.jitter(roundDuration)
 	}
 	b.watchBackoff = min(max(2*b.watchBackoff, watchBackoffBase, roundDuration), maxBackoff)
--- a/balance/ranking.go
+++ b/balance/ranking.go
@@ -62,6 +62,7 @@
 	reasonAffinityServerAtCapacity = "own full"
 	reasonAtCapacity               = "full"
 	reasonLagging                  = "late"
+	reasonListExpired              = "list expired"
 )
 
 // selectServer returns the server for the next attempt of a request, or nil and the reason for a rejection.
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -190,6 +190,37 @@
 	}
 }
 
+// Guards against line feeds before or within a list that count as heartbeats: the old list would count as current until
+// the rest of the new one arrives.
+func TestHeartbeatsAreBetweenLists(t *testing.T) {
+	fragments := []string{"\r\n", `{"version":41,"full":true,`, "\n", `"servers":[]}{"version":42,`, "\n",
+		`"full":false,"servers":[]}`, "\r\n"}
+	next := make(chan struct{})
+	client := newTestClient(t, func(w http.ResponseWriter, _ *http.Request) {
+		for _, fragment := range fragments {
+			<-next
+			fmt.Fprint(w, fragment)
+			w.(http.Flusher).Flush()
+		}
+	})
+	var events []string
+	go func() {
+		for range fragments {
+			next <- struct{}{}
+			time.Sleep(20 * time.Millisecond) // the fragments arrive one by one
+		}
+	}()
+	client.Client.Watch(context.Background(), client.addr, 0, time.Time{}, WatchHandler{
+		OnEvent:     func(list *EndpointList) { events = append(events, fmt.Sprint(list.Version)) },
+		OnAlive:     func() {},
+		OnHeartbeat: func() { events = append(events, "heartbeat") },
+		OnSilence:   func() {},
+	})
+	if got := strings.Join(events, " "); got != "41 42 heartbeat" {
+		t.Errorf("got %s", got)
+	}
+}
+
 // Guards against a watch that outlives its context.
 func TestWatchEndsWithContext(t *testing.T) {
 	client := newTestClient(t, func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -19,27 +19,33 @@
 	// OnAlive is called once, when the first bytes of the response body arrive.
 	OnAlive func()
 
-	// OnSilence is called each time that no data has arrived for the client's SilenceTimeout.
+	// OnHeartbeat is called for empty lines between two lists, which confirm that nothing has changed. Before the
+	// first list they do so only if that has not arrived within firstListTime of the response header. It may be nil.
+	OnHeartbeat func()
+
+	// OnSilence is called each time that no data has arrived for the client's SilenceTimeout, or for
+	// responseTimeFactor of that before the first data.
 	OnSilence func()
 
-	// OnDate is called with the Date header of the response and the local times between which the service set it: when
-	// the request was sent and when the response header was received. It may be nil.
+	// OnDate is called with the Date header of the response and the local times between which the service set it:
+	// when the request was sent and when the response header was received. It may be nil.
 	OnDate func(date, sent, received time.Time)
 }
 
-// Watch calls the service at addr for the changes after a version and passes them to the handler until the watch breaks
-// or ctx ends. It always returns an error with the reason. A silent watch is reported to the handler and stays open:
-// later events are still passed on.
+// Watch calls the service at addr for the changes after a version and passes them to the handler until the watch
+// breaks or ctx ends. It always returns an error with the reason. A silent watch is reported to the handler and stays
+// open: later events are still passed on.
 //
-// A list that is older than the current one ends the watch, because one of several service instances may lag behind and
-// would bring back removed servers. The next complete list is accepted even if it is older, since the service must then
-// have restarted its version numbers.
+// A list that is older than the current one ends the watch, because one of several service instances may lag behind
+// and would bring back removed servers. The next complete list is accepted even if it is older, since the service
+// must then have restarted its version numbers.
 //
 // Watch returns ErrTooLate without a call if there is no connection by startDeadline. Zero means no deadline.
 func (c *Client) Watch(
 	ctx context.Context, addr string, sinceVersion int64, startDeadline time.Time, handler WatchHandler,
 ) error {
-	timer := newSilenceTimer(c.SilenceTimeout, handler.OnSilence)
+	responseTimeout := time.Duration(responseTimeFactor * float64(c.SilenceTimeout))
+	timer := newSilenceTimer(responseTimeout, c.SilenceTimeout, handler.OnSilence)
 	defer timer.stop()
 	onAlive := sync.OnceFunc(handler.OnAlive)
 	onData := func() {
@@ -57,7 +63,8 @@
 		handler.OnEvent(list)
 		return nil
 	}
-	err := c.watch(context.WithValue(ctx, startDeadlineKey{}, startDeadline), addr, sinceVersion, onData,
+	body := &listReader{onData: onData, onHeartbeat: handler.OnHeartbeat}
+	err := c.watch(context.WithValue(ctx, startDeadlineKey{}, startDeadline), addr, sinceVersion, body,
 		handler.OnDate, accept)
 	if ctxErr := ctx.Err(); ctxErr != nil {
 		err = ctxErr
@@ -66,14 +73,14 @@
 	return err
 }
 
-// acceptOlderList reports whether a list that is older than the current one is accepted. It rejects the first complete
-// older list and records that; it accepts the next one. It always rejects sets of changes.
+// acceptOlderList reports whether a list that is older than the current one is accepted. It rejects the first
+// complete older list and records that; it accepts the next one. It always rejects sets of changes.
 func (c *Client) acceptOlderList(list *EndpointList) bool {
 	return list.Full && !c.olderListRejected.CompareAndSwap(false, true)
 }
 
-// watch makes the call and passes each list to accept until either fails.
-func (c *Client) watch(ctx context.Context, addr string, sinceVersion int64, onData func(),
+// watch makes the call, reads its response through body, and passes each list to accept until either fails.
+func (c *Client) watch(ctx context.Context, addr string, sinceVersion int64, body *listReader,
 	onDate func(date, sent, received time.Time), accept func(*EndpointList) error,
 ) error {
 	req, err := c.newRequest(ctx, addr, sinceVersion)
@@ -92,8 +99,9 @@
 	if resp.StatusCode != http.StatusOK {
 		return &StatusError{Status: resp.Status}
 	}
-	body := &listReader{body: resp.Body, onData: onData}
-	for decoder := json.NewDecoder(body); ; body.listBytes = 0 { // a list may span several lines
+	body.body, body.respondedAt = resp.Body, time.Now()
+	for decoder := json.NewDecoder(body); ; { // a list may span several lines
+		body.startList(decoder.Buffered())
 		var list EndpointList
 		switch err := decoder.Decode(&list); {
 		case err == io.EOF:
@@ -109,19 +117,33 @@
 		if err := accept(&list); err != nil {
 			return err
 		}
+		body.hasList = true
 	}
 }
 
-// maxListBytes bounds the JSON text of a list or a set of changes. 1 MiB has room for several thousand servers and is a
-// small part of the memory of the smallest machine.
+// maxListBytes bounds the JSON text of a list or a set of changes. 1 MiB has room for several thousand servers and is
+// a small part of the memory of the smallest machine.
 const maxListBytes = 1 << 20
 
 // listReader reads the response body of a watch: lists, and empty lines as heartbeats. It enforces maxListBytes.
 type listReader struct {
-	body      io.Reader
-	onData    func() // called when bytes arrive
-	listBytes int    // bytes since the last list
-	readErr   error  // the read error that ended the body, other than io.EOF
+	body        io.Reader
+	onData      func() // called when bytes arrive
+	onHeartbeat func() // called when an empty line confirms the list; may be nil
+	respondedAt time.Time
+	hasList     bool  // a list was read
+	listBytes   int   // bytes since the last list
+	readErr     error // the read error that ended the body, other than io.EOF
+}
+
+// firstListTime is the time from the response header within which the first list follows, if there is any.
+const firstListTime = 500 * time.Millisecond
+
+// startList begins the count of the next list's bytes. buffered holds those that were read together with the last
+// list.
+func (r *listReader) startList(buffered io.Reader) {
+	text, _ := io.ReadAll(buffered) // a reader of memory, which cannot fail
+	r.listBytes = len(bytes.TrimSpace(text))
 }
 
 func (r *listReader) Read(p []byte) (int, error) {
@@ -131,6 +153,8 @@
 	}
 	if len(bytes.Trim(p[:n], "\r\n")) > 0 {
 		r.listBytes += n
+	} else if n > 0 {
+		r.readEmptyLine()
 	}
 	if r.listBytes > maxListBytes {
 		n, err = 0, &SizeError{MaxBytes: maxListBytes}
@@ -141,6 +165,18 @@
 	return n, err
 }
 
+// readEmptyLine reports a heartbeat, unless the line belongs to a list or precedes the first one.
+func (r *listReader) readEmptyLine() {
+	isBetweenLists := r.listBytes == 0 && (r.hasList || time.Since(r.respondedAt) >= firstListTime)
+	if isBetweenLists && r.onHeartbeat != nil {
+		r.onHeartbeat()
+	}
+}
+
+// responseTimeFactor is the ratio of the time that a call may wait for its first data to the silence timeout: the
+// service handles calls in turn, and lets them wait for longer than it takes to send a heartbeat.
+const responseTimeFactor = 1.5
+
 // silenceGrace is the additional time for data to arrive after the silence timeout.
 const silenceGrace = 100 * time.Millisecond
 
@@ -154,9 +190,10 @@
 	started   chan struct{} // closed when the field timer is set
 }
 
-func newSilenceTimer(timeout time.Duration, onSilence func()) *silenceTimer {
+// newSilenceTimer returns a timer whose first timeout is firstTimeout.
+func newSilenceTimer(firstTimeout, timeout time.Duration, onSilence func()) *silenceTimer {
 	s := &silenceTimer{timeout: timeout, onSilence: onSilence, started: make(chan struct{})}
-	s.timer = time.AfterFunc(timeout, s.expire)
+	s.timer = time.AfterFunc(firstTimeout, s.expire)
 	close(s.started)
 	return s
 }
--- a/internal/settings/site.go
+++ b/internal/settings/site.go
@@ -91,6 +91,9 @@
 	SlowStartMinCapacity  float64 `json:"cold_from"`
 	SlowStartWindowMicros int64   `json:"cold_us"`
 
+	// DrainGraceMicros is the time for which a server may still get requests after the report that it drains.
+	DrainGraceMicros int64 `json:"drain_grace_us"`
+
 	// OverloadFactor is the multiple of its current capacity at which a server in slow start is overloaded. Its work
 	// is counted over OverloadWindowMicros.
 	OverloadFactor       float64 `json:"fall_multiple"`
--- a/node/config.go
+++ b/node/config.go
@@ -143,7 +143,7 @@
 	// HealthCheckMS limits the time of a health check; by default 300.
 	HealthCheckMS int64 `json:"probe_ms"`
 	// WatchSilenceMS is the time without data after which a watch of the endpoint list counts as broken; by default
-	// 3,500.
+	// 2,300, as the discovery service sends a heartbeat every 2,000.
 	WatchSilenceMS int64 `json:"watch_ms"`
 	// ResponseSilenceMS is the time that a message may stay unanswered before its server counts as failed; by default
 	// 3,000.
--- a/node/config_defaults.go
+++ b/node/config_defaults.go
@@ -50,7 +50,7 @@
 	return []boundedKey{
 		{key: "first_line_ms", value: &t.FirstLineMS, defaultValue: 2000},
 		{key: "probe_ms", value: &t.HealthCheckMS, defaultValue: 300},
-		{key: "watch_ms", value: &t.WatchSilenceMS, defaultValue: 3500},
+		{key: "watch_ms", value: &t.WatchSilenceMS, defaultValue: 2300},
 		{key: "silence_ms", value: &t.ResponseSilenceMS, defaultValue: 3000},
 		{key: "notice_ms", value: &t.LateNoticeMS, defaultValue: 1000},
 		{key: "linger_ms", value: &t.CloseMS, defaultValue: 500},
--- a/node/config_validate.go
+++ b/node/config_validate.go
@@ -116,6 +116,7 @@
 		rangeCheck{prefix + ".ceilings.send_cap", site.Limits.MaxAttempts < 0, site.Limits.MaxAttempts},
 		rangeCheck{prefix + ".classes", len(site.Classes) == 0, "none"},
 		rangeCheck{prefix + ".rules.cold_from", minCapacity < 0 || minCapacity > 1, minCapacity},
+		rangeCheck{prefix + ".rules.drain_grace_us", site.Servers.DrainGraceMicros < 0, site.Servers.DrainGraceMicros},
 		rangeCheck{prefix + ".rules.left_margin_us", site.Servers.TimeoutUncertaintyMicros < 0,
 			site.Servers.TimeoutUncertaintyMicros},
 		rangeCheck{prefix + ".rules.start_error_us", site.Servers.StartTimeUncertaintyMicros < 0,
--- a/node/fakediscovery_test.go
+++ b/node/fakediscovery_test.go
@@ -1,7 +1,9 @@
 package node
 
 import (
+	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -22,6 +24,31 @@
 	calls         int
 	sinceVersion  string // the parameter "since" of the last call
 	breakWatches  func() // closes all connections
+
+	silent  chan struct{} // closed by silence
+	resumed chan struct{} // closed by resume
+}
+
+// silence ends the data on open watches, whose connections stay open. Later calls are kept waiting until resume.
+func (d *fakeDiscovery) silence() { close(d.silent) }
+
+// resume lets the calls go on that wait since silence.
+func (d *fakeDiscovery) resume() { close(d.resumed) }
+
+// awaitResume returns at once unless silence was called. Then it waits for resume or the end of a call, and returns
+// whether the call goes on, with the channel that is closed when its watch falls silent; nil if it does not.
+func (d *fakeDiscovery) awaitResume(call context.Context) (silent <-chan struct{}, goesOn bool) {
+	select {
+	case <-d.silent:
+	default:
+		return d.silent, true
+	}
+	select {
+	case <-d.resumed:
+		return nil, true
+	case <-call.Done():
+		return nil, false
+	}
 }
 
 // lastSinceVersion returns the parameter "since" of the last call.
@@ -32,42 +59,9 @@
 }
 
 func newFakeDiscovery(t *testing.T, failures int) *fakeDiscovery {
-	d := &fakeDiscovery{lines: make(chan string, 100), failingCalls: failures}
-	httpServer := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		d.mu.Lock()
-		d.calls++
-		d.sinceVersion = r.URL.Query().Get("since")
-		fails := d.calls <= d.failingCalls
-		isUnanswered, delay := d.answeredCalls > 0 && d.calls > d.answeredCalls, d.failureDelay
-		if d.omitsDate {
-			w.Header()["Date"] = nil
-		}
-		d.mu.Unlock()
-		if isUnanswered {
-			<-r.Context().Done()
-			return
-		} else if fails {
-			select {
-			case <-time.After(delay):
-			case <-r.Context().Done():
-			}
-			http.Error(w, "later", http.StatusServiceUnavailable)
-			return
-		}
-		w.(http.Flusher).Flush()
-		for {
-			select {
-			case <-r.Context().Done():
-				return
-			case line := <-d.lines:
-				fmt.Fprintln(w, line)
-				w.(http.Flusher).Flush()
-			case <-time.After(time.Second):
-				fmt.Fprintln(w)
-				w.(http.Flusher).Flush()
-			}
-		}
-	}))
+	d := &fakeDiscovery{lines: make(chan string, 100), failingCalls: failures, silent: make(chan struct{}),
+		resumed: make(chan struct{})}
+	httpServer := httptest.NewServer(http.HandlerFunc(d.serve))
 	t.Cleanup(func() { // closing the connections ends the handlers too
 		httpServer.CloseClientConnections()
 		httpServer.Close()
@@ -77,6 +71,57 @@
 	return d
 }
 
+// serve handles a call.
+func (d *fakeDiscovery) serve(w http.ResponseWriter, r *http.Request) {
+	d.mu.Lock()
+	d.calls++
+	d.sinceVersion = r.URL.Query().Get("since")
+	fails := d.calls <= d.failingCalls
+	isUnanswered, delay := d.answeredCalls > 0 && d.calls > d.answeredCalls, d.failureDelay
+	if d.omitsDate {
+		w.Header()["Date"] = nil
+	}
+	d.mu.Unlock()
+	if isUnanswered {
+		<-r.Context().Done()
+		return
+	} else if fails {
+		select {
+		case <-time.After(delay):
+		case <-r.Context().Done():
+		}
+		http.Error(w, "later", http.StatusServiceUnavailable)
+		return
+	}
+	if silent, goesOn := d.awaitResume(r.Context()); goesOn {
+		d.serveWatch(r.Context(), w.(watchWriter), silent)
+	}
+}
+
+// watchWriter is the part of a response that a watch uses.
+type watchWriter interface {
+	io.Writer
+	http.Flusher
+}
+
+// serveWatch sends lines and heartbeats until the watch ends, or none once it is silent.
+func (d *fakeDiscovery) serveWatch(watch context.Context, w watchWriter, silent <-chan struct{}) {
+	for {
+		w.Flush()
+		select {
+		case <-watch.Done():
+			return
+		case <-silent:
+			<-watch.Done()
+			return
+		case line := <-d.lines:
+			fmt.Fprintln(w, line)
+		case <-time.After(time.Second):
+			fmt.Fprintln(w)
+		}
+	}
+}
+
 // sendList sends a list with entries in JSON to a watch.
 func (d *fakeDiscovery) sendList(version int, full bool, entries ...string) {
 	d.lines <- fmt.Sprintf(`{"version":%d,"full":%v,"servers":[%s]}`, version, full, strings.Join(entries, ","))
--- a/node/gauges.go
+++ b/node/gauges.go
@@ -22,6 +22,7 @@
 // loopCounters count requests and messages by outcome.
 type loopCounters struct {
 	reconnects          atomic.Int64 // requests of clients that reconnect to their former server
+	listWaits           atomic.Int64 // requests that waited for a newer endpoint list
 	served              atomic.Int64
 	rejected            atomic.Int64 // requests rejected with BUSY
 	failed              atomic.Int64
--- a/node/loop.go
+++ b/node/loop.go
@@ -58,6 +58,7 @@
 	seed, _ := cfg.parseSeed() // was validated by Config.Validate
 	balanceConfig := cfg.Settings.BalanceConfig()
 	balanceConfig.ClockUntrusted = true
+	limitListAge(&balanceConfig, &cfg.Settings)
 	balanceConfig.GossipEnabled = false        // nodes have no transport for gossip
 	balanceConfig.LateMessagesReported = false // not reported over sockets; servers may echo at once under any load
 	l := &loop{
@@ -187,6 +188,8 @@
 	switch action := action.(type) {
 	case balance.Attempt:
 		l.startAttempt(action)
+	case balance.ListAwaited:
+		l.counters.listWaits.Add(1)
 	case balance.Reject:
 		l.reject(action.ID, action.RetryAfter)
 	case balance.Fail:
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -51,6 +51,7 @@
 	add("list_calls", discoveryCounters.Calls.Load())
 	add("list_failed", discoveryCounters.Failures.Load())
 	add("list_changes", discoveryCounters.WatchEvents.Load())
+	add("list_waits", loopCounters.listWaits.Load())
 	add("served", loopCounters.served.Load())
 	add("refused", loopCounters.rejected.Load())
 	add("failed", loopCounters.failed.Load())
--- a/node/trace.go
+++ b/node/trace.go
@@ -51,6 +51,8 @@
 		l.log.Debug("migrate", requestField(action.ID))
 	case balance.HealthCheck:
 		l.log.Debug("health check", l.serverField(action.Server))
+	case balance.ListAwaited:
+		l.log.Debug("list awaited", requestField(action.ID), zap.Int64("version", l.listVersion))
 	case balance.WatchEndpoints:
 		l.log.Debug("watch endpoints", zap.Int64("version", l.listVersion))
 	}
--- a/node/watch.go
+++ b/node/watch.go
@@ -30,7 +30,7 @@
 	sinceVersion int64 // only later changes are requested
 	openedAt     time.Time
 	hasData      bool
-	lastDataAt   time.Time // when the loop last handled data of this watch; zero before the first data
+	confirmedAt  time.Time // when it last delivered a list or a heartbeat; zero before the first one
 	isBroken     bool      // its end or silence has been handled
 	cancel       context.CancelFunc
 	clockLead    atomic.Pointer[time.Duration] // over the service's clock, by the Date header of the response
@@ -42,8 +42,8 @@
 	}
 }
 
-// subscribe opens a watch of the changes after the current version, unless one is open. Each watch that is not replaced
-// ends in one call of onWatchBroken.
+// subscribe opens a watch of the changes after the current version, unless one is open. Each watch that is not
+// replaced ends in one call of onWatchBroken.
 func (l *loop) subscribe() {
 	if l.isWatching {
 		return
@@ -70,8 +70,8 @@
 	})
 }
 
-// openWatch opens a watch. The previous watch, if it has received data, stays open until the new one receives data: the
-// discovery service counts everything that it has written as received by this node, so it must be read.
+// openWatch opens a watch. The previous watch, if it has received data, stays open until the new one receives data:
+// the discovery service counts everything that it has written as received by this node, so it must be read.
 func (l *loop) openWatch() {
 	ctx, cancel := context.WithCancel(l.ctx)
 	w := &watch{addr: l.discoveryAddr, sinceVersion: l.listVersion, openedAt: time.Now(), cancel: cancel}
@@ -90,8 +90,18 @@
 		})
 	}
 	handler := discovery.WatchHandler{
-		OnEvent:   func(list *discovery.EndpointList) { post(func() { l.onWatchEvent(w, list) }) },
-		OnAlive:   func() { post(func() { l.onWatchAlive(w) }) },
+		OnEvent: func(list *discovery.EndpointList) {
+			receivedAt := time.Now()
+			post(func() {
+				w.confirmedAt = receivedAt
+				l.onWatchEvent(w, list)
+			})
+		},
+		OnAlive: func() { post(func() { l.onWatchAlive(w) }) },
+		OnHeartbeat: func() {
+			receivedAt := time.Now()
+			post(func() { l.onWatchHeartbeat(w, receivedAt) })
+		},
 		OnSilence: func() { post(func() { l.onWatchBroken(w, errDiscoverySilent) }) },
 		OnDate: func(date, requestedAt, respondedAt time.Time) {
 			lead := l.leadOver(date, requestedAt, respondedAt)
@@ -110,24 +120,27 @@
 	}()
 }
 
-// onWatchAlive handles data of any kind. It confirms the current version to the balancer, because no event follows as
-// long as the list does not change. It closes the previous watch if that is of the same service, since this watch
-// receives all further events. A watch of another service stays open until the first list of this one.
+// onWatchAlive handles the first data of any kind. It closes the previous watch if that is of the same service, since
+// this watch receives all further events. A watch of another service stays open until the first list of this one.
 func (l *loop) onWatchAlive(w *watch) {
-	w.hasData, w.lastDataAt = true, time.Now()
+	w.hasData = true
 	l.checkWallClock()
 	if lead := w.clockLead.Load(); lead != nil {
 		l.onClockLead(*lead, true)
 	}
-	if w != l.currentWatch {
-		return
+	if w == l.currentWatch && l.previousWatch != nil && l.previousWatch.addr == w.addr {
+		l.closePreviousWatch()
 	}
-	if w.addr == l.discoveryAddr && w.sinceVersion > 0 {
+}
+
+// onWatchHeartbeat handles an empty line. The first one confirms the current version to the balancer, because no
+// event follows as long as the list does not change.
+func (l *loop) onWatchHeartbeat(w *watch, receivedAt time.Time) {
+	isFirst := w.confirmedAt.IsZero()
+	w.confirmedAt = receivedAt
+	if isFirst && w == l.currentWatch && w.addr == l.discoveryAddr && w.sinceVersion > 0 {
 		l.handle(balance.EndpointUpdate{Kind: balance.ListDelta})
 	}
-	if l.previousWatch != nil && l.previousWatch.addr == w.addr {
-		l.closePreviousWatch()
-	}
 }
 
 // closePreviousWatch closes the previous watch, if any.
@@ -137,9 +150,9 @@
 }
 
 // onWatchEvent applies an event of a watch. A new watch may repeat events that the previous watch of the same service
-// received after the new one was opened. Those have an older version and are dropped, because they could undo a drain.
+// received after the new one was opened. Those have an older version and are dropped, because they could undo a
+// drain.
 func (l *loop) onWatchEvent(w *watch, list *discovery.EndpointList) {
-	w.lastDataAt = time.Now()
 	if w == l.currentWatch {
 		l.closePreviousWatch()
 	}
@@ -181,29 +194,35 @@
 	if dialError := (&net.OpError{}); w.hasData || errors.As(err, &dialError) && dialError.Op == "dial" {
 		elapsed = 0 // the service did not delay the call
 	}
-	l.handle(balance.EndpointUpdate{Kind: kind, ServiceWait: elapsed})
+	update := balance.EndpointUpdate{Kind: kind, ServiceWait: elapsed, DataReceived: w.hasData}
+	if errors.Is(err, errDiscoverySilent) && !w.confirmedAt.IsZero() {
+		update.ConfirmedAt = l.timeAt(w.confirmedAt)
+	}
+	l.handle(update)
 }
 
-// logBrokenWatch logs the end or silence of a watch with the age of its call and of its last data. Together they tell a
-// service that cannot be reached or rejects calls at once from one that keeps calls waiting and from a silent watch.
+// logBrokenWatch logs the end or silence of a watch with the age of its call and of its last list or heartbeat.
+// Together they tell a service that cannot be reached or rejects calls at once from one that keeps calls waiting and
+// from a silent watch.
 func (l *loop) logBrokenWatch(w *watch, err error) {
 	fields := []zap.Field{zap.String("discovery", w.addr), zap.Error(err), zap.Int64("version", l.listVersion),
 		zap.Duration("call_age", time.Since(w.openedAt))}
-	if w.hasData {
-		fields = append(fields, zap.Duration("data_age", time.Since(w.lastDataAt)))
+	if !w.confirmedAt.IsZero() {
+		fields = append(fields, zap.Duration("confirmed_ago", time.Since(w.confirmedAt)))
 	}
 	l.log.Warn("endpoint watch broken", fields...)
 }
 
-// onDiscoveryChanged switches to another discovery service and requests its complete list. It does so at once, because
-// the next retry of the balancer may be seconds away.
+// onDiscoveryChanged switches to another discovery service and requests its complete list. It does so at once,
+// because the next retry of the balancer may be seconds away.
 func (l *loop) onDiscoveryChanged(addr string) {
 	if addr == l.discoveryAddr {
 		return
 	}
 	l.log.Info("discovery address changed", zap.String("discovery", addr))
 	l.discoveryAddr, l.listVersion, l.isWatching = addr, 0, false
-	l.handle(balance.EndpointUpdate{Kind: balance.WatchBroken}) // failures of the former service must not delay retries
+	// Failures of the former service must not delay retries.
+	l.handle(balance.EndpointUpdate{Kind: balance.WatchBroken, ConfirmedAt: l.now() - reportDelay + reloadReportDelay})
 	l.subscribe()
 	l.control.SendRequests()
 }
