The age of the list is bounded where lists are pushed, after a reload and an upgrade

What the agent has counts as received at once there, from the first moment of a process. On the same path: a change that the former discovery service sent after a reload made the list count as current, an upgrade took the list of the process before as new, and among 900 nodes the first call came up to 22 s after the start.

Change: where lists are pushed the list may be as old as the grace of drains, less 0.15 s, and is too old when a process starts; an agent that refuses calls or sends nothing is down and learns nothing, so the list stays in use. Changes of a former service are applied but do not make the list current; the age counts from 4 s after the change of address; the hand-over has the age of the list (list_age_ms, left out when 0, so both directions work with the build before). The first call of nodes whose requests need the list comes within 2 s.

Tests: node.TestRestartWithPushedListHoldsClients, TestListAgeAfterReloadAndUpgrade; balance.TestPushedListIsUsedOnlyWhileCurrentOrAgentDown, TestFormerServiceDoesNotConfirmList, TestFirstCallIsSoonIfRequestsNeedList. The golden hand-over has the new field.

--- a/balance/api.go
+++ b/balance/api.go
@@ -70,7 +70,8 @@
 	// EndpointsPushed is set if changes of the endpoint list arrive without a watch request.
 	EndpointsPushed bool
 	// MaxListAge is the time for which the endpoint list may be used after its last confirmation. Requests
-	// then wait for a list, unless health checks can show which servers accept clients. 0 means no limit.
+	// then wait for a list, unless lists are requested and health checks can show which servers accept
+	// clients. 0 means no limit.
 	MaxListAge time.Duration
 	// OutageListAge is the age of the list from which the discovery service counts as unavailable, so that
 	// the list is used again; 0 means never.
--- a/balance/endpoints.go
+++ b/balance/endpoints.go
@@ -15,6 +15,9 @@
 	// discovery service is overloaded.
 	watchBackoffBase = 200 * time.Millisecond
 	maxWatchBackoff  = 2300 * time.Millisecond
+	// maxUrgentSpread bounds the time over which the first calls of all nodes are spread if requests wait
+	// for the list.
+	maxUrgentSpread = 2 * time.Second
 	// watchRequestInterval is the minimum mean time between two watch requests by all nodes together.
 	watchRequestInterval = 50 * time.Millisecond
 	// overloadedServiceWait is the ServiceWait above which the discovery service counts as overloaded.
@@ -128,13 +131,20 @@
 
 // scheduleWatch sets the timer of the next watch request, if the update makes one necessary.
 func (b *Balancer) scheduleWatch(ev EndpointUpdate) {
+	if ev.FormerService {
+		return
+	}
 	b.listStaleAt = min(b.listStaleAt, b.now+freshnessWindow)
 	roundDuration := time.Duration(b.config.NodeCount) * watchRequestInterval // one call by each node
 	switch {
 	case ev.Kind == ListDelta || ev.Kind == ListSnapshot:
 		b.watchBackoff, b.listStaleAt = 0, math.MaxInt64
 	case ev.Kind == ListCached && !b.config.EndpointsPushed:
-		delay := time.Duration(b.rng.Float64() * float64(roundDuration-watchRequestInterval) / 2)
+		spread := (roundDuration - watchRequestInterval) / 2
+		if b.listAge.isUrgent(b.now) {
+			spread = min(spread, maxUrgentSpread)
+		}
+		delay := time.Duration(b.rng.Float64() * float64(spread))
 		b.emit(SetTimer{delay, timerWatchEndpoints})
 	case ev.Kind == WatchFailed && !b.config.EndpointsPushed:
 		b.emit(SetTimer{b.nextWatchBackoff(ev.ServiceWait, roundDuration), timerWatchEndpoints})
--- a/balance/events.go
+++ b/balance/events.go
@@ -9,13 +9,18 @@
 type EndpointUpdate struct {
 	Kind    UpdateKind
 	Servers []Server
+	// FormerService is set if the servers come from a discovery service that is no longer used. They do not
+	// show whether the list is up to date.
+	FormerService bool
 	// ServiceWait is the time that a call which ended in WatchFailed waited for a response of the discovery
 	// service; 0 if no connection was established or a list was received.
 	ServiceWait time.Duration
 	// DataReceived is set if a call that ended in WatchFailed returned data.
 	DataReceived bool
-	// ConfirmedAt is the time at which a watch that ended in WatchBroken last delivered data; 0 means the
-	// time of the event.
+	// Silent is set if the call or watch did not end, but no data arrived for too long.
+	Silent bool
+	// ConfirmedAt is the time from which the age of the list counts after a ListCached or WatchBroken; 0
+	// means the time of the event.
 	ConfirmedAt time.Duration
 }
 
--- a/balance/listage.go
+++ b/balance/listage.go
@@ -16,6 +16,8 @@
 
 	isCurrent   bool          // a watch delivers all changes
 	confirmedAt time.Duration // when the list was last confirmed, unless isCurrent
+	pushed      bool          // Config.EndpointsPushed
+	agentSilent bool          // where lists are pushed: the agent sends nothing, so it learns nothing either
 	waiting     map[RequestID]*request
 }
 
@@ -23,32 +25,46 @@
 	l := listAge{
 		maxAge: config.MaxListAge, outageAge: config.OutageListAge, waiting: map[RequestID]*request{},
 	}
-	if config.HealthChecksAllowed {
+	if l.pushed = config.EndpointsPushed; config.HealthChecksAllowed && !l.pushed {
 		l.maxAge = 0 // a health check shows whether a server accepts clients
 	}
 	return l
 }
 
 // observe applies an endpoint update. A call that failed at once shows that the service cannot be reached,
-// so that no change counts as reported yet.
+// so that no change counts as reported yet. Where lists are pushed, an agent that sends nothing shows the
+// same.
 func (l *listAge) observe(now time.Duration, ev EndpointUpdate) {
+	if ev.FormerService {
+		return
+	}
+	l.agentSilent = l.pushed && ev.Silent
 	switch ev.Kind {
 	case ListDelta, ListSnapshot:
 		l.isCurrent = true
 	case ListCached:
-		l.isCurrent, l.confirmedAt = false, now
+		l.isCurrent, l.confirmedAt = false, cmp.Or(ev.ConfirmedAt, now)
 	case WatchBroken:
 		if l.isCurrent {
-			l.isCurrent, l.confirmedAt = false, cmp.Or(ev.ConfirmedAt, now)
+			l.confirmedAt = cmp.Or(ev.ConfirmedAt, now)
 		}
+		l.isCurrent, l.confirmedAt = false, max(l.confirmedAt, ev.ConfirmedAt)
 	case WatchFailed:
-		unreachable := !ev.DataReceived && ev.ServiceWait <= overloadedServiceWait
+		unreachable := !ev.DataReceived && !ev.Silent && ev.ServiceWait <= overloadedServiceWait
 		if l.isCurrent || unreachable {
-			l.isCurrent, l.confirmedAt = false, now
+			l.isCurrent, l.confirmedAt = false, max(l.confirmedAt, now)
 		}
 	}
 }
 
+// age returns the time since the list was last confirmed; 0 if a watch delivers all changes.
+func (l *listAge) age(now time.Duration) time.Duration {
+	if l.isCurrent {
+		return 0
+	}
+	return max(now-l.confirmedAt, 0)
+}
+
 // isExpired reports whether the list is too old to place requests by it.
 func (l *listAge) isExpired(now time.Duration) bool {
 	return l.isUrgent(now) && now >= l.confirmedAt+l.maxAge
@@ -61,7 +77,7 @@
 
 // isUrgent reports whether requests have to wait, now or soon, unless a list arrives.
 func (l *listAge) isUrgent(now time.Duration) bool {
-	return !l.isCurrent && l.maxAge > 0 && !l.isOutage(now)
+	return !l.isCurrent && !l.agentSilent && l.maxAge > 0 && !l.isOutage(now)
 }
 
 // limitSending returns the time within which an attempt has to be sent: sendWithin, or the time until the
@@ -74,6 +90,12 @@
 	return min(cmp.Or(sendWithin, untilExpiry), untilExpiry)
 }
 
+// ListAge returns the time since the endpoint list was last confirmed; 0 if a watch delivers all changes.
+func (b *Balancer) ListAge(now time.Duration) time.Duration { return b.listAge.age(now) }
+
+// ListExpired reports whether requests have to wait for a list.
+func (b *Balancer) ListExpired(now time.Duration) bool { return b.listAge.isExpired(now) }
+
 // listWaitReserve is the part of its time, as a divisor, that a request keeps after a wait for a list, to
 // be sent or rejected in time.
 const listWaitReserve = 10
--- a/balance/listage_test.go
+++ b/balance/listage_test.go
@@ -62,7 +62,8 @@
 // deadline.
 func TestListWaitEndsBeforeDeadline(t *testing.T) {
 	n := newNodeWithList(listAgeConfig(1))
-	n.handle(EndpointUpdate{Kind: WatchBroken, ConfirmedAt: n.now - n.config.MaxListAge})
+	n.handle(EndpointUpdate{Kind: WatchBroken})
+	n.now += n.config.MaxListAge
 	id, actions := n.request("safe", "key")
 	i := slices.IndexFunc(actions, func(a Action) bool { _, ok := a.(SetTimer); return ok })
 	if i < 0 {
@@ -127,3 +128,78 @@
 	_, ok := a.(ListAwaited)
 	return ok
 }
+
+// Guards against new clients for draining servers where lists are pushed: what the agent has received
+// counts as received by the node, from the start of its process on and while it has no watch. While the
+// agent is down it receives nothing, so the list stays in use.
+func TestPushedListIsUsedOnlyWhileCurrentOrAgentDown(t *testing.T) {
+	keptWaiting := EndpointUpdate{Kind: WatchFailed, ServiceWait: 2 * time.Second}
+	refused := EndpointUpdate{Kind: WatchFailed, ServiceWait: ms}
+	list := EndpointUpdate{Kind: ListDelta}
+	ended := EndpointUpdate{Kind: WatchBroken}
+	silent := EndpointUpdate{Kind: WatchBroken, Silent: true, ConfirmedAt: time.Minute}
+	unanswered := EndpointUpdate{Kind: WatchFailed, Silent: true, ServiceWait: 3 * time.Second}
+	for name, test := range map[string]struct {
+		updates  []EndpointUpdate
+		mayPlace bool
+	}{
+		"started":                       {nil, false},
+		"first call kept waiting":       {[]EndpointUpdate{keptWaiting}, false},
+		"first call refused":            {[]EndpointUpdate{refused}, true},
+		"first call unanswered":         {[]EndpointUpdate{unanswered}, true},
+		"list":                          {[]EndpointUpdate{list}, true},
+		"watch ended":                   {[]EndpointUpdate{list, ended}, true},
+		"agent down, then kept waiting": {[]EndpointUpdate{list, ended, keptWaiting}, true},
+		"watch silent":                  {[]EndpointUpdate{list, silent}, true},
+		"watch silent, kept waiting":    {[]EndpointUpdate{list, silent, keptWaiting}, false},
+	} {
+		config := testConfig()
+		config.MaxListAge, config.HealthChecksAllowed = 200*ms, true
+		n := &testNode{Balancer: New(config, 7), now: 2 * time.Minute, nextID: 1}
+		startedWith := EndpointUpdate{Kind: ListCached, Servers: readyServers(1),
+			ConfirmedAt: n.now - config.MaxListAge}
+		n.handle(startedWith)
+		for _, update := range test.updates {
+			n.handle(update)
+		}
+		check := func(when string, want bool) {
+			if _, actions := n.request("safe", when); slices.ContainsFunc(actions, isListAwaited) == want {
+				t.Errorf("%s, %s: %v", name, when, actions)
+			}
+		}
+		check("at once", test.mayPlace)
+		n.now += config.MaxListAge
+		endsWithAgeLimit := name == "first call refused" || name == "watch ended" ||
+			name == "agent down, then kept waiting"
+		check("later", test.mayPlace && !endsWithAgeLimit)
+	}
+}
+
+// Guards against a list that counts as up to date because of a change that the former discovery service has
+// sent.
+func TestFormerServiceDoesNotConfirmList(t *testing.T) {
+	n := newNodeWithList(listAgeConfig(1))
+	n.handle(EndpointUpdate{Kind: WatchBroken})
+	n.handle(EndpointUpdate{Kind: ListDelta, FormerService: true,
+		Servers: []Server{{ID: 1, State: Draining}}})
+	if _, s := n.place("safe", "drained"); s != 2 {
+		t.Errorf("placed on server %d, want 2", s)
+	}
+	n.now += n.config.MaxListAge
+	if _, actions := n.request("safe", "key"); !slices.ContainsFunc(actions, isListAwaited) {
+		t.Errorf("with a list that is too old: %v", actions)
+	}
+}
+
+// Guards against nodes that call so late after their start that requests wait for the list.
+func TestFirstCallIsSoonIfRequestsNeedList(t *testing.T) {
+	for seed := range uint64(50) {
+		b := New(listAgeConfig(900), seed)
+		for _, a := range b.Handle(time.Minute, EndpointUpdate{Kind: ListCached}) {
+			timer, ok := a.(SetTimer)
+			if ok && timer.Token == timerWatchEndpoints && timer.After > maxUrgentSpread {
+				t.Errorf("seed %d: the first call comes after %v", seed, timer.After)
+			}
+		}
+	}
+}
--- a/internal/upgrade/message.go
+++ b/internal/upgrade/message.go
@@ -39,10 +39,12 @@
 	Endpoints *discovery.EndpointList `json:"list,omitempty"`
 	State     *balance.HandoverState  `json:"memory,omitempty"`
 
-	// OutOfService and DiscoveryAddr are set in the message of KindStateEnd. DiscoveryAddr is the address of the
-	// discovery service that sent the endpoint list.
+	// OutOfService, DiscoveryAddr and ListAgeMillis are set in the message of KindStateEnd. DiscoveryAddr is the
+	// address of the discovery service that sent the endpoint list. ListAgeMillis is the time in milliseconds since
+	// the list was last confirmed; 0 if a watch delivers all changes.
 	OutOfService  bool   `json:"out_of_service,omitempty"`
 	DiscoveryAddr string `json:"discovery,omitempty"`
+	ListAgeMillis int64  `json:"list_age_ms,omitempty"`
 
 	// Connection describes the connection that a message of KindConnection transfers.
 	Connection *exchange.OpenConnection `json:"standing,omitempty"`
--- a/node/control_test.go
+++ b/node/control_test.go
@@ -42,7 +42,7 @@
 		StartedAtMillis: time.Now().Add(-time.Second).UnixMilli()}
 	applyList := func(state string) {
 		endpoint.State = state
-		loop.applyEndpointList(&discovery.EndpointList{Servers: []discovery.Endpoint{endpoint}})
+		loop.applyEndpointList(&discovery.EndpointList{Servers: []discovery.Endpoint{endpoint}}, false)
 	}
 	applyList("up")
 	share := loop.control.Remaining(7)
--- a/node/endpoints.go
+++ b/node/endpoints.go
@@ -23,8 +23,10 @@
 	listVersion       int64 // numbered by the discovery service that sent the list
 	logsEndpointLists bool
 
-	endpointsPushed bool // the site pushes changes, so a watch is always open
-	isWatching      bool // a watch is open or waits for its quota
+	maxListAge      time.Duration // as configured for the balancer
+	endpointsPushed bool          // the site pushes changes, so a watch is always open
+	listUsable      chan struct{} // closed once requests do not have to wait for a list
+	isWatching      bool          // a watch is open or waits for its quota
 	watchAttempts   int
 	currentWatch    *watch // the most recently opened one
 	previousWatch   *watch // its predecessor, kept until currentWatch receives data
@@ -47,7 +49,9 @@
 		discoveryAddr:        cfg.Discovery,
 		listVersion:          cfg.InitialEndpoints.Version,
 		logsEndpointLists:    cfg.TestOptions.LogEndpointLists,
+		maxListAge:           balanceConfig.MaxListAge,
 		endpointsPushed:      balanceConfig.EndpointsPushed,
+		listUsable:           make(chan struct{}),
 		initialEndpoints:     cfg.InitialEndpoints.EndpointUpdate(balance.ListCached),
 		servers:              map[balance.ServerID]discovery.Endpoint{},
 		drainingServers:      map[balance.ServerID]bool{},
@@ -56,8 +60,9 @@
 	}
 }
 
-// applyEndpointList applies a complete list, or changes to the current one.
-func (l *loop) applyEndpointList(list *discovery.EndpointList) {
+// applyEndpointList applies a complete list, or changes to the current one. ofFormerService is set if they come from a
+// discovery service that is no longer used.
+func (l *loop) applyEndpointList(list *discovery.EndpointList, ofFormerService bool) {
 	kind := balance.ListDelta
 	if list.Full {
 		kind = balance.ListSnapshot
@@ -65,7 +70,9 @@
 		clear(l.drainingServers)
 	}
 	l.updateServers(list)
-	l.handle(list.EndpointUpdate(kind))
+	update := list.EndpointUpdate(kind)
+	update.FormerService = ofFormerService
+	l.handle(update)
 	l.control.UpdateSlowStartLimits()
 	l.cancelStaleAttempts()
 	for _, server := range list.Servers {
--- a/node/golden_test.go
+++ b/node/golden_test.go
@@ -177,6 +177,8 @@
 var (
 	agePattern  = regexp.MustCompile(`"age":\d+`)
 	ratePattern = regexp.MustCompile(`"rate":[\d.]+,"rated":\d+`) // decays with time after the hand-over
+	// The state has an age of 1.5 s, which grows until the hand-over.
+	grownListAgePattern = regexp.MustCompile(`"list_age_ms":(1[5-9]|[2-9]\d)\d\d\b`)
 )
 
 // acceptRawLink calls start to start a node, and accepts its connection as its predecessor.
@@ -247,7 +249,8 @@
 	successor.write(lines[helloLine])
 	for _, line := range state {
 		const rate = `"rate":3.5,"rated":1789999999000000000`
-		if message := ratePattern.ReplaceAllString(successor.read(), rate); message != line {
+		message := ratePattern.ReplaceAllString(successor.read(), rate)
+		if message = grownListAgePattern.ReplaceAllString(message, `"list_age_ms":1500`); message != line {
 			t.Errorf("handed over as\n%s\nwant\n%s", message, line)
 		}
 	}
--- a/node/handover_state.go
+++ b/node/handover_state.go
@@ -16,7 +16,8 @@
 	endpoints     discovery.EndpointList
 	balancerState balance.HandoverState
 	outOfService  bool
-	discoveryAddr string // of the service that sent the endpoints
+	discoveryAddr string        // of the service that sent the endpoints
+	listAge       time.Duration // of the endpoints when they were sent; 0 if a watch was delivering changes
 }
 
 // receive receives all messages of the state until a deadline.
@@ -31,6 +32,7 @@
 			s.appendPart(message)
 		case upgrade.KindStateEnd:
 			s.outOfService, s.discoveryAddr = message.OutOfService, message.DiscoveryAddr
+			s.listAge = milliseconds(message.ListAgeMillis)
 			return nil
 		default:
 			return &unexpectedMessageError{message.Kind}
@@ -73,7 +75,7 @@
 			appendState(balance.HandoverState{Affinities: chunk})
 		}
 		messages = append(messages, upgrade.Message{Kind: upgrade.KindStateEnd, OutOfService: isOutOfService,
-			DiscoveryAddr: l.discoveryAddr})
+			DiscoveryAddr: l.discoveryAddr, ListAgeMillis: l.balancer.ListAge(l.now()).Milliseconds()})
 	})
 	return messages
 }
--- a/node/listage.go
+++ b/node/listage.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"time"
 
 	"brassmux/balance"
@@ -9,15 +10,19 @@
 
 const (
 	// reportDelay is the time after which a change of the endpoint list counts as received, even if it did not
-	// arrive.
+	// arrive. Where lists are pushed, a change counts as received at once.
 	reportDelay = 6 * time.Second
-	// reloadReportDelay takes its place after a change of the discovery address.
+	// reloadReportDelay takes its place after a change of the discovery address, in either case.
 	reloadReportDelay = 4 * time.Second
 	// maxSuspension is the longest time for which the process is held up between a decision and its effect.
 	maxSuspension = 150 * time.Millisecond
+	// minListAge is the least limit of the list's age, because 0 means no limit.
+	minListAge = time.Millisecond
 	// outageListAge is the age of the list at which the discovery service counts as unavailable. It takes a call of
 	// every node within 9 s, and would have done so by then even after an outage of 8 s.
 	outageListAge = 20 * time.Second
+	// maxReadyDelay bounds the time for which a new process is not ready because it has no usable list.
+	maxReadyDelay = 5 * time.Second
 )
 
 // limitListAge limits the age of the endpoint list so that no server gets requests once its drain counts as received
@@ -26,6 +31,51 @@
 	if site.Servers.KeepUnlistedServers {
 		return
 	}
-	config.MaxListAge = reportDelay + settings.Microseconds(site.Servers.DrainGraceMicros) - maxSuspension
-	config.OutageListAge = outageListAge
+	maxAge := settings.Microseconds(site.Servers.DrainGraceMicros) - maxSuspension
+	if !config.EndpointsPushed {
+		maxAge += reportDelay
+	}
+	config.MaxListAge, config.OutageListAge = max(maxAge, minListAge), outageListAge
+}
+
+// initialConfirmation returns the time from which the age of the initial list counts. A list that the predecessor has
+// handed over has the age that it had there. Where lists are pushed, changes that were made before the start of the
+// process count as received when it starts.
+func (l *loop) initialConfirmation(state *inheritedState) time.Duration {
+	switch {
+	case state != nil:
+		return l.now() - state.listAge
+	case l.endpointsPushed:
+		return l.now() - l.maxListAge
+	}
+	return l.now()
+}
+
+// reloadConfirmation returns the time from which the age of the list counts after a change of the discovery address.
+func (l *loop) reloadConfirmation() time.Duration {
+	if l.endpointsPushed {
+		return l.now() + reloadReportDelay
+	}
+	return l.now() + reloadReportDelay - reportDelay
+}
+
+// awaitUsableList waits until requests can be placed without a wait for the endpoint list, but not for long: other
+// nodes may have a list, but if none has, clients had better wait here. It returns early if ctx ends.
+func (n *Node) awaitUsableList(ctx context.Context) {
+	select {
+	case <-n.loop.listUsable:
+	case <-ctx.Done():
+	case <-time.After(maxReadyDelay):
+	}
+}
+
+// noteUsableList closes listUsable once requests can be placed without a wait for the endpoint list.
+func (l *loop) noteUsableList() {
+	select {
+	case <-l.listUsable:
+	default:
+		if !l.balancer.ListExpired(l.now()) {
+			close(l.listUsable)
+		}
+	}
 }
--- a/node/listage_test.go
+++ b/node/listage_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"brassmux/internal/upgrade"
 )
 
 // Guards against new clients for a server whose drain this node has missed on a silent watch. The drain counts as
@@ -27,3 +29,57 @@
 	server.send("UP r-1\r\n")
 	client.expect("UP r-1\r\n")
 }
+
+// Guards against new clients for a server that drained before this process started, where lists are pushed: what the
+// agent has counts as received from the start on. Until it has its list the node is not ready, and holds clients.
+func TestRestartWithPushedListHoldsClients(t *testing.T) {
+	srv, other := newTestServer(t, "s-1"), newTestServer(t, "s-2")
+	discoveryServer := newFakeDiscovery(t, 0)
+	discoveryServer.silence()
+	cfg := testConfig(t, discoveryServer, srv)
+	cfg.Settings.MembershipMode = "pushed"
+	n := runNode(t, cfg, discoveryServer)
+	client := n.open("k", "")
+	select {
+	case <-srv.conns:
+		t.Fatal("the server got a new client before the first list")
+	case <-time.After(300 * time.Millisecond):
+	}
+	if n.lifecycle.isReady() {
+		t.Error("the node is ready before its first list")
+	}
+	discoveryServer.resume()
+	discoveryServer.sendList(2, true, srv.endpointJSON("draining"), other.endpointJSON("up"))
+	server, _ := other.accept(t)
+	server.send("UP r-1\r\n")
+	client.expect("UP r-1\r\n")
+	n.waitFor("the node to be ready", func() bool { return n.lifecycle.isReady() })
+}
+
+// Guards against a list that counts as up to date for longer than it may be after a reload, or in the process that an
+// upgrade starts.
+func TestListAgeAfterReloadAndUpgrade(t *testing.T) {
+	n := startNode(t, withoutHealthChecks)
+	n.loop.post(n.loop.subscribe)
+	n.awaitFirstList()
+	n.discovery.silence()
+	n.inLoop(func() { n.loop.onDiscoveryChanged("127.0.0.1:1") })
+	n.inLoop(func() {
+		if age := n.loop.balancer.ListAge(n.loop.now()); age < reportDelay-reloadReportDelay || age > reportDelay {
+			t.Errorf("after the reload the list counts as %v old", age)
+		}
+	})
+	time.Sleep(50 * time.Millisecond)
+	var successor inheritedState
+	for _, message := range n.loop.exportState(false) {
+		if message.Kind == upgrade.KindStateEnd {
+			successor.listAge = milliseconds(message.ListAgeMillis)
+		}
+	}
+	n.inLoop(func() {
+		age := n.loop.now() - n.loop.initialConfirmation(&successor)
+		if age < 40*time.Millisecond || age > n.loop.balancer.ListAge(n.loop.now()) {
+			t.Errorf("in the successor the list counts as %v old", age)
+		}
+	})
+}
--- a/node/run.go
+++ b/node/run.go
@@ -40,6 +40,9 @@
 	if state != nil && state.outOfService {
 		n.lifecycle.setOutOfService(true)
 	}
+	if predecessor == nil && n.loop.endpointsPushed {
+		n.awaitUsableList(ctx)
+	}
 	predecessor = n.announceServing(predecessor)
 	n.lifecycle.setStarted()
 	if predecessor != nil {
--- a/node/watch.go
+++ b/node/watch.go
@@ -170,7 +170,7 @@
 		l.listVersion = list.Version
 	}
 	l.checkWallClock()
-	l.applyEndpointList(list)
+	l.applyEndpointList(list, w.addr != l.discoveryAddr)
 	if l.logsEndpointLists {
 		l.log.Info("list in force", zap.Int64("version", list.Version))
 	}
@@ -194,8 +194,9 @@
 	if dialError := (&net.OpError{}); w.hasData || errors.As(err, &dialError) && dialError.Op == "dial" {
 		elapsed = 0 // the service did not delay the call
 	}
-	update := balance.EndpointUpdate{Kind: kind, ServiceWait: elapsed, DataReceived: w.hasData}
-	if errors.Is(err, errDiscoverySilent) && !w.confirmedAt.IsZero() {
+	update := balance.EndpointUpdate{Kind: kind, ServiceWait: elapsed, DataReceived: w.hasData,
+		Silent: errors.Is(err, errDiscoverySilent)}
+	if update.Silent && !w.confirmedAt.IsZero() {
 		update.ConfirmedAt = l.timeAt(w.confirmedAt)
 	}
 	l.handle(update)
@@ -222,7 +223,7 @@
 	l.log.Info("discovery address changed", zap.String("discovery", addr))
 	l.discoveryAddr, l.listVersion, l.isWatching = addr, 0, false
 	// Failures of the former service must not delay retries.
-	l.handle(balance.EndpointUpdate{Kind: balance.WatchBroken, ConfirmedAt: l.now() - reportDelay + reloadReportDelay})
+	l.handle(balance.EndpointUpdate{Kind: balance.WatchBroken, ConfirmedAt: l.reloadConfirmation()})
 	l.subscribe()
 	l.control.SendRequests()
 }
