--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -195,23 +195,24 @@
 func TestHeartbeatsAreBetweenLists(t *testing.T) {
 	fragments := []string{"\r\n", `{"version":41,"full":true,`, "\n", `"servers":[]}{"version":42,`, "\n",
 		`"full":false,"servers":[]}`, "\r\n"}
-	next := make(chan struct{})
+	lastListRead := make(chan struct{})
 	client := newTestClient(t, func(w http.ResponseWriter, _ *http.Request) {
-		for _, fragment := range fragments {
-			<-next
+		for i, fragment := range fragments {
+			if i == len(fragments)-1 {
+				<-lastListRead
+			}
 			fmt.Fprint(w, fragment)
 			w.(http.Flusher).Flush()
+			time.Sleep(20 * time.Millisecond) // the fragments arrive one by one
 		}
 	})
 	var events []string
-	go func() {
-		for range fragments {
-			next <- struct{}{}
-			time.Sleep(20 * time.Millisecond) // the fragments arrive one by one
-		}
-	}()
 	client.Client.Watch(context.Background(), client.addr, 0, time.Time{}, WatchHandler{
-		OnEvent:     func(list *EndpointList) { events = append(events, fmt.Sprint(list.Version)) },
+		OnEvent: func(list *EndpointList) {
+			if events = append(events, fmt.Sprint(list.Version)); list.Version == 42 {
+				close(lastListRead)
+			}
+		},
 		OnAlive:     func() {},
 		OnHeartbeat: func() { events = append(events, "heartbeat") },
 		OnSilence:   func() {},
