Overdue lists: one place for former services, report delays and the tests' discovery service

Read once more, behaviour as it was. Updates of a former service are left out of age and watches in handleEndpointUpdate, not in both; the delay after which a change counts has one function for lists that are asked for and pushed; the second half of a condition that its only caller had checked is gone; TestSilentWatches uses the discoveryService of watch_test.go, which learns to drop late calls, in place of a copy. Comments that had only been wrapped anew are as before.

--- a/balance/api.go
+++ b/balance/api.go
@@ -1,13 +1,13 @@
-// Package balance selects a server for each connection and decides when connections are retried, rejected
-// or migrated. It owns the state that these decisions need: the endpoint list as last received, the load
-// and the health of each server, the affinity of clients to servers, and the open requests.
+// Package balance selects a server for each connection and decides when connections are retried, rejected or
+// migrated. It owns the state that these decisions need: the endpoint list as last received, the load and the
+// health of each server, the affinity of clients to servers, and the open requests.
 //
 // The package does no I/O, starts no goroutines and reads no clock. A node passes events to Balancer.Handle
 // and carries out the returned actions. Connections, timers, the encoding of gossip, the source of the
 // endpoint list and the leasing of quotas are handled by the node.
 //
-// Times are durations since a fixed moment that the caller chooses. All nodes of a deployment have to use
-// the same moment if they compare the start times of servers.
+// Times are durations since a fixed moment that the caller chooses. All nodes of a deployment have to use the
+// same moment if they compare the start times of servers.
 package balance
 
 import "time"
@@ -79,14 +79,14 @@
 
 	// Zone is the zone of this node; if empty, zones are ignored.
 	Zone string
-	// CrossZoneCost is the cost of a connection to another zone. Any value above 0 ranks the servers of
-	// this node's zone first.
+	// CrossZoneCost is the cost of a connection to another zone. Any value above 0 ranks the servers of this
+	// node's zone first.
 	CrossZoneCost float64
-	// GossipEnabled allows the nodes to exchange GossipMessages. From these, the owner of each server's
-	// load ledger records the load that every node puts on the server.
+	// GossipEnabled allows the nodes to exchange GossipMessages. From these, the owner of each server's load
+	// ledger records the load that every node puts on the server.
 	GossipEnabled bool
-	// CoresPerWeight is the capacity, in cores, of a server of Weight 1. It converts the load in a ledger
-	// to a utilisation.
+	// CoresPerWeight is the capacity, in cores, of a server of Weight 1. It converts the load in a ledger to
+	// a utilisation.
 	CoresPerWeight float64
 
 	// LateMessagesReported is set if LateMessage events occur. Otherwise only load reports reveal an
@@ -99,8 +99,8 @@
 	HealthChecksAllowed bool
 	// MaxRetryAfter is the longest Reject.RetryAfter that clients honour; 0 means that none is sent.
 	MaxRetryAfter time.Duration
-	// MaxOpenRequests is the number of requests that may be open at once. It also bounds the affinity
-	// table. 0 means defaultMaxOpenRequests.
+	// MaxOpenRequests is the number of requests that may be open at once. It also bounds the affinity table.
+	// 0 means defaultMaxOpenRequests.
 	MaxOpenRequests int
 	// TickInterval is the shortest time between two events. A request is retried only if more than this is
 	// left until its deadline.
@@ -110,8 +110,8 @@
 	// share.
 	SlowStartQuotas SlowStartQuotas
 
-	// SlowStartMinCapacity is the fraction of its full capacity that a server has right after its start,
-	// from 0 to 1.
+	// SlowStartMinCapacity is the fraction of its full capacity that a server has right after its start, from
+	// 0 to 1.
 	SlowStartMinCapacity float64
 	// SlowStartWindow is the time from the start of a server until it has its full capacity.
 	SlowStartWindow time.Duration
@@ -128,8 +128,8 @@
 	// ClockUntrusted is set if the offset between this node's clock and the reference clock of the listed
 	// start times is unknown until a ClockOffset arrives. Otherwise the two clocks are assumed to agree.
 	ClockUntrusted bool
-	// StartTimeUncertainty is the largest error of Server.StartedAt in either direction, in addition to
-	// clock offsets.
+	// StartTimeUncertainty is the largest error of Server.StartedAt in either direction, in addition to clock
+	// offsets.
 	StartTimeUncertainty time.Duration
 	// KeepUnlistedServers allows the use of a server that disappears from the endpoint list without a
 	// Draining entry.
@@ -142,21 +142,21 @@
 	// Remaining returns the number of attempts left for a server. A negative value means that none are left
 	// but that more can be requested.
 	Remaining(ServerID) int
-	// RequestMore requests more attempts from the other nodes and reports whether a response will follow.
-	// The response arrives as a HealthCheckResult without a report, which resumes the requests that wait
-	// for the server.
+	// RequestMore requests more attempts from the other nodes and reports whether a response will follow. The
+	// response arrives as a HealthCheckResult without a report, which resumes the requests that wait for the
+	// server.
 	RequestMore(ServerID) bool
 	// Take consumes one attempt and reports whether one was left.
 	Take(ServerID) bool
 }
 
-// NotifiedNodesFraction is the fraction of WarmServerAttemptLimit that the nodes notified of a server's
-// start may use while other nodes may not have been notified. The latter treat the server as warm, and the
-// attempts of both groups together have to stay within the limit.
+// NotifiedNodesFraction is the fraction of WarmServerAttemptLimit that the nodes notified of a server's start
+// may use while other nodes may not have been notified. The latter treat the server as warm, and the attempts
+// of both groups together have to stay within the limit.
 const NotifiedNodesFraction = 2.0 / 3
 
-// WarmServerAttemptLimit returns the number of attempts that a warm server can certainly take from all
-// nodes in one OverloadWindow, if readyServers servers share the connections.
+// WarmServerAttemptLimit returns the number of attempts that a warm server can certainly take from all nodes
+// in one OverloadWindow, if readyServers servers share the connections.
 func (c Config) WarmServerAttemptLimit(readyServers int) float64 {
 	return c.ConnectionCapacity / c.SlowStartWindow.Seconds() * c.OverloadFactor *
 		c.OverloadWindow.Seconds() /
@@ -203,13 +203,12 @@
 	ConnectFailed
 	// Reset means that the connection broke; the request may have been executed.
 	Reset
-	// Cancelled means that the node or the client cancelled the attempt; the request may have been
-	// executed.
+	// Cancelled means that the node or the client cancelled the attempt; the request may have been executed.
 	Cancelled
 	// Abandoned means that the attempt was not started and that the request gets no further attempt.
 	Abandoned
-	// NotSent means that the attempt was cancelled before its first byte was sent, for a reason unrelated
-	// to the server. It does not count towards Config.MaxAttempts.
+	// NotSent means that the attempt was cancelled before its first byte was sent, for a reason unrelated to
+	// the server. It does not count towards Config.MaxAttempts.
 	NotSent
 )
 
--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -8,14 +8,13 @@
 )
 
 const (
-	// freshnessWindow is the time for which a load report, a late message or a failure is taken into
-	// account.
+	// freshnessWindow is the time for which a load report, a late message or a failure is taken into account.
 	freshnessWindow = 1500 * time.Millisecond
 
 	// targetUtilisation is the utilisation up to which a server gets connections of any group.
 	targetUtilisation = 0.6
-	// maxGroupUtilisation is the utilisation up to which a server gets connections of a group that it
-	// already has.
+	// maxGroupUtilisation is the utilisation up to which a server gets connections of a group that it already
+	// has.
 	maxGroupUtilisation = 0.85
 	// maxUtilisation is the utilisation above which a server gets no connections if late messages are
 	// reported. It is below 1 because load reports are old and load varies.
@@ -68,8 +67,8 @@
 	serversVisited int // in all events so far; a measure of their cost
 }
 
-// New returns a Balancer without servers. The seed initialises its random number generator and has to
-// differ between nodes.
+// New returns a Balancer without servers. The seed initialises its random number generator and has to differ
+// between nodes.
 func New(config Config, seed uint64) *Balancer {
 	config.NodeCount = max(config.NodeCount, 1)
 	config.MaxAttempts = max(config.MaxAttempts, 1)
@@ -164,8 +163,8 @@
 // emit adds an action to the result of the current event.
 func (b *Balancer) emit(action Action) { b.actions = append(b.actions, action) }
 
-// jitter returns a random duration between 0.5 d and 1.5 d, so that nodes and clients do not act at the
-// same time.
+// jitter returns a random duration between 0.5 d and 1.5 d, so that nodes and clients do not act at the same
+// time.
 func (b *Balancer) jitter(d time.Duration) time.Duration {
 	return time.Duration(float64(d) * (0.5 + b.rng.Float64()))
 }
--- a/balance/endpoints.go
+++ b/balance/endpoints.go
@@ -80,6 +80,9 @@
 	if b.config.GossipEnabled && ev.Kind == ListCached {
 		b.emit(SetTimer{time.Duration(b.rng.Float64() * float64(gossipInterval)), timerGossip})
 	}
+	if ev.FormerService {
+		return
+	}
 	b.listAge.observe(b.now, ev)
 	b.scheduleWatch(ev)
 	b.resumeListWaits()
@@ -131,9 +134,6 @@
 
 // scheduleWatch sets the timer of the next watch request, if the update makes one necessary.
 func (b *Balancer) scheduleWatch(ev EndpointUpdate) {
-	if ev.FormerService {
-		return
-	}
 	b.listStaleAt = min(b.listStaleAt, b.now+freshnessWindow)
 	roundDuration := time.Duration(b.config.NodeCount) * watchRequestInterval // one call by each node
 	switch {
--- a/balance/events.go
+++ b/balance/events.go
@@ -37,8 +37,8 @@
 	ListSnapshot
 	// ListCached contains all entries as last known; they may be out of date.
 	ListCached
-	// WatchBroken means that a watch which had delivered data broke or timed out, or that the next call
-	// goes to a different discovery service; the last list stays in force.
+	// WatchBroken means that a watch which had delivered data broke or timed out, or that the next call goes
+	// to a different discovery service; the last list stays in force.
 	WatchBroken
 )
 
@@ -61,8 +61,8 @@
 // times. The largest offset received is used.
 type ClockOffset struct {
 	Ahead time.Duration
-	// ReferenceRead is set if the reference clock was read. Otherwise this node's clock is only known to
-	// have been wrong.
+	// ReferenceRead is set if the reference clock was read. Otherwise this node's clock is only known to have
+	// been wrong.
 	ReferenceRead bool
 }
 
@@ -71,8 +71,8 @@
 type ExistingConnection struct {
 	Request
 	Server ServerID
-	// Inherited is set if the previous process of this node had the connection, so that the last load
-	// report of the server may include it.
+	// Inherited is set if the previous process of this node had the connection, so that the last load report
+	// of the server may include it.
 	Inherited bool
 }
 
@@ -122,13 +122,13 @@
 	// Incarnation identifies one run of the sending node. It is the same in all messages of that run.
 	Incarnation uint8
 	Server      ServerID
-	// Load is the load that the sender's connections put on the server, in microseconds of processor time
-	// per second, in a GossipHeldLoad. In a GossipLoadResponse it is the utilisation of the server by all
-	// nodes, in millionths.
+	// Load is the load that the sender's connections put on the server, in microseconds of processor time per
+	// second, in a GossipHeldLoad. In a GossipLoadResponse it is the utilisation of the server by all nodes,
+	// in millionths.
 	Load float64
 	// Groups contains hashes of group names: of all groups that the sender has on the server in a
-	// GossipHeldLoad, of the group of the waiting request in a GossipLoadRequest, and of the same group in
-	// a GossipLoadResponse if it is on the server.
+	// GossipHeldLoad, of the group of the waiting request in a GossipLoadRequest, and of the same group in a
+	// GossipLoadResponse if it is on the server.
 	Groups []uint16
 }
 
@@ -145,8 +145,7 @@
 	GossipLoadResponse
 )
 
-// ConnectionLoad reports the load of an established connection, in microseconds of processor time per
-// second.
+// ConnectionLoad reports the load of an established connection, in microseconds of processor time per second.
 type ConnectionLoad struct {
 	ID   RequestID
 	Load float64
@@ -167,9 +166,9 @@
 // connections have to be migrated. It is repeated while there are any.
 type ShutdownAnnounced struct{ Server ServerID }
 
-// HandedOver reports whether a successor process of this node has taken over the attempts on servers in
-// slow start. This process then makes no such attempts, so that no limit is used twice. ToSuccessor is
-// false if the successor failed and this process continues.
+// HandedOver reports whether a successor process of this node has taken over the attempts on servers in slow
+// start. This process then makes no such attempts, so that no limit is used twice. ToSuccessor is false if
+// the successor failed and this process continues.
 type HandedOver struct{ ToSuccessor bool }
 
 func (EndpointUpdate) event()     {}
--- a/balance/listage.go
+++ b/balance/listage.go
@@ -35,9 +35,6 @@
 // so that no change counts as reported yet. Where lists are pushed, an agent that sends nothing shows the
 // same.
 func (l *listAge) observe(now time.Duration, ev EndpointUpdate) {
-	if ev.FormerService {
-		return
-	}
 	l.agentSilent = l.pushed && ev.Silent
 	switch ev.Kind {
 	case ListDelta, ListSnapshot:
@@ -70,14 +67,10 @@
 	return l.isUrgent(now) && now >= l.confirmedAt+l.maxAge
 }
 
-// isOutage reports whether the discovery service counts as unavailable.
-func (l *listAge) isOutage(now time.Duration) bool {
-	return !l.isCurrent && l.outageAge > 0 && now >= l.confirmedAt+l.outageAge
-}
-
 // isUrgent reports whether requests have to wait, now or soon, unless a list arrives.
 func (l *listAge) isUrgent(now time.Duration) bool {
-	return !l.isCurrent && !l.agentSilent && l.maxAge > 0 && !l.isOutage(now)
+	isOutage := l.outageAge > 0 && now >= l.confirmedAt+l.outageAge
+	return !l.isCurrent && !l.agentSilent && l.maxAge > 0 && !isOutage
 }
 
 // limitSending returns the time within which an attempt has to be sent: sendWithin, or the time until the
--- a/balance/silentwatches_test.go
+++ b/balance/silentwatches_test.go
@@ -54,12 +54,11 @@
 // a second later. The discovery service handles calls in turn. A call that would wait too long fails after
 // callTimeout and costs the service nothing.
 type silentFleet struct {
-	nodes        []*Balancer
-	rng          *rand.Rand
-	callDuration time.Duration
-	busyUntil    time.Duration
-	draining     []Server
-	events       fleetQueue
+	nodes    []*Balancer
+	rng      *rand.Rand
+	service  discoveryService
+	draining []Server
+	events   fleetQueue
 
 	requests, rejected, lateAttempts int
 	listed                           int
@@ -84,7 +83,8 @@
 // inStep is set, and else at any times in the last heartbeatInterval.
 func newSilentFleet(nodes int, allCalls time.Duration, inStep bool) *silentFleet {
 	f := &silentFleet{rng: rand.New(rand.NewPCG(uint64(nodes), uint64(allCalls))),
-		callDuration:    min(allCalls/time.Duration(nodes), maxCallDuration),
+		service: discoveryService{callDuration: min(allCalls/time.Duration(nodes), maxCallDuration),
+			callTimeout: callTimeout, skipsLate: true},
 		firstRejections: map[int]time.Duration{}, rejectingNodes: map[int]bool{}}
 	var ids []ServerID
 	for id := range ServerID(fleetServers) {
@@ -181,12 +181,12 @@
 
 // call handles a call of a node to the discovery service.
 func (f *silentFleet) call(now time.Duration, node int) {
-	done := max(now, f.busyUntil) + f.callDuration
-	if done > now+callTimeout {
-		f.schedule(now+callTimeout, node, EndpointUpdate{Kind: WatchFailed, ServiceWait: callTimeout})
+	duration, ok := f.service.handleCall(now)
+	done := now + duration
+	if !ok {
+		f.schedule(done, node, EndpointUpdate{Kind: WatchFailed, ServiceWait: duration})
 		return
 	}
-	f.busyUntil = done
 	f.listed++
 	f.lastListAt = max(f.lastListAt, done)
 	if done < drainStart {
--- a/balance/watch_test.go
+++ b/balance/watch_test.go
@@ -91,6 +91,7 @@
 	callTimeout  time.Duration // a call that takes longer fails, but stays in the queue
 	downUntil    time.Duration // until then every call fails
 	unresponsive bool          // calls during the outage time out; otherwise they are refused at once
+	skipsLate    bool          // a call that takes longer than callTimeout does not stay in the queue
 
 	busyUntil              time.Duration // when it has worked through its queue
 	callCount, failedCount int           // since the end of the outage
@@ -104,12 +105,16 @@
 		return ms, false
 	}
 	s.callCount++
-	s.busyUntil = max(s.busyUntil, now) + s.callDuration
-	if duration = s.busyUntil - now; duration > s.callTimeout {
+	doneAt := max(s.busyUntil, now) + s.callDuration
+	isLate := doneAt-now > s.callTimeout
+	if !isLate || !s.skipsLate {
+		s.busyUntil = doneAt
+	}
+	if isLate {
 		s.failedCount++
 		return s.callTimeout, false
 	}
-	return duration, true
+	return doneAt - now, true
 }
 
 // simulateNodes lets nodes call the service until all have the list, and returns the sorted times at which
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -27,18 +27,18 @@
 	// responseTimeFactor of that before the first data.
 	OnSilence func()
 
-	// OnDate is called with the Date header of the response and the local times between which the service set it:
-	// when the request was sent and when the response header was received. It may be nil.
+	// OnDate is called with the Date header of the response and the local times between which the service set it: when
+	// the request was sent and when the response header was received. It may be nil.
 	OnDate func(date, sent, received time.Time)
 }
 
-// Watch calls the service at addr for the changes after a version and passes them to the handler until the watch
-// breaks or ctx ends. It always returns an error with the reason. A silent watch is reported to the handler and stays
-// open: later events are still passed on.
+// Watch calls the service at addr for the changes after a version and passes them to the handler until the watch breaks
+// or ctx ends. It always returns an error with the reason. A silent watch is reported to the handler and stays open:
+// later events are still passed on.
 //
-// A list that is older than the current one ends the watch, because one of several service instances may lag behind
-// and would bring back removed servers. The next complete list is accepted even if it is older, since the service
-// must then have restarted its version numbers.
+// A list that is older than the current one ends the watch, because one of several service instances may lag behind and
+// would bring back removed servers. The next complete list is accepted even if it is older, since the service must then
+// have restarted its version numbers.
 //
 // Watch returns ErrTooLate without a call if there is no connection by startDeadline. Zero means no deadline.
 func (c *Client) Watch(
@@ -73,8 +73,8 @@
 	return err
 }
 
-// acceptOlderList reports whether a list that is older than the current one is accepted. It rejects the first
-// complete older list and records that; it accepts the next one. It always rejects sets of changes.
+// acceptOlderList reports whether a list that is older than the current one is accepted. It rejects the first complete
+// older list and records that; it accepts the next one. It always rejects sets of changes.
 func (c *Client) acceptOlderList(list *EndpointList) bool {
 	return list.Full && !c.olderListRejected.CompareAndSwap(false, true)
 }
@@ -121,8 +121,8 @@
 	}
 }
 
-// maxListBytes bounds the JSON text of a list or a set of changes. 1 MiB has room for several thousand servers and is
-// a small part of the memory of the smallest machine.
+// maxListBytes bounds the JSON text of a list or a set of changes. 1 MiB has room for several thousand servers and is a
+// small part of the memory of the smallest machine.
 const maxListBytes = 1 << 20
 
 // listReader reads the response body of a watch: lists, and empty lines as heartbeats. It enforces maxListBytes.
--- a/node/listage.go
+++ b/node/listage.go
@@ -10,7 +10,7 @@
 
 const (
 	// reportDelay is the time after which a change of the endpoint list counts as received, even if it did not
-	// arrive. Where lists are pushed, a change counts as received at once.
+	// arrive; see reportDelayFor.
 	reportDelay = 6 * time.Second
 	// reloadReportDelay takes its place after a change of the discovery address, in either case.
 	reloadReportDelay = 4 * time.Second
@@ -25,16 +25,22 @@
 	maxReadyDelay = 5 * time.Second
 )
 
+// reportDelayFor returns the time after which a change counts as received: at once where lists are pushed.
+func reportDelayFor(endpointsPushed bool) time.Duration {
+	if endpointsPushed {
+		return 0
+	}
+	return reportDelay
+}
+
 // limitListAge limits the age of the endpoint list so that no server gets requests once its drain counts as received
 // and the grace period is over. There is no limit if only drains that this node has received count.
 func limitListAge(config *balance.Config, site *settings.Site) {
 	if site.Servers.KeepUnlistedServers {
 		return
 	}
-	maxAge := settings.Microseconds(site.Servers.DrainGraceMicros) - maxSuspension
-	if !config.EndpointsPushed {
-		maxAge += reportDelay
-	}
+	grace := settings.Microseconds(site.Servers.DrainGraceMicros)
+	maxAge := reportDelayFor(config.EndpointsPushed) + grace - maxSuspension
 	config.MaxListAge, config.OutageListAge = max(maxAge, minListAge), outageListAge
 }
 
@@ -53,10 +59,7 @@
 
 // reloadConfirmation returns the time from which the age of the list counts after a change of the discovery address.
 func (l *loop) reloadConfirmation() time.Duration {
-	if l.endpointsPushed {
-		return l.now() + reloadReportDelay
-	}
-	return l.now() + reloadReportDelay - reportDelay
+	return l.now() + reloadReportDelay - reportDelayFor(l.endpointsPushed)
 }
 
 // awaitUsableList waits until requests can be placed without a wait for the endpoint list, but not for long: other
--- a/node/watch.go
+++ b/node/watch.go
@@ -42,8 +42,8 @@
 	}
 }
 
-// subscribe opens a watch of the changes after the current version, unless one is open. Each watch that is not
-// replaced ends in one call of onWatchBroken.
+// subscribe opens a watch of the changes after the current version, unless one is open. Each watch that is not replaced
+// ends in one call of onWatchBroken.
 func (l *loop) subscribe() {
 	if l.isWatching {
 		return
@@ -70,8 +70,8 @@
 	})
 }
 
-// openWatch opens a watch. The previous watch, if it has received data, stays open until the new one receives data:
-// the discovery service counts everything that it has written as received by this node, so it must be read.
+// openWatch opens a watch. The previous watch, if it has received data, stays open until the new one receives data: the
+// discovery service counts everything that it has written as received by this node, so it must be read.
 func (l *loop) openWatch() {
 	ctx, cancel := context.WithCancel(l.ctx)
 	w := &watch{addr: l.discoveryAddr, sinceVersion: l.listVersion, openedAt: time.Now(), cancel: cancel}
@@ -150,8 +150,7 @@
 }
 
 // onWatchEvent applies an event of a watch. A new watch may repeat events that the previous watch of the same service
-// received after the new one was opened. Those have an older version and are dropped, because they could undo a
-// drain.
+// received after the new one was opened. Those have an older version and are dropped, because they could undo a drain.
 func (l *loop) onWatchEvent(w *watch, list *discovery.EndpointList) {
 	if w == l.currentWatch {
 		l.closePreviousWatch()
@@ -214,8 +213,8 @@
 	l.log.Warn("endpoint watch broken", fields...)
 }
 
-// onDiscoveryChanged switches to another discovery service and requests its complete list. It does so at once,
-// because the next retry of the balancer may be seconds away.
+// onDiscoveryChanged switches to another discovery service and requests its complete list. It does so at once, because
+// the next retry of the balancer may be seconds away.
 func (l *loop) onDiscoveryChanged(addr string) {
 	if addr == l.discoveryAddr {
 		return
