lab/shim: port to arm64

Cause: the shim calls poll, which arm64 lacks, and its library has the system call, the jump, the vDSO names and the filter's architecture for x86-64 only, so nothing builds on arm64.

The branch for x86-64 stays as it is.

--- a/lab/shim/preload/shim.c
+++ b/lab/shim/preload/shim.c
@@ -22,14 +22,32 @@
 
 enum { clock_fd = 4, socket_fd = 5 }; // inherited file descriptors; see Library.Prepare in shim.go
 
+#if defined(__x86_64__)
+#define CALL_ARCHITECTURE AUDIT_ARCH_X86_64
+#define VDSO_PREFIX "__vdso_"
+#elif defined(__aarch64__)
+#define CALL_ARCHITECTURE AUDIT_ARCH_AARCH64
+#define VDSO_PREFIX "__kernel_"
+#else
+#error "the shim has no branch for this architecture"
+#endif
+
 static volatile int64_t *offset_ns; // offset of the wall clock, shared with the parent process
 
 // kernel_clock_gettime calls the kernel directly, without the vDSO, errno or thread-local storage, because the Go
 // runtime calls the clock functions on its own stacks.
 static long kernel_clock_gettime(clockid_t id, struct timespec *ts) {
+#if defined(__x86_64__)
 	long result;
 	__asm__ volatile("syscall" : "=a"(result) : "a"(SYS_clock_gettime), "D"((long)id), "S"(ts) : "rcx", "r11", "memory");
 	return result;
+#else
+	register long number __asm__("x8") = SYS_clock_gettime;
+	register long result __asm__("x0") = id;
+	register struct timespec *time __asm__("x1") = ts;
+	__asm__ volatile("svc #0" : "+r"(result) : "r"(number), "r"(time) : "memory");
+	return result;
+#endif
 }
 
 // shifted_clock_gettime is clock_gettime with the offset added to the wall clock.
@@ -66,9 +84,16 @@
 
 // write_jump overwrites the code at from with a jump to the address to.
 static void write_jump(void *from, void *to) {
+#if defined(__x86_64__)
 	unsigned char code[12] = {0x48, 0xb8, 0, 0, 0, 0, 0, 0, 0, 0, 0xff, 0xe0}; // mov rax, to; jmp rax
 	memcpy(code + 2, &to, sizeof to);
 	memcpy(from, code, sizeof code);
+#else
+	uint32_t code[4] = {0x58000050, 0xd61f0200}; // ldr x16, 8 bytes ahead; br x16; the address to
+	memcpy(code + 2, &to, sizeof to);
+	memcpy(from, code, sizeof code);
+	__builtin___clear_cache((char *)from, (char *)from + sizeof code);
+#endif
 }
 
 // patch_clocks redirects the clock functions of this process's vDSO to the shifted functions above. It returns -1 on
@@ -106,12 +131,12 @@
 	int patched = 0;
 	for (Elf64_Sym *s = symbols; (char *)s < names; s++) { // the string table follows the symbol table
 		char *name = names + s->st_name;
-		if (!strcmp(name, "__vdso_clock_gettime")) {
+		if (!strcmp(name, VDSO_PREFIX "clock_gettime")) {
 			write_jump(load_base + s->st_value, shifted_clock_gettime);
 			patched = 1;
-		} else if (!strcmp(name, "__vdso_gettimeofday")) {
+		} else if (!strcmp(name, VDSO_PREFIX "gettimeofday")) {
 			write_jump(load_base + s->st_value, shifted_gettimeofday);
-		} else if (!strcmp(name, "__vdso_time")) {
+		} else if (!strcmp(name, VDSO_PREFIX "time")) {
 			write_jump(load_base + s->st_value, shifted_time);
 		}
 	}
@@ -124,7 +149,7 @@
 static int install_call_filter(void) {
 	struct sock_filter filter[] = {
 		BPF_STMT(BPF_LD | BPF_W | BPF_ABS, offsetof(struct seccomp_data, arch)),
-		BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K, AUDIT_ARCH_X86_64, 0, 5),
+		BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K, CALL_ARCHITECTURE, 0, 5),
 		BPF_STMT(BPF_LD | BPF_W | BPF_ABS, offsetof(struct seccomp_data, nr)),
 		BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K, SYS_accept4, 2, 0),
 		BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K, SYS_socket, 1, 0),
--- a/lab/shim/shim.go
+++ b/lab/shim/shim.go
@@ -17,6 +17,8 @@
 	"syscall"
 	"time"
 	"unsafe"
+
+	"golang.org/x/sys/unix"
 )
 
 //go:embed preload/shim.c
@@ -52,7 +54,7 @@
 // Call is the number of a system call that the shim can cause to fail.
 type Call int
 
-// System calls, with their numbers on x86-64.
+// System calls, with the numbers of the machine's architecture.
 const (
 	Accept  Call = syscall.SYS_ACCEPT4
 	Socket  Call = syscall.SYS_SOCKET
@@ -145,13 +147,9 @@
 
 // isHungUp reports whether no process uses the seccomp filter any more.
 func isHungUp(listener int) bool {
-	const pollHangUp = 0x10
-	pollFD := struct {
-		fd              int32
-		events, revents int16
-	}{fd: int32(listener)}
-	_, _, errno := syscall.Syscall(syscall.SYS_POLL, uintptr(unsafe.Pointer(&pollFD)), 1, 0)
-	return errno == 0 && pollFD.revents&pollHangUp != 0
+	pollFDs := []unix.PollFd{{Fd: int32(listener)}}
+	_, err := unix.Poll(pollFDs, 0)
+	return err == nil && pollFDs[0].Revents&unix.POLLHUP != 0
 }
 
 // closeChildFiles closes this program's copies of the files that the process inherits.
