--- a/review/_standin2/client.go
+++ b/review/_standin2/client.go
@@ -60,3 +60,35 @@
 	rec.logf("client: OPEN %s key %s: %q after %d ms (%v)", a.request, key, a.line, a.elapsed.Milliseconds(), a.err)
 	return a
 }
+
+// follow sends a line at each interval and reads until the connection ends or stop is closed. It returns how it ended.
+func (a *answer) follow(interval time.Duration, stop <-chan struct{}) string {
+	defer a.conn.Close()
+	ended := make(chan string, 1)
+	go func() {
+		last := ""
+		for {
+			line, err := a.reader.ReadString('\n')
+			if err != nil && last == "MOVE" {
+				ended <- "moved"
+				return
+			} else if err != nil {
+				ended <- err.Error()
+				return
+			}
+			last = strings.TrimSpace(line)
+		}
+	}()
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case end := <-ended:
+			return end
+		case <-stop:
+			return "the case is over"
+		case <-ticker.C:
+			fmt.Fprint(a.conn, "a line\r\n")
+		}
+	}
+}
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")"
 mkdir -p bin
 cd _standin2
-GOFLAGS="${GOFLAGS:-} -mod=mod" GOWORK=off CGO_ENABLED=0 go build -o ../bin/standin2 .
+GOWORK=off CGO_ENABLED=0 go build -buildvcs=false -o ../bin/standin2 .
