--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -6,4 +6,4 @@
 	echo "run the build of deploy/balancer.toml and review/build-2.sh first" >&2
 	exit 2
 fi
-exec ../bin/standin2 restart "$(cd ../.. && pwd)" "$PWD/record.txt"
+exec ../bin/standin2 upgrade "$(cd ../.. && pwd)" "$PWD/record.txt"
--- a/review/_standin2/case_drain.go
+++ b/review/_standin2/case_drain.go
@@ -8,7 +8,10 @@
 	"time"
 )
 
-func init() { cases["upgrade"] = upgradeAfterMove }
+func init() {
+	cases["upgrade"] = upgradeAfterMove
+	cases["outage"] = drainAfterOutage // played for the report, not kept as a case
+}
 
 // stream opens requests with keys of their own at an address until it is stopped. They end as soon as they are up.
 type stream struct {
@@ -155,3 +158,33 @@
 	load.end()
 	return judgeDrain(b, hosts[0], told, 250*time.Millisecond), nil
 }
+
+// drainAfterOutage: discovery is down for longer, comes back crowded, and a server begins to drain after its return.
+func drainAfterOutage(b *bench) (int, error) {
+	hosts, d, listen, err := oneAskedNode(b)
+	if err != nil {
+		return failed, err
+	}
+	load := startStream(b, listen, "balance-watch", 2*time.Second, 50*time.Millisecond)
+	time.Sleep(3 * time.Second)
+	const timeout = 2 * time.Second // discovery.timeout_ms of the site file
+	if b.trouble {
+		d.setMode(failing, timeout)
+		b.rec.sayf("discovery is down: watches end, calls end with 503 after %v", timeout)
+	}
+	time.Sleep(25 * time.Second)
+	b.rec.sayf("discovery is back")
+	time.Sleep(time.Second)
+	hosts[0].drain(true)
+	d.set(hosts[0].entry("draining"))
+	told := time.Now().Add(toldAfter)
+	b.rec.sayf("server %s drains", hosts[0].id)
+	time.Sleep(toldAfter + 3*time.Second)
+	if b.trouble {
+		d.setMode(answering, 0)
+		b.rec.sayf("discovery answers calls in time again")
+	}
+	time.Sleep(3 * time.Second)
+	load.end()
+	return judgeDrain(b, hosts[0], told, 250*time.Millisecond), nil
+}
--- a/review/_standin2/case_list.go
+++ b/review/_standin2/case_list.go
@@ -9,7 +9,7 @@
 func init() {
 	cases["restart"] = restartInOutage
 	cases["pieces"] = changeInPieces
-	cases["silence"] = silenceThenOutage
+	cases["silence"] = silenceThenOutage // played for the report, not kept as a case
 }
 
 // startPlain starts one node that listens itself, and waits until it answers PONG.
--- a/review/_standin2/case_order.go
+++ b/review/_standin2/case_order.go
@@ -4,12 +4,16 @@
 	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"syscall"
 	"time"
 )
 
-func init() { cases["order"] = drainDuringUpgrade }
+func init() {
+	cases["order"] = drainDuringUpgrade
+	cases["tmpdir"] = upgradeWhileDrained
+}
 
 // front stands in for what deals clients out among nodes: it asks each node ten times a second with PING, and sends new
 // connections only to nodes that said PONG the last time, or did so in the last 0.2 s.
@@ -111,109 +115,188 @@
 	return response.StatusCode/100 == 2
 }
 
-// drainDuringUpgrade: the node is told to empty itself while the next process of an upgrade has started and the platform
-// has not yet heard its yes.
-func drainDuringUpgrade(b *bench) (int, error) {
+// drained is two nodes with ten clients; the first is told to empty itself. The platform holds its listening socket.
+type drained struct {
+	b       *bench
+	d       *discovery
+	socket  *net.TCPListener
+	listen  string
+	tmp     string // $TMPDIR of its processes
+	old     *nodeProcess
+	clients []*client
+	front   *front
+	stop    chan struct{}
+}
+
+// startDrained starts servers, discovery, both nodes and the clients.
+func startDrained(b *bench, tmp string) (*drained, error) {
 	_, entries, err := b.hosts(4, false)
 	if err != nil {
-		return failed, err
+		return nil, err
 	}
-	d, err := newDiscovery(b.rec, "d", 40)
-	if err != nil {
-		return failed, err
+	s := &drained{b: b, tmp: tmp, stop: make(chan struct{})}
+	if s.d, err = newDiscovery(b.rec, "d", 40); err != nil {
+		return nil, err
 	}
-	d.set(entries...)
+	s.d.set(entries...)
 	socket, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		return failed, err
+		return nil, err
 	}
-	listen := socket.Addr().String()
+	s.socket, s.listen = socket.(*net.TCPListener), socket.Addr().String()
 	other, err := freeAddr()
 	if err != nil {
-		return failed, err
+		return nil, err
 	}
-	if err := writeJSON(b.path("config0.json"), nodeConfig("n0", listen, d.addr, d.since(0), askedSite(2, 0))); err != nil {
-		return failed, err
-	}
-	if err := writeJSON(b.path("config1.json"), nodeConfig("n1", other, d.addr, d.since(0), askedSite(2, 1))); err != nil {
-		return failed, err
-	}
-	start := func(name string) (*nodeProcess, error) {
-		admin, err := freeAddr()
-		if err != nil {
+	for i, addr := range []string{s.listen, other} {
+		config := nodeConfig(fmt.Sprintf("n%d", i), addr, s.d.addr, s.d.since(0), askedSite(2, i))
+		if err := writeJSON(b.path(fmt.Sprintf("config%d.json", i)), config); err != nil {
 			return nil, err
 		}
-		n, err := startNode(b.root, name, b.path(name+".log"), []string{"LB_NAME=n0", "LB_LISTEN=" + listen,
-			"LB_DISCOVERY=" + d.addr, "LB_CONFIG=" + b.path("config0.json"), "LB_ADMIN=" + admin,
-			"TMPDIR=" + b.dir}, socket.(*net.TCPListener))
-		if err == nil {
-			b.add(n)
-		}
-		return n, err
 	}
-	old, err := start("old")
-	if err != nil {
-		return failed, err
+	if s.old, err = s.start("old"); err != nil {
+		return nil, err
 	}
-	if !old.awaitYes(10 * time.Second) {
-		return failed, fmt.Errorf("the first process does not serve")
+	if !s.old.awaitYes(10 * time.Second) {
+		return nil, fmt.Errorf("the first process does not serve")
 	}
-	if _, err := startPlain(b, 1, other, d, b.path("config1.json")); err != nil {
-		return failed, err
+	if _, err := startPlain(b, 1, other, s.d, b.path("config1.json")); err != nil {
+		return nil, err
 	}
-	f, stop := newFront(listen, other), make(chan struct{})
-	defer close(f.stop)
-	defer close(stop)
-	clients := make([]*client, 10)
-	for i := range clients {
-		clients[i] = &client{}
-		go clients[i].run(b, f, fmt.Sprintf("key-%d", i), stop)
+	s.front = newFront(s.listen, other)
+	for i := range 10 {
+		c := &client{}
+		s.clients = append(s.clients, c)
+		go c.run(b, s.front, fmt.Sprintf("key-%d", i), s.stop)
 	}
 	time.Sleep(3 * time.Second)
-	var next *nodeProcess
-	if b.trouble {
-		if next, err = start("next"); err != nil {
-			return failed, err
-		}
-		b.rec.sayf("an upgrade: the next process is started")
-		time.Sleep(500 * time.Millisecond)
+	return s, nil
+}
+
+// start starts a process of the first node.
+func (s *drained) start(name string) (*nodeProcess, error) {
+	admin, err := freeAddr()
+	if err != nil {
+		return nil, err
 	}
-	if !post(old.admin, "/control/out-of-service") {
-		return failed, fmt.Errorf("out-of-service is not answered with yes")
+	n, err := startNode(s.b.root, name, s.b.path(name+".log"), []string{"LB_NAME=n0", "LB_LISTEN=" + s.listen,
+		"LB_DISCOVERY=" + s.d.addr, "LB_CONFIG=" + s.b.path("config0.json"), "LB_ADMIN=" + admin, "TMPDIR=" + s.tmp},
+		s.socket)
+	if err == nil {
+		s.b.add(n)
 	}
-	drainedAt := time.Now()
-	b.rec.sayf("out-of-service is answered with yes")
-	if b.trouble {
-		time.Sleep(500 * time.Millisecond) // the platform asks once a second
-		if !next.awaitYes(5 * time.Second) {
-			return failed, fmt.Errorf("the next process does not say yes in 6 s")
-		}
-		b.rec.sayf("the next process says yes; SIGTERM to the old one")
-		old.signal(syscall.SIGTERM)
-		if !old.awaitExit(3700 * time.Millisecond) {
-			return failed, fmt.Errorf("the old process had to be killed")
-		}
-		b.rec.sayf("the old process has ended")
+	return n, err
+}
+
+// order tells the node to empty itself.
+func (s *drained) order() error {
+	if !post(s.old.admin, "/control/out-of-service") {
+		return fmt.Errorf("out-of-service is not answered with yes")
+	}
+	s.b.rec.sayf("out-of-service is answered with yes")
+	return nil
+}
+
+// finishUpgrade waits for the yes of the next process and ends the old one.
+func (s *drained) finishUpgrade(next *nodeProcess) error {
+	if !next.awaitYes(5 * time.Second) {
+		return fmt.Errorf("the next process does not say yes in 6 s")
+	}
+	s.b.rec.sayf("the next process says yes; SIGTERM to the old one")
+	s.old.signal(syscall.SIGTERM)
+	if !s.old.awaitExit(3700 * time.Millisecond) {
+		return fmt.Errorf("the old process had to be killed")
 	}
-	time.Sleep(time.Until(drainedAt.Add(4*time.Second + socketSlack)))
+	s.b.rec.sayf("the old process has ended")
+	return nil
+}
+
+// judge checks the rule on a drained node: no PING is answered with PONG, and no client is held.
+func (s *drained) judge() int {
 	yes, connections := 0, 0
 	for range 10 {
-		answer := ping(listen)
-		b.rec.logf("PING: %q", answer)
+		answer := ping(s.listen)
+		s.b.rec.logf("PING: %q", answer)
 		if answer == "PONG" {
 			yes++
 		}
 		time.Sleep(100 * time.Millisecond)
 	}
-	for _, c := range clients {
-		if c.node() == listen {
+	for _, c := range s.clients {
+		if c.node() == s.listen {
 			connections++
 		}
 	}
-	b.rec.sayf("4 s after the order %d of 10 PINGs are answered with PONG, and %d of %d clients have a connection here", yes,
-		connections, len(clients))
+	s.b.rec.sayf("over 4 s after the order %d of 10 PINGs are answered with PONG, and %d of %d clients have a connection here",
+		yes, connections, len(s.clients))
 	if yes > 0 || connections > 0 {
-		return broken, nil
+		return broken
+	}
+	return held
+}
+
+func (s *drained) close() {
+	close(s.stop)
+	close(s.front.stop)
+}
+
+// drainDuringUpgrade: the node is told to empty itself while the next process of an upgrade has started and the platform
+// has not yet heard its yes.
+func drainDuringUpgrade(b *bench) (int, error) {
+	s, err := startDrained(b, b.dir)
+	if err != nil {
+		return failed, err
+	}
+	defer s.close()
+	var next *nodeProcess
+	if b.trouble {
+		if next, err = s.start("next"); err != nil {
+			return failed, err
+		}
+		b.rec.sayf("an upgrade: the next process is started")
+		time.Sleep(500 * time.Millisecond)
+	}
+	if err := s.order(); err != nil {
+		return failed, err
+	}
+	orderedAt := time.Now()
+	if b.trouble {
+		time.Sleep(500 * time.Millisecond) // the platform asks once a second
+		if err := s.finishUpgrade(next); err != nil {
+			return failed, err
+		}
+	}
+	time.Sleep(time.Until(orderedAt.Add(4*time.Second + socketSlack)))
+	return s.judge(), nil
+}
+
+// upgradeWhileDrained: a node that has emptied itself is upgraded. Its $TMPDIR has a long path.
+func upgradeWhileDrained(b *bench) (int, error) {
+	tmp := b.path("instances/gldani-4/n0-9b1f03aa5c7e2d41/private/7f3a9c21-e0b4-d655-5c0f-6e1a2b3d4c59/tmp")
+	if err := os.MkdirAll(tmp, 0o755); err != nil {
+		return failed, err
+	}
+	b.rec.sayf("the path of TMPDIR has %d bytes", len(tmp))
+	s, err := startDrained(b, tmp)
+	if err != nil {
+		return failed, err
+	}
+	defer s.close()
+	if err := s.order(); err != nil {
+		return failed, err
+	}
+	time.Sleep(4*time.Second + socketSlack)
+	b.rec.sayf("before the upgrade, PING: %q", ping(s.listen))
+	if b.trouble {
+		next, err := s.start("next")
+		if err != nil {
+			return failed, err
+		}
+		b.rec.sayf("an upgrade: the next process is started")
+		if err := s.finishUpgrade(next); err != nil {
+			return failed, err
+		}
 	}
-	return held, nil
+	time.Sleep(2 * time.Second)
+	return s.judge(), nil
 }
