A process listens for its successor before it says it is ready

Callers saw: an upgrade that starts in the first moment of a process's readiness hands nothing over: no orders, no list, no connections. No log line says so, as the next process takes it for a first start.

Cause: Run set the phase to started, on which /control/ready answers yes, and opened the socket for successors after that.

Evidence: TestReadyProcessListensForSuccessor dials in the moment of readiness.

Change: the socket is opened first. A successor that comes before the process is ready is served like any other.

--- a/node/handover_test.go
+++ b/node/handover_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"runtime"
 	"strings"
 	"syscall"
 	"testing"
@@ -281,6 +282,23 @@
 	}
 }
 
+// Guards against a process that says it is ready before it listens for successors. An upgrade that starts at once would
+// hand over nothing.
+func TestReadyProcessListensForSuccessor(t *testing.T) {
+	for range 20 {
+		change, path := withInheritedSocket(t)
+		n := startNode(t, change, newTestServer(t, "s-1"))
+		for !n.lifecycle.isReady() {
+			runtime.Gosched()
+		}
+		link, err := upgrade.Dial(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		link.Close()
+	}
+}
+
 // Guards against disconnecting a successor while the previous one is still being handled, which would make it start
 // without the state.
 func TestNextSuccessorWaitsForPrevious(t *testing.T) {
--- a/node/run.go
+++ b/node/run.go
@@ -44,11 +44,11 @@
 		n.awaitUsableList(ctx)
 	}
 	predecessor = n.announceServing(predecessor)
+	defer n.startSuccessorListener()() // before this process is ready, from when on it may be upgraded
 	n.lifecycle.setStarted()
 	if predecessor != nil {
 		go n.acceptTransfers(predecessor)
 	}
-	defer n.startSuccessorListener()()
 	addrs := []zap.Field{zap.Stringer("listen", n.listener.Addr())}
 	if n.adminListener != nil {
 		addrs = append(addrs, zap.Stringer("admin", n.adminListener.Addr()))
