--- a/internal/upgrade/errors.go
+++ b/internal/upgrade/errors.go
@@ -12,6 +12,9 @@
 // ErrIncompleteConnection reports a transferred connection that lacks its first line or server, or has a negative age.
 var ErrIncompleteConnection = errors.New("connection has no first line, no server or an invalid age")
 
+// ErrNoOrders reports a message of KindOrders without orders.
+var ErrNoOrders = errors.New("message has no orders")
+
 // ErrTruncated reports a message that did not fit the receiver's buffers, because of its length or of its sockets.
 var ErrTruncated = errors.New("the message or its sockets exceed the receive buffer")
 
--- a/internal/upgrade/golden_test.go
+++ b/internal/upgrade/golden_test.go
@@ -28,6 +28,7 @@
 	connection := &exchange.OpenConnection{FirstLine: []byte("OPEN a b c=x,d=1\r\n"), Server: 1<<63 + 5,
 		Addr: "10.0.0.1:1", Age: time.Second, PendingAges: []time.Duration{2, 1}, BufferedFromClient: []byte{0, 255},
 		BufferedFromServer: []byte("half")}
+	orders := &Orders{Service: ServiceOrder{Revision: 3, OutOfService: true}}
 	return []Message{
 		{Kind: KindHello},
 		{Kind: KindState, Endpoints: endpoints},
@@ -41,6 +42,9 @@
 		{Kind: KindConnection, Connection: &exchange.OpenConnection{FirstLine: []byte("x"), Server: 1}},
 		{Kind: KindAccepted},
 		{Kind: KindRejected},
+		{Kind: KindHello, Orders: &Orders{}},
+		{Kind: KindStateEnd, OutOfService: true, Orders: orders},
+		{Kind: KindOrders, Orders: orders},
 	}
 }
 
--- a/internal/upgrade/link.go
+++ b/internal/upgrade/link.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"os"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -12,8 +13,11 @@
 // socketNetwork preserves message boundaries, so that each read returns one message.
 const socketNetwork = "unixpacket"
 
-// Link is the connection between the two processes of an upgrade. One goroutine may send while another receives.
-type Link struct{ conn *net.UnixConn }
+// Link is the connection between the two processes of an upgrade. Any goroutine may send; only one may receive.
+type Link struct {
+	conn    *net.UnixConn
+	sending sync.Mutex // held while a message is sent, because messages have their own write deadlines
+}
 
 // Dial connects to the process that listens at path. It returns ErrNoPredecessor if there is none, and a *UserError if
 // the process belongs to another user.
@@ -35,7 +39,7 @@
 		conn.Close()
 		return nil, err
 	}
-	return &Link{conn}, nil
+	return &Link{conn: conn}, nil
 }
 
 // checkUser returns a *UserError if the process at the other end belongs to another user. Such a process must not
@@ -69,6 +73,8 @@
 	if err != nil {
 		return err
 	}
+	l.sending.Lock()
+	defer l.sending.Unlock()
 	if err := l.conn.SetWriteDeadline(time.Now().Add(timeout)); err != nil {
 		return err
 	}
--- a/internal/upgrade/message.go
+++ b/internal/upgrade/message.go
@@ -15,6 +15,9 @@
 // number of KindState and one KindStateEnd. Once the successor serves clients, it sends KindServing, and the
 // predecessor replies with KindReleased. Then the predecessor sends a KindConnection for each open connection, and the
 // successor replies to each with KindAccepted or KindRejected, in the same order.
+//
+// After KindStateEnd either process sends KindOrders each time that the orders in force at it have changed, if the
+// KindHello or KindStateEnd of the other one had the field Orders. Processes of earlier builds lack that field.
 const (
 	KindHello      Kind = "hello"
 	KindState      Kind = "learned"
@@ -24,6 +27,7 @@
 	KindConnection Kind = "connection"
 	KindAccepted   Kind = "taken"
 	KindRejected   Kind = "not_taken"
+	KindOrders     Kind = "orders"
 )
 
 // protocolVersion must be changed when the meaning of a message changes. Processes with different versions reject each
@@ -46,6 +50,10 @@
 	DiscoveryAddr string `json:"discovery,omitempty"`
 	ListAgeMillis int64  `json:"list_age_ms,omitempty"`
 
+	// Orders are the orders in force at the sender, in messages of KindHello, KindStateEnd and KindOrders. In KindHello
+	// they are empty and show that the sender understands KindOrders.
+	Orders *Orders `json:"orders,omitempty"`
+
 	// Connection describes the connection that a message of KindConnection transfers.
 	Connection *exchange.OpenConnection `json:"standing,omitempty"`
 }
@@ -104,6 +112,11 @@
 			return m.Endpoints.Validate()
 		}
 		return nil
+	case KindOrders:
+		if m.Orders == nil {
+			return ErrNoOrders
+		}
+		return nil
 	case KindConnection:
 		if c := m.Connection; c == nil || len(c.FirstLine) == 0 || c.Server == 0 || c.Age < 0 {
 			return ErrIncompleteConnection
--- a/internal/upgrade/upgrade_test.go
+++ b/internal/upgrade/upgrade_test.go
@@ -118,6 +118,7 @@
 		"truncated":     `{"version":1,"kind":"hel`,
 		"invalid list":  `{"version":1,"kind":"learned","list":{"servers":[{"id":1,"state":"odd"}]}}`,
 		"wrong type":    `{"version":1,"kind":"learned","memory":{"rate":"x"}}`,
+		"no orders":     `{"version":1,"kind":"orders"}`,
 		"no connection": `{"version":1,"kind":"connection"}`,
 		"no sockets":    `{"version":1,"kind":"connection","standing":{"head":"T1BFTg==","server":1}}`,
 		"negative age":  `{"version":1,"kind":"connection","standing":{"head":"T1BFTg==","server":1,"age":-1}}`,
--- a/node/handover.go
+++ b/node/handover.go
@@ -27,7 +27,11 @@
 type handoverState struct {
 	successorSlot chan struct{}             // a semaphore of one: successors are handled one at a time
 	successor     atomic.Pointer[successor] // the current successor, nil unless one serves
-	counters      struct {
+
+	// successorOrders informs the process that has received the state of this one; nil if there is none.
+	successorOrders atomic.Pointer[orderSender]
+
+	counters struct {
 		handedOver atomic.Int64 // connections that a successor has accepted
 		takenOver  atomic.Int64 // connections that this process has accepted from its predecessor
 		failures   atomic.Int64 // hand-overs that failed
@@ -71,8 +75,9 @@
 		n.reportHandoverFailure(stepDial, err)
 		return nil, nil
 	}
+	hello := upgrade.Message{Kind: upgrade.KindHello, Orders: &upgrade.Orders{}}
 	deadline, state := time.Now().Add(messageTimeout), &inheritedState{}
-	if err = link.Send(upgrade.Message{Kind: upgrade.KindHello}, messageTimeout); err == nil {
+	if err = link.Send(hello, messageTimeout); err == nil {
 		err = state.receive(link, deadline)
 	}
 	if err != nil {
@@ -80,9 +85,16 @@
 		link.Close()
 		return nil, nil
 	}
+	n.log.Info("state received from the predecessor", stateFields(state.end)...)
 	return link, state
 }
 
+// stateFields returns the log fields that describe a transferred state, from its last message.
+func stateFields(end *upgrade.Message) []zap.Field {
+	return []zap.Field{zap.Bool("out_of_service", end.OutOfService), zap.String("discovery", end.DiscoveryAddr),
+		zap.Duration("list_age", milliseconds(end.ListAgeMillis))}
+}
+
 // announceServing notifies the predecessor that this process serves. It returns nil if that is not acknowledged.
 func (n *Node) announceServing(link *upgrade.Link) *upgrade.Link {
 	if link == nil {
@@ -90,7 +102,7 @@
 	}
 	err := link.Send(upgrade.Message{Kind: upgrade.KindServing}, messageTimeout)
 	if err == nil {
-		_, _, err = link.Receive(time.Now().Add(messageTimeout))
+		err = n.awaitKind(link, upgrade.KindReleased, messageTimeout)
 	}
 	if err != nil {
 		n.reportHandoverFailure(stepSwitch, err)
@@ -100,7 +112,8 @@
 	return link
 }
 
-// acceptTransfers takes over established connections until the predecessor process ends.
+// acceptTransfers takes over established connections, and follows orders that the predecessor receives, until that
+// process ends.
 func (n *Node) acceptTransfers(link *upgrade.Link) {
 	defer link.Close()
 	defer context.AfterFunc(n.ctx, link.Close)()
@@ -113,7 +126,12 @@
 			}
 			return
 		}
-		if message.Kind != upgrade.KindConnection {
+		switch message.Kind {
+		case upgrade.KindOrders:
+			n.orders.merge(*message.Orders)
+			continue
+		case upgrade.KindConnection:
+		default:
 			continue
 		}
 		answer := n.acceptTransfer(message.Connection, conns[0], conns[1])
--- a/node/handover_state.go
+++ b/node/handover_state.go
@@ -15,9 +15,21 @@
 type inheritedState struct {
 	endpoints     discovery.EndpointList
 	balancerState balance.HandoverState
-	outOfService  bool
-	discoveryAddr string        // of the service that sent the endpoints
-	listAge       time.Duration // of the endpoints when they were sent; 0 if a watch was delivering changes
+	end           *upgrade.Message // the last message of the state
+}
+
+// listAge returns the age of the endpoint list when it was sent; 0 if a watch was delivering changes.
+func (s *inheritedState) listAge() time.Duration { return milliseconds(s.end.ListAgeMillis) }
+
+// orders returns the orders in force at the predecessor. An earlier build reports only whether it is out of service.
+func (s *inheritedState) orders() upgrade.Orders {
+	if s.end.Orders != nil {
+		return *s.end.Orders
+	}
+	if s.end.OutOfService {
+		return upgrade.Orders{Service: upgrade.ServiceOrder{Revision: 1, OutOfService: true}}
+	}
+	return upgrade.Orders{}
 }
 
 // receive receives all messages of the state until a deadline.
@@ -31,8 +43,7 @@
 		case upgrade.KindState:
 			s.appendPart(message)
 		case upgrade.KindStateEnd:
-			s.outOfService, s.discoveryAddr = message.OutOfService, message.DiscoveryAddr
-			s.listAge = milliseconds(message.ListAgeMillis)
+			s.end = message
 			return nil
 		default:
 			return &unexpectedMessageError{message.Kind}
@@ -56,7 +67,7 @@
 
 // exportState returns the state of this process as messages to the successor, and releases its share of the slow-start
 // budgets.
-func (l *loop) exportState(isOutOfService bool) (messages []upgrade.Message) {
+func (l *loop) exportState(orders upgrade.Orders) (messages []upgrade.Message) {
 	l.call(func() {
 		balancerState := l.balancer.HandoverState(l.now())
 		l.setReleased(true)
@@ -74,8 +85,9 @@
 		for chunk := range slices.Chunk(balancerState.Affinities, upgrade.MaxEntries) {
 			appendState(balance.HandoverState{Affinities: chunk})
 		}
-		messages = append(messages, upgrade.Message{Kind: upgrade.KindStateEnd, OutOfService: isOutOfService,
-			DiscoveryAddr: l.discoveryAddr, ListAgeMillis: l.balancer.ListAge(l.now()).Milliseconds()})
+		messages = append(messages, upgrade.Message{Kind: upgrade.KindStateEnd,
+			OutOfService: orders.Service.OutOfService, Orders: &orders, DiscoveryAddr: l.discoveryAddr,
+			ListAgeMillis: l.balancer.ListAge(l.now()).Milliseconds()})
 	})
 	return messages
 }
@@ -101,7 +113,7 @@
 	if state == nil || len(state.endpoints.Servers) == 0 {
 		return
 	}
-	if state.discoveryAddr == l.discoveryAddr { // versions of another service are not comparable
+	if state.end.DiscoveryAddr == l.discoveryAddr { // versions of another service are not comparable
 		l.listVersion = state.endpoints.Version
 	}
 	clear(l.servers)
--- a/node/lifecycle.go
+++ b/node/lifecycle.go
@@ -85,6 +85,17 @@
 	return true
 }
 
+// followOrder takes the node out of service, or puts it back, because another process of the node was told to. Unlike
+// setOutOfService it also does so while this process is stopping.
+func (l *lifecycle) followOrder(out bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.isOutOfService != out {
+		l.isOutOfService = out
+		l.notify()
+	}
+}
+
 // isReady reports whether this process can serve clients. A process that is out of service is ready too, so that it can
 // be upgraded.
 func (l *lifecycle) isReady() bool {
--- a/node/listage.go
+++ b/node/listage.go
@@ -50,7 +50,7 @@
 func (l *loop) initialConfirmation(state *inheritedState) time.Duration {
 	switch {
 	case state != nil:
-		return l.now() - state.listAge
+		return l.now() - state.listAge()
 	case l.endpointsPushed:
 		return l.now() - l.maxListAge
 	}
--- a/node/listage_test.go
+++ b/node/listage_test.go
@@ -71,9 +71,9 @@
 	})
 	time.Sleep(50 * time.Millisecond)
 	var successor inheritedState
-	for _, message := range n.loop.exportState(false) {
+	for _, message := range n.loop.exportState(upgrade.Orders{}) {
 		if message.Kind == upgrade.KindStateEnd {
-			successor.listAge = milliseconds(message.ListAgeMillis)
+			successor.end = &message
 		}
 	}
 	n.inLoop(func() {
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -14,7 +14,7 @@
 func (a adminNode) Ready() bool { return a.node.lifecycle.isReady() }
 
 // SetOutOfService is part of admin.Node.
-func (a adminNode) SetOutOfService(out bool) bool { return a.node.lifecycle.setOutOfService(out) }
+func (a adminNode) SetOutOfService(out bool) bool { return a.node.orders.setOutOfService(out) }
 
 // Metrics is part of admin.Node.
 func (a adminNode) Metrics() admin.Metrics {
--- a/node/node.go
+++ b/node/node.go
@@ -34,6 +34,7 @@
 	log           *zap.Logger
 	listener      *net.TCPListener
 	lifecycle     *lifecycle
+	orders        *orders
 	handover      handoverState
 	loop          *loop
 	frontend      *frontend.Server
@@ -58,6 +59,7 @@
 			n.closeListeners()
 		}
 	}()
+	n.orders = newOrders(n.lifecycle, n.log)
 	n.handover.successorSlot = make(chan struct{}, 1)
 	if n.listener, err = cfg.openListener(); err != nil {
 		return nil, err
--- /dev/null
+++ b/node/orders.go
@@ -0,0 +1,129 @@
+package node
+
+import (
+	"context"
+	"sync"
+
+	"go.uber.org/zap"
+
+	"brassmux/internal/upgrade"
+)
+
+// orders holds the orders of operators that are in force, and makes this process follow them. During an upgrade both
+// processes of the node follow the same orders. It is safe for concurrent use.
+type orders struct {
+	mu      sync.Mutex
+	inForce upgrade.Orders
+	changed chan struct{} // closed at the next change and then replaced
+
+	lifecycle *lifecycle
+	log       *zap.Logger
+}
+
+func newOrders(lifecycle *lifecycle, log *zap.Logger) *orders {
+	return &orders{changed: make(chan struct{}), lifecycle: lifecycle, log: log}
+}
+
+// current returns the orders in force, and a channel that is closed when they have changed.
+func (o *orders) current() (upgrade.Orders, <-chan struct{}) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.inForce, o.changed
+}
+
+// setOutOfService carries out an order to take the node out of service or to put it back. It returns false if this
+// process is stopping.
+func (o *orders) setOutOfService(out bool) (ok bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if !o.lifecycle.setOutOfService(out) {
+		return false
+	}
+	next := o.inForce
+	next.Service = upgrade.ServiceOrder{Revision: next.Service.Revision + 1, OutOfService: out}
+	o.replace(next)
+	return true
+}
+
+// inherit follows the orders in force at the predecessor, unless this process has received later ones.
+func (o *orders) inherit(predecessor upgrade.Orders) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.replace(o.inForce.Rebase(predecessor))
+}
+
+// merge follows orders that the other process of the node reports, unless those in force are later.
+func (o *orders) merge(other upgrade.Orders) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if merged := o.inForce.Merge(other); merged != o.inForce {
+		o.log.Info("orders received from the other process of the node",
+			zap.Bool("out_of_service", merged.Service.OutOfService), zap.Int64("revision", merged.Service.Revision))
+		o.replace(merged)
+	}
+}
+
+// replace puts orders in force. The caller must hold o.mu.
+func (o *orders) replace(next upgrade.Orders) {
+	if next == o.inForce {
+		return
+	}
+	o.inForce = next
+	o.lifecycle.followOrder(next.Service.OutOfService)
+	close(o.changed)
+	o.changed = make(chan struct{})
+}
+
+// orderSender sends the orders in force to the other process of the node.
+type orderSender struct {
+	link   *upgrade.Link
+	orders *orders
+
+	mu   sync.Mutex
+	sent upgrade.Orders // those that the other process has been informed of
+}
+
+// sendPending informs the other process of the orders in force, unless that has been done. The sender may be nil.
+func (s *orderSender) sendPending() error {
+	if s == nil {
+		return nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	inForce, _ := s.orders.current()
+	if inForce == s.sent {
+		return nil
+	}
+	if err := s.link.Send(upgrade.Message{Kind: upgrade.KindOrders, Orders: &inForce}, messageTimeout); err != nil {
+		return err
+	}
+	s.sent = inForce
+	return nil
+}
+
+// run informs the other process of each change until ctx is done.
+func (s *orderSender) run(ctx context.Context) {
+	for {
+		_, changed := s.orders.current()
+		if s.sendPending() != nil {
+			return // the link has failed, which its receiver reports
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
+
+// startOrderSender informs the process at the other end of a link of each change of the orders until ctx is done. known
+// are the orders that it knows already. If known is nil, that process does not understand orders, and the result is
+// nil.
+func (n *Node) startOrderSender(ctx context.Context, link *upgrade.Link, known *upgrade.Orders) *orderSender {
+	if known == nil {
+		return nil
+	}
+	sender := &orderSender{link: link, orders: n.orders, sent: *known}
+	go sender.run(ctx)
+	return sender
+}
--- a/node/run.go
+++ b/node/run.go
@@ -37,8 +37,11 @@
 		n.frontend.Serve(n.ctx, n.listener)
 		close(acceptDone)
 	}()
-	if state != nil && state.outOfService {
-		n.lifecycle.setOutOfService(true)
+	if state != nil {
+		n.orders.inherit(state.orders())
+		ctx, cancel := context.WithCancel(n.ctx)
+		defer cancel()
+		n.startOrderSender(ctx, predecessor, state.end.Orders)
 	}
 	if predecessor == nil && n.loop.endpointsPushed {
 		n.awaitUsableList(ctx)
@@ -56,6 +59,7 @@
 	n.log.Info("serving", addrs...)
 	n.serveUntil(ctx)
 	n.shutDown(acceptDone)
+	n.handover.successorOrders.Load().sendPending()
 	n.cancel()
 	<-loopDone
 	n.log.Info("stopped", n.Counters()...)
--- a/node/successor.go
+++ b/node/successor.go
@@ -176,7 +176,7 @@
 }
 
 // serveSuccessor sends the state of this process to its successor, switches to it once it serves, and handles its
-// answers until the link ends.
+// answers until the link ends. From the state on, both processes inform each other of orders.
 func (n *Node) serveSuccessor(link *upgrade.Link) {
 	defer link.Close()
 	// A process that starts just after another successor has failed waits until that one is gone, because it would
@@ -189,12 +189,16 @@
 	}
 	defer func() { <-n.handover.successorSlot }()
 	defer context.AfterFunc(n.ctx, link.Close)() // a pending receive must not outlive the node
-	if err := receiveKind(link, upgrade.KindHello, messageTimeout); err != nil {
+	hello, _, err := link.Receive(time.Now().Add(messageTimeout))
+	if err == nil && hello.Kind != upgrade.KindHello {
+		err = &unexpectedMessageError{hello.Kind}
+	}
+	if err != nil {
 		n.reportHandoverFailure(stepHello, err)
 		return
 	}
-	currentPhase, _ := n.lifecycle.currentPhase()
-	messages := n.loop.exportState(currentPhase == outOfService)
+	ordersInForce, _ := n.orders.current()
+	messages := n.loop.exportState(ordersInForce)
 	defer n.loop.post(func() { n.loop.setReleased(false) })
 	for _, message := range messages {
 		if err := link.Send(message, messageTimeout); err != nil {
@@ -202,20 +206,34 @@
 			return
 		}
 	}
-	if err := receiveKind(link, upgrade.KindServing, successorReadyTimeout); err != nil {
+	n.log.Info("state sent to the successor", stateFields(&messages[len(messages)-1])...)
+	if hello.Orders != nil {
+		ctx, cancel := context.WithCancel(n.ctx)
+		defer cancel()
+		n.handover.successorOrders.Store(n.startOrderSender(ctx, link, &ordersInForce))
+		defer n.handover.successorOrders.Store(nil)
+	}
+	if err := n.awaitKind(link, upgrade.KindServing, successorReadyTimeout); err != nil {
 		n.reportHandoverFailure(stepReadiness, err)
 		return
 	}
 	n.switchToSuccessor(link)
 }
 
-// receiveKind receives a message within a timeout and checks its kind.
-func receiveKind(link *upgrade.Link, kind upgrade.Kind, timeout time.Duration) error {
-	message, _, err := link.Receive(time.Now().Add(timeout))
-	if err == nil && message.Kind != kind {
-		err = &unexpectedMessageError{message.Kind}
+// awaitKind waits for a message of a kind within a timeout. It follows the orders that arrive before it.
+func (n *Node) awaitKind(link *upgrade.Link, kind upgrade.Kind, timeout time.Duration) error {
+	for deadline := time.Now().Add(timeout); ; {
+		message, _, err := link.Receive(deadline)
+		switch {
+		case err != nil:
+			return err
+		case message.Kind == kind:
+			return nil
+		case message.Kind != upgrade.KindOrders:
+			return &unexpectedMessageError{message.Kind}
+		}
+		n.orders.merge(*message.Orders)
 	}
-	return err
 }
 
 // switchToSuccessor makes the process at the other end the successor, and handles its answers until the link ends.
@@ -245,6 +263,10 @@
 			}
 			return
 		}
+		if message.Kind == upgrade.KindOrders {
+			n.orders.merge(*message.Orders)
+			continue
+		}
 		s.resolve(message.Kind == upgrade.KindAccepted)
 	}
 }
