--- a/internal/upgrade/link.go
+++ b/internal/upgrade/link.go
@@ -22,7 +22,11 @@
 // Dial connects to the process that listens at path. It returns ErrNoPredecessor if there is none, and a *UserError if
 // the process belongs to another user.
 func Dial(path string) (*Link, error) {
-	conn, err := net.DialUnix(socketNetwork, nil, &net.UnixAddr{Name: path, Net: socketNetwork})
+	var conn *net.UnixConn
+	err := withAddress(path, func(addr *net.UnixAddr) (err error) {
+		conn, err = net.DialUnix(socketNetwork, nil, addr)
+		return err
+	})
 	if errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ENOENT) {
 		return nil, ErrNoPredecessor // the socket file outlives its process, which gives ECONNREFUSED
 	}
--- a/internal/upgrade/listener.go
+++ b/internal/upgrade/listener.go
@@ -1,6 +1,7 @@
 package upgrade
 
 import (
+	"fmt"
 	"net"
 	"os"
 	"path/filepath"
@@ -9,20 +10,31 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// maxPathBytes leaves room for the process ID of a temporary name within the 108 bytes of a Unix socket's path.
-const maxPathBytes = 100
+// maxAddressBytes is the maximum length of a path in the address of a Unix socket.
+const maxAddressBytes = 107
 
 // SocketPath returns the path of the Unix socket in dir for upgrades of the node that listens at listenAddr. It returns
-// "" if dir is empty or the path would be too long for a socket.
+// "" if dir is empty.
 func SocketPath(dir, listenAddr string) string {
 	if dir == "" {
 		return ""
 	}
-	path := filepath.Join(dir, "brassmux-"+strconv.FormatUint(xxhash.Sum64String(listenAddr), 16)+".sock")
-	if len(path) > maxPathBytes {
-		return ""
+	return filepath.Join(dir, "brassmux-"+strconv.FormatUint(xxhash.Sum64String(listenAddr), 16)+".sock")
+}
+
+// withAddress calls use with an address of the Unix socket at path. A path of any length is possible: if it is too long
+// for an address, the address names the directory by a descriptor, which is open until use returns.
+func withAddress(path string, use func(*net.UnixAddr) error) error {
+	if len(path) <= maxAddressBytes {
+		return use(&net.UnixAddr{Name: path, Net: socketNetwork})
+	}
+	dir, err := os.Open(filepath.Dir(path))
+	if err != nil {
+		return err
 	}
-	return path
+	defer dir.Close()
+	name := fmt.Sprintf("/proc/self/fd/%d/%s", dir.Fd(), filepath.Base(path))
+	return use(&net.UnixAddr{Name: name, Net: socketNetwork})
 }
 
 // Listener accepts links from the successor.
@@ -33,7 +45,11 @@
 func Listen(path string) (*Listener, error) {
 	temporary := path + "." + strconv.Itoa(os.Getpid())
 	os.Remove(temporary) // left by an earlier process with the same ID
-	listener, err := net.ListenUnix(socketNetwork, &net.UnixAddr{Name: temporary, Net: socketNetwork})
+	var listener *net.UnixListener
+	err := withAddress(temporary, func(addr *net.UnixAddr) (err error) {
+		listener, err = net.ListenUnix(socketNetwork, addr)
+		return err
+	})
 	if err != nil {
 		return nil, err
 	}
--- a/node/handover.go
+++ b/node/handover.go
@@ -55,6 +55,9 @@
 	stepConnections = "transfer to the successor"
 )
 
+// errNoHandoverDir reports that a process with an inherited socket cannot find its successor.
+var errNoHandoverDir = errors.New("no hand-over directory: TMPDIR is not set")
+
 // reportHandoverFailure counts and logs a failed hand-over. The node continues unchanged.
 func (n *Node) reportHandoverFailure(step string, err error) {
 	n.handover.counters.failures.Add(1)
--- a/node/successor.go
+++ b/node/successor.go
@@ -104,6 +104,9 @@
 func (n *Node) startSuccessorListener() (stop func()) {
 	path := upgrade.SocketPath(n.cfg.HandoverDir, n.cfg.Listen)
 	if path == "" {
+		if n.inheritsListener() {
+			n.reportHandoverFailure(stepListen, errNoHandoverDir)
+		}
 		return func() {}
 	}
 	n.keepListening(path)
