--- a/internal/upgrade/golden_test.go
+++ b/internal/upgrade/golden_test.go
@@ -28,7 +28,8 @@
 	connection := &exchange.OpenConnection{FirstLine: []byte("OPEN a b c=x,d=1\r\n"), Server: 1<<63 + 5,
 		Addr: "10.0.0.1:1", Age: time.Second, PendingAges: []time.Duration{2, 1}, BufferedFromClient: []byte{0, 255},
 		BufferedFromServer: []byte("half")}
-	orders := &Orders{Service: ServiceOrder{Revision: 3, OutOfService: true}}
+	orders := &Orders{ServiceOrder{Revision: 3, OutOfService: true},
+		ReloadOrder{Revision: 2, Discovery: "10.0.0.8:80", ControlAddrs: []string{"10.0.0.7:1"}}}
 	return []Message{
 		{Kind: KindHello},
 		{Kind: KindState, Endpoints: endpoints},
--- a/node/config.go
+++ b/node/config.go
@@ -49,6 +49,8 @@
 	// upgrade; empty to disable hand-over.
 	HandoverDir string `json:"-"`
 
+	// reread reads the configuration again, as LoadForReload does; nil if it was not read by Load.
+	reread func() (Config, error)
 	// dialServer replaces the dialer of server connections in tests.
 	dialServer func(ctx context.Context, addr string) (net.Conn, error)
 }
--- a/node/config_load.go
+++ b/node/config_load.go
@@ -21,7 +21,11 @@
 // LB_ADMIN and LB_DISCOVERY take precedence over the file. LB_LISTEN_FD is the descriptor of an inherited listening
 // socket; with it TMPDIR is the hand-over directory. Errors are of type *EnvironmentError. The values are not
 // validated.
-func Load(getenv func(string) string) (Config, error) { return load(getenv, true) }
+func Load(getenv func(string) string) (Config, error) {
+	cfg, err := load(getenv, true)
+	cfg.reread = func() (Config, error) { return LoadForReload(getenv) }
+	return cfg, err
+}
 
 // LoadForReload reads the configuration for Node.Reload. The file takes precedence over the environment, which cannot
 // change while the process runs.
--- a/node/node.go
+++ b/node/node.go
@@ -25,6 +25,7 @@
 	"brassmux/internal/exchange"
 	"brassmux/internal/frontend"
 	"brassmux/internal/settings"
+	"brassmux/internal/upgrade"
 )
 
 // Node is one process of a node. Use New to create one. Its methods are safe for concurrent use, except for Run, which
@@ -59,7 +60,7 @@
 			n.closeListeners()
 		}
 	}()
-	n.orders = newOrders(n.lifecycle, n.log)
+	n.orders = newOrders(n.lifecycle, n.useAddrs, n.log)
 	n.handover.successorSlot = make(chan struct{}, 1)
 	if n.listener, err = cfg.openListener(); err != nil {
 		return nil, err
@@ -155,7 +156,6 @@
 	if err := cfg.validate(); err != nil {
 		return err
 	}
-	n.reloadControlMachines(cfg.Peers.ControlAddrs)
 	old := &n.cfg
 	for _, key := range []struct {
 		name    string
@@ -175,10 +175,21 @@
 			n.log.Warn("changed key takes effect at the next start", zap.String("key", key.name))
 		}
 	}
-	n.loop.post(func() { n.loop.onDiscoveryChanged(cfg.Discovery) })
+	n.orders.setAddrs(cfg.reloadOrder())
 	return nil
 }
 
+// reloadOrder returns the part of the configuration that can change while the node serves.
+func (c *Config) reloadOrder() upgrade.ReloadOrder {
+	return upgrade.ReloadOrder{Discovery: c.Discovery, ControlAddrs: c.Peers.ControlAddrs}
+}
+
+// useAddrs carries out a reload.
+func (n *Node) useAddrs(order upgrade.ReloadOrder) {
+	n.reloadControlMachines(order.ControlAddrs)
+	n.loop.post(func() { n.loop.onDiscoveryChanged(order.Discovery) })
+}
+
 // reloadControlMachines switches a node that is below control machines to other control machines.
 func (n *Node) reloadControlMachines(addrs []string) {
 	old := n.cfg.Peers.ControlAddrs
--- a/node/orders.go
+++ b/node/orders.go
@@ -17,11 +17,12 @@
 	changed chan struct{} // closed at the next change and then replaced
 
 	lifecycle *lifecycle
+	reload    func(upgrade.ReloadOrder) // makes this process use the addresses of the order
 	log       *zap.Logger
 }
 
-func newOrders(lifecycle *lifecycle, log *zap.Logger) *orders {
-	return &orders{changed: make(chan struct{}), lifecycle: lifecycle, log: log}
+func newOrders(lifecycle *lifecycle, reload func(upgrade.ReloadOrder), log *zap.Logger) *orders {
+	return &orders{changed: make(chan struct{}), lifecycle: lifecycle, reload: reload, log: log}
 }
 
 // current returns the orders in force, and a channel that is closed when they have changed.
@@ -45,6 +46,19 @@
 	return true
 }
 
+// setAddrs carries out an order to use the addresses of another configuration. Its revision is ignored.
+func (o *orders) setAddrs(order upgrade.ReloadOrder) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	next := o.inForce
+	if next.Reload.HasSameAddrs(order) {
+		return
+	}
+	order.Revision = next.Reload.Revision + 1
+	next.Reload = order
+	o.replace(next)
+}
+
 // inherit follows the orders in force at the predecessor, unless this process has received later ones.
 func (o *orders) inherit(predecessor upgrade.Orders) {
 	o.mu.Lock()
@@ -56,20 +70,27 @@
 func (o *orders) merge(other upgrade.Orders) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if merged := o.inForce.Merge(other); merged != o.inForce {
-		o.log.Info("orders received from the other process of the node",
-			zap.Bool("out_of_service", merged.Service.OutOfService), zap.Int64("revision", merged.Service.Revision))
-		o.replace(merged)
+	merged := o.inForce.Merge(other)
+	if merged.Equal(o.inForce) {
+		return
 	}
+	o.log.Info("orders received from the other process of the node",
+		zap.Bool("out_of_service", merged.Service.OutOfService), zap.Int64("revision", merged.Service.Revision),
+		zap.String("discovery", merged.Reload.Discovery), zap.Int64("reload_revision", merged.Reload.Revision))
+	o.replace(merged)
 }
 
 // replace puts orders in force. The caller must hold o.mu.
 func (o *orders) replace(next upgrade.Orders) {
-	if next == o.inForce {
+	if next.Equal(o.inForce) {
 		return
 	}
+	isReload := !next.Reload.Equal(o.inForce.Reload)
 	o.inForce = next
 	o.lifecycle.followOrder(next.Service.OutOfService)
+	if isReload {
+		o.reload(next.Reload)
+	}
 	close(o.changed)
 	o.changed = make(chan struct{})
 }
@@ -91,7 +112,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	inForce, _ := s.orders.current()
-	if inForce == s.sent {
+	if inForce.Equal(s.sent) {
 		return nil
 	}
 	if err := s.link.Send(upgrade.Message{Kind: upgrade.KindOrders, Orders: &inForce}, messageTimeout); err != nil {
@@ -116,6 +137,43 @@
 	}
 }
 
+// inheritOrders follows the orders in force at the predecessor. It must be called before the loop runs.
+func (n *Node) inheritOrders(predecessor upgrade.Orders) {
+	if predecessor.Reload.Revision == 0 {
+		n.orders.inherit(predecessor)
+		return
+	}
+	predecessor.Reload = n.rereadAddrs(predecessor.Reload)
+	n.orders.inherit(predecessor)
+	inForce, _ := n.orders.current()
+	if addr := inForce.Reload.Discovery; addr != n.loop.discoveryAddr {
+		n.log.Info("discovery address changed", zap.String("discovery", addr))
+		n.loop.discoveryAddr = addr
+	}
+}
+
+// rereadAddrs returns the reload that a process begins with whose predecessor has reloaded its configuration. Since
+// that reload the file has precedence over the environment, and it may have changed again.
+func (n *Node) rereadAddrs(predecessor upgrade.ReloadOrder) upgrade.ReloadOrder {
+	if n.cfg.reread == nil {
+		return predecessor
+	}
+	cfg, err := n.cfg.reread()
+	if err == nil {
+		err = cfg.validate()
+	}
+	if err != nil {
+		n.log.Error("the new configuration is rejected", zap.Error(err))
+		return predecessor
+	}
+	order := cfg.reloadOrder()
+	if order.HasSameAddrs(predecessor) {
+		return predecessor
+	}
+	order.Revision = predecessor.Revision + 1
+	return order
+}
+
 // startOrderSender informs the process at the other end of a link of each change of the orders until ctx is done. known
 // are the orders that it knows already. If known is nil, that process does not understand orders, and the result is
 // nil.
--- a/node/orders_test.go
+++ b/node/orders_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"errors"
 	"syscall"
 	"testing"
 	"time"
@@ -30,7 +31,12 @@
 // start starts the next process and waits until it is ready.
 func (u *upgradedNode) start() *testNode {
 	u.t.Helper()
-	cfg := u.config
+	return u.startWith(u.config)
+}
+
+// startWith starts the next process with its own configuration and waits until it is ready.
+func (u *upgradedNode) startWith(cfg Config) *testNode {
+	u.t.Helper()
 	fd, err := syscall.Dup(u.config.ListenFD) // the process closes it
 	if err != nil {
 		u.t.Fatal(err)
@@ -147,3 +153,74 @@
 		t.Errorf("orders of an earlier build: %+v", got)
 	}
 }
+
+// followedDiscovery returns the address of the discovery service that the node follows.
+func (n *testNode) followedDiscovery() (addr string) {
+	n.inLoop(func() { addr = n.loop.discoveryAddr })
+	return addr
+}
+
+// rereads returns a function that reads a configuration with another discovery address, or fails if that is empty.
+func rereads(cfg Config, discovery string) func() (Config, error) {
+	return func() (Config, error) {
+		if discovery == "" {
+			return Config{}, errors.New("faulty")
+		}
+		cfg.Discovery = discovery
+		return cfg, nil
+	}
+}
+
+// Guards against a new process that goes back to the discovery service that a reload had left, because the environment,
+// which is still the same, names it. After a reload the file counts, as it is now if it is valid.
+func TestUpgradeKeepsReloadedDiscovery(t *testing.T) {
+	left, reloaded, later := newFakeDiscovery(t, 0), newFakeDiscovery(t, 0), newFakeDiscovery(t, 0)
+	for name, test := range map[string]struct{ inFile, want string }{
+		"same file":    {reloaded.addr, reloaded.addr},
+		"later file":   {later.addr, later.addr},
+		"faulty file":  {"", reloaded.addr},
+		"invalid file": {"no port", reloaded.addr},
+	} {
+		t.Run(name, func(t *testing.T) {
+			u := newUpgradedNode(t, newTestServer(t, "s-1"))
+			u.config.Discovery = left.addr
+			old := u.start()
+			if err := old.Reload(old.withDiscovery(reloaded)); err != nil {
+				t.Fatal(err)
+			}
+			cfg := u.config
+			cfg.reread = rereads(cfg, test.inFile)
+			next := u.startWith(cfg)
+			if got := next.followedDiscovery(); got != test.want {
+				t.Errorf("the next process follows %s, want %s", got, test.want)
+			}
+			old.waitFor("the old process to follow the same", func() bool {
+				return old.followedDiscovery() == test.want
+			})
+		})
+	}
+}
+
+// next process follows its own configuration.
+func TestReloadDuringUpgradeBindsBothProcesses(t *testing.T) {
+	u := newUpgradedNode(t, newTestServer(t, "s-1"))
+	old := u.start()
+	cfg := u.config
+	cfg.Discovery = newFakeDiscovery(t, 0).addr
+	cfg.reread = rereads(cfg, "") // not called without a reload
+	next := u.startWith(cfg)
+	if got := next.followedDiscovery(); got != cfg.Discovery {
+		t.Errorf("without a reload the next process follows %s, want %s", got, cfg.Discovery)
+	}
+	for _, reloaded := range []*testNode{old, next, old} {
+		discoveryServer := newFakeDiscovery(t, 0)
+		if err := reloaded.Reload(reloaded.withDiscovery(discoveryServer)); err != nil {
+			t.Fatal(err)
+		}
+		for _, n := range []*testNode{old, next} {
+			n.waitFor("the process to follow the reload", func() bool {
+				return n.followedDiscovery() == discoveryServer.addr
+			})
+		}
+	}
+}
--- a/node/run.go
+++ b/node/run.go
@@ -28,6 +28,12 @@
 		go n.loop.control.Serve(n.ctx)
 	}
 	predecessor, state := n.dialPredecessor()
+	if state != nil {
+		n.inheritOrders(state.orders())
+		ctx, cancel := context.WithCancel(n.ctx)
+		defer cancel()
+		n.startOrderSender(ctx, predecessor, state.end.Orders)
+	}
 	loopDone, acceptDone := make(chan struct{}), make(chan struct{})
 	go func() {
 		n.loop.run(state)
@@ -37,12 +43,6 @@
 		n.frontend.Serve(n.ctx, n.listener)
 		close(acceptDone)
 	}()
-	if state != nil {
-		n.orders.inherit(state.orders())
-		ctx, cancel := context.WithCancel(n.ctx)
-		defer cancel()
-		n.startOrderSender(ctx, predecessor, state.end.Orders)
-	}
 	if predecessor == nil && n.loop.endpointsPushed {
 		n.awaitUsableList(ctx)
 	}
