--- a/balance/admission.go
+++ b/balance/admission.go
@@ -66,6 +66,10 @@
 		return
 	}
 	s, reason := b.selectServer(r)
+	if s == nil && reason == reasonNoServerReady && b.listAge.isRestricted(b.now) {
+		b.awaitList(r)
+		return
+	}
 	if s == nil {
 		b.rejectOrFail(r, reason)
 		return
@@ -120,8 +124,13 @@
 }
 
 func (b *Balancer) handleAttemptAccepted(ev AttemptAccepted) {
-	if r := b.requests[ev.ID]; r != nil {
-		r.established, r.answered = true, true
+	r := b.requests[ev.ID]
+	if r == nil {
+		return
+	}
+	r.established, r.answered = true, true
+	if ev.Attempt >= 0 && ev.Attempt < len(r.attempts) {
+		b.listAge.observeAccepted(r.attempts[ev.Attempt].server, r.attempts[ev.Attempt].sentAt)
 	}
 }
 
--- a/balance/api.go
+++ b/balance/api.go
@@ -70,12 +70,19 @@
 	// EndpointsPushed is set if changes of the endpoint list arrive without a watch request.
 	EndpointsPushed bool
 	// MaxListAge is the time for which the endpoint list may be used after its last confirmation. Requests
-	// then wait for a list, unless lists are requested and health checks can show which servers accept
-	// clients. 0 means no limit.
+	// then wait for a list, unless lists are requested and health checks precede each request. While the
+	// discovery service cannot be reached, servers that have shown since that they accept clients stay in
+	// use. 0 means no limit.
 	MaxListAge time.Duration
+	// PushedListAge is the time for which the list may be used, where lists are pushed, after the end of a
+	// watch while the agent may have changes.
+	PushedListAge time.Duration
 	// OutageListAge is the age of the list from which the discovery service counts as unavailable, so that
 	// the list is used again; 0 means never.
 	OutageListAge time.Duration
+	// ReadinessChecksAllowed allows HealthCheck actions that show whether a server accepts clients while
+	// changes may be missing from the list, also if HealthChecksAllowed is not set.
+	ReadinessChecksAllowed bool
 
 	// Zone is the zone of this node; if empty, zones are ignored.
 	Zone string
--- a/balance/endpoints.go
+++ b/balance/endpoints.go
@@ -42,6 +42,7 @@
 	connectionsSinceReport int           // connections that the report does not include
 	inheritedSinceReport   int           // the same for connections of the previous process
 	waitingRequests        []*request    // waiting for a load report
+	acceptedAt             time.Duration // it has accepted clients after that time; 0 if it has not
 	loadRequestedAt        time.Duration // time of the last request to the owner of the ledger
 	rebalanceSampled       bool          // sampled to rebalance on the result of the health check
 	othersCheckedForReport time.Duration // reportedAt of the report for which others were checked
@@ -84,6 +85,9 @@
 		return
 	}
 	b.listAge.observe(b.now, ev)
+	if ev.Kind == ListDelayed { // the watch is open
+		return
+	}
 	b.scheduleWatch(ev)
 	b.resumeListWaits()
 }
--- a/balance/events.go
+++ b/balance/events.go
@@ -19,9 +19,15 @@
 	DataReceived bool
 	// Silent is set if the call or watch did not end, but no data arrived for too long.
 	Silent bool
-	// ConfirmedAt is the time from which the age of the list counts after a ListCached or WatchBroken; 0
+	// ConfirmedAt is the time of the last list or heartbeat, up to which no change is missing from the list.
+	// It applies to a ListCached, and to the first event after which the list is no longer up to date; 0
 	// means the time of the event.
 	ConfirmedAt time.Duration
+	// WatchedUntil is the time until which, where lists are pushed, no missing change counts as reported. It
+	// applies to the same events; 0 means the time of the event.
+	WatchedUntil time.Duration
+	// AgeUnknown is set if any change may be missing from a ListCached.
+	AgeUnknown bool
 }
 
 // UpdateKind defines how to apply the servers of an EndpointUpdate.
@@ -40,6 +46,9 @@
 	// WatchBroken means that a watch which had delivered data broke or timed out, or that the next call goes
 	// to a different discovery service; the last list stays in force.
 	WatchBroken
+	// ListDelayed means that a list or a set of changes has begun to arrive and is not complete for a while.
+	// The watch stays open; the last list stays in force.
+	ListDelayed
 )
 
 // Request is a client's request for a connection. It gets exactly one final answer.
--- a/balance/healthcheck.go
+++ b/balance/healthcheck.go
@@ -27,15 +27,30 @@
 	return mayRequestLoad && b.now >= s.ejectedUntil && !s.hasFreshReport(b.now)
 }
 
-// awaitLoad makes a request wait for the load of its selected server or for a larger slow-start quota. It
-// returns false if no wait is needed.
+// mayCheckReadiness reports whether a health check may show that a server accepts clients.
+func (b *Balancer) mayCheckReadiness(r *request, s *server) bool {
+	return b.config.ReadinessChecksAllowed && r.healthCheckCount < maxHealthChecks && b.now >= s.ejectedUntil
+}
+
+// checksReadinessOnly reports whether the reports of health checks contain no load.
+func (b *Balancer) checksReadinessOnly() bool {
+	return b.config.ReadinessChecksAllowed && !b.config.HealthChecksAllowed
+}
+
+// awaitLoad makes a request wait for the load of its selected server, for evidence that the server accepts
+// clients, or for a larger slow-start quota. It returns false if no wait is needed.
 func (b *Balancer) awaitLoad(r *request, s *server) bool {
 	quotaRequested := b.config.SlowStartQuotas != nil && b.inSlowStart(s) &&
 		b.config.SlowStartQuotas.RequestMore(s.ID)
-	if !quotaRequested && !b.loadUnknown(r, s) {
+	checksReadiness := b.listAge.excludes(s, b.now) && b.mayCheckReadiness(r, s)
+	switch {
+	case checksReadiness:
+		b.requestHealthCheck(s)
+	case quotaRequested || b.loadUnknown(r, s):
+		b.requestLoad(r, s)
+	default:
 		return false
 	}
-	b.requestLoad(r, s)
 	r.healthCheckCount++
 	if !r.waitTimerSet {
 		r.waitTimerSet = true
@@ -58,7 +73,14 @@
 				Kind: GossipLoadRequest, Incarnation: b.incarnation, Server: s.ID, Groups: groups,
 			}})
 		}
-	case b.config.HealthChecksAllowed && len(s.waitingRequests) == 0:
+	case b.config.HealthChecksAllowed:
+		b.requestHealthCheck(s)
+	}
+}
+
+// requestHealthCheck requests a health check of a server, unless a request waits for one already.
+func (b *Balancer) requestHealthCheck(s *server) {
+	if len(s.waitingRequests) == 0 {
 		b.emit(HealthCheck{s.ID})
 	}
 }
@@ -86,10 +108,14 @@
 
 // applyHealthCheck applies the result of a health check and places the requests that wait for it.
 func (b *Balancer) applyHealthCheck(s *server, ev HealthCheckResult) {
-	if ev.Outcome != OK {
+	switch {
+	case ev.Outcome != OK:
 		b.eject(s)
-	} else if ev.Report != nil {
-		b.applyReport(s, ev.Report)
+	case ev.Report != nil:
+		b.listAge.observeAccepted(s, b.now-ev.Elapsed)
+		if !b.checksReadinessOnly() {
+			b.applyReport(s, ev.Report)
+		}
 	}
 	waiting := s.waitingRequests
 	s.waitingRequests = nil
--- a/balance/listage.go
+++ b/balance/listage.go
@@ -10,67 +10,184 @@
 // listAge tracks how old the endpoint list may be, and the requests that wait for a list because it is too
 // old. A server in an old list may have begun to drain, and counts as reported to this node some time later
 // even if the report did not arrive.
+//
+// Only a list or a heartbeat confirms the list. A call that fails at once does not: it shows that the service
+// cannot be reached, so that no further change counts as reported, but changes from before may be missing.
+// During such an outage a server is known not to drain if it has shown in the outage that it accepts clients.
 type listAge struct {
-	maxAge    time.Duration // 0 if the age of the list is not limited
-	outageAge time.Duration // from which the list is used all the same; 0 if never
+	maxAge        time.Duration // Config.MaxListAge
+	pushedAge     time.Duration // Config.PushedListAge
+	outageAge     time.Duration // Config.OutageListAge
+	pushed        bool          // Config.EndpointsPushed
+	checksAllowed bool          // Config.ReadinessChecksAllowed
 
 	isCurrent   bool          // a watch delivers all changes
-	confirmedAt time.Duration // when the list was last confirmed, unless isCurrent
-	pushed      bool          // Config.EndpointsPushed
-	agentSilent bool          // where lists are pushed: the agent sends nothing, so it learns nothing either
-	waiting     map[RequestID]*request
+	isUnknown   bool          // nothing is known of the age of the list
+	confirmedAt time.Duration // all changes that were made until then are in the list
+	watchedAt   time.Duration // where lists are pushed: until then a watch was open or calls were refused
+	distrustEnd time.Duration // from then on, missing changes from before an outage no longer count
+
+	// The last outage, in which calls failed at once or, where lists are pushed, the agent sent nothing.
+	inOutage    bool
+	agentSilent bool
+	outageStart time.Duration // its first call
+	outageEnd   time.Duration // its last call so far; 0 before the first outage
+	acceptedAt  time.Duration // the last time that any server accepted a client
+
+	waiting map[RequestID]*request
 }
 
+// outageRecoveryTime is the time after an outage within which every node gets a list: the discovery service
+// takes a call of each within 9 s, the first of them up to 3 s later.
+const outageRecoveryTime = 12 * time.Second
+
 func newListAge(config Config) listAge {
 	l := listAge{
-		maxAge: config.MaxListAge, outageAge: config.OutageListAge, waiting: map[RequestID]*request{},
+		maxAge: config.MaxListAge, pushedAge: config.PushedListAge, outageAge: config.OutageListAge,
+		pushed: config.EndpointsPushed, checksAllowed: config.ReadinessChecksAllowed,
+		waiting: map[RequestID]*request{},
 	}
-	if l.pushed = config.EndpointsPushed; config.HealthChecksAllowed && !l.pushed {
-		l.maxAge = 0 // a health check shows whether a server accepts clients
+	if config.HealthChecksAllowed && !l.pushed {
+		l.maxAge = 0 // a health check precedes each request if the list is stale
 	}
 	return l
 }
 
-// observe applies an endpoint update. A call that failed at once shows that the service cannot be reached,
-// so that no change counts as reported yet. Where lists are pushed, an agent that sends nothing shows the
-// same.
+// observe applies an endpoint update.
 func (l *listAge) observe(now time.Duration, ev EndpointUpdate) {
-	l.agentSilent = l.pushed && ev.Silent
 	switch ev.Kind {
 	case ListDelta, ListSnapshot:
-		l.isCurrent = true
+		l.isCurrent, l.isUnknown, l.inOutage, l.agentSilent, l.outageEnd = true, false, false, false, 0
+		return
 	case ListCached:
-		l.isCurrent, l.confirmedAt = false, cmp.Or(ev.ConfirmedAt, now)
-	case WatchBroken:
+		l.endWatch(now, ev)
+		l.isUnknown = ev.AgeUnknown
+	case ListDelayed, WatchBroken, WatchFailed:
 		if l.isCurrent {
-			l.confirmedAt = cmp.Or(ev.ConfirmedAt, now)
-		}
-		l.isCurrent, l.confirmedAt = false, max(l.confirmedAt, ev.ConfirmedAt)
-	case WatchFailed:
-		unreachable := !ev.DataReceived && !ev.Silent && ev.ServiceWait <= overloadedServiceWait
-		if l.isCurrent || unreachable {
-			l.isCurrent, l.confirmedAt = false, max(l.confirmedAt, now)
+			l.endWatch(now, ev)
 		}
 	}
+	l.observeOutage(now, ev)
+}
+
+// endWatch records that changes may be missing from now on.
+func (l *listAge) endWatch(now time.Duration, ev EndpointUpdate) {
+	l.isCurrent, l.confirmedAt = false, cmp.Or(ev.ConfirmedAt, now)
+	if l.watchedAt = cmp.Or(ev.WatchedUntil, now); ev.Silent {
+		l.watchedAt = l.confirmedAt
+	}
+	l.distrustEnd = l.confirmedAt + l.outageAge
+}
+
+// observeOutage records whether a call shows that the discovery service cannot be reached.
+func (l *listAge) observeOutage(now time.Duration, ev EndpointUpdate) {
+	wasInOutage := l.inOutage
+	failedAtOnce := ev.Kind == WatchFailed && !ev.DataReceived && !ev.Silent &&
+		ev.ServiceWait <= overloadedServiceWait
+	l.agentSilent = l.pushed && ev.Silent
+	if l.inOutage = failedAtOnce || l.agentSilent; !l.inOutage {
+		return
+	}
+	if !wasInOutage {
+		l.outageStart = now
+	}
+	l.outageEnd = now
+	if failedAtOnce {
+		l.watchedAt = now
+	}
+	if l.outageAge > 0 && now >= l.distrustEnd {
+		l.confirmedAt, l.isUnknown = now, false
+	}
+}
+
+// record returns the last outage since the list was up to date, nil if there was none or the age of the list
+// is not limited.
+func (l *listAge) record() *OutageRecord {
+	if l.isCurrent || l.outageEnd == 0 || l.maxAge == 0 {
+		return nil
+	}
+	return &OutageRecord{StartedAt: l.outageStart, LastCallAt: l.outageEnd, Ongoing: l.inOutage}
+}
+
+// restore continues with the outage that the previous process was in. Its times by the clock of this process
+// must not be in the future.
+func (l *listAge) restore(outage OutageRecord) {
+	l.inOutage, l.outageStart, l.outageEnd = outage.Ongoing, outage.StartedAt, outage.LastCallAt
+}
+
+// observeAccepted records that a server accepts clients, as it has shown after a time.
+func (l *listAge) observeAccepted(s *server, after time.Duration) {
+	s.acceptedAt = max(s.acceptedAt, after)
+	l.acceptedAt = max(l.acceptedAt, after)
 }
 
-// age returns the time since the list was last confirmed; 0 if a watch delivers all changes.
+// age returns the time for which changes may be missing from the list; 0 if a watch delivers all changes.
 func (l *listAge) age(now time.Duration) time.Duration {
-	if l.isCurrent {
+	switch {
+	case l.isCurrent:
 		return 0
+	case l.isUnknown:
+		return max(now-l.confirmedAt, l.maxAge)
 	}
 	return max(now-l.confirmedAt, 0)
 }
 
-// isExpired reports whether the list is too old to place requests by it.
+// listUse is the way in which requests are placed by a list of a certain age.
+type listUse int
+
+const (
+	useList        listUse = iota // on any server
+	useAccepting                  // only on servers that have accepted clients in the outage
+	waitForNewList                // not before the next list
+)
+
+// use returns how requests are placed now, and the time at which that changes unless another update arrives.
+func (l *listAge) use(now time.Duration) (use listUse, until time.Duration) {
+	const noEnd = 1<<63 - 1
+	if l.isCurrent || l.maxAge == 0 || l.isLongOutage(now) {
+		return useList, noEnd
+	}
+	// Where lists are pushed, an agent may have a change as soon as it can be reached again.
+	limit := time.Duration(noEnd)
+	if l.pushed && !l.agentSilent {
+		limit = l.watchedAt + l.pushedAge
+	}
+	confirmedUntil, outageUntil := min(l.confirmedAt+l.maxAge, limit), min(l.outageEnd+l.maxAge, limit)
+	switch {
+	case !l.isUnknown && now < confirmedUntil:
+		return useList, confirmedUntil
+	case l.outageEnd > 0 && now < outageUntil && (l.checksAllowed || l.acceptedAt >= l.outageStart):
+		return useAccepting, outageUntil
+	}
+	return waitForNewList, noEnd
+}
+
+// isExpired reports whether requests have to wait for a list.
 func (l *listAge) isExpired(now time.Duration) bool {
-	return l.isUrgent(now) && now >= l.confirmedAt+l.maxAge
+	use, _ := l.use(now)
+	return use == waitForNewList
+}
+
+// isRestricted reports whether only servers that have accepted clients in the outage may get requests.
+func (l *listAge) isRestricted(now time.Duration) bool {
+	use, _ := l.use(now)
+	return use == useAccepting
+}
+
+// excludes reports whether a server may not get requests because it may have begun to drain.
+func (l *listAge) excludes(s *server, now time.Duration) bool {
+	return s.acceptedAt < l.outageStart && l.isRestricted(now)
 }
 
 // isUrgent reports whether requests have to wait, now or soon, unless a list arrives.
 func (l *listAge) isUrgent(now time.Duration) bool {
-	isOutage := l.outageAge > 0 && now >= l.confirmedAt+l.outageAge
-	return !l.isCurrent && !l.agentSilent && l.maxAge > 0 && !isOutage
+	return !l.isCurrent && l.maxAge > 0 && !l.isLongOutage(now)
+}
+
+// isLongOutage reports whether the list is used whatever its age, because no other is to be expected.
+func (l *listAge) isLongOutage(now time.Duration) bool {
+	isRecovering := l.outageEnd > 0 && now < l.outageEnd+outageRecoveryTime
+	return l.outageAge > 0 && now >= l.confirmedAt+l.outageAge && !isRecovering
 }
 
 // limitSending returns the time within which an attempt has to be sent: sendWithin, or the time until the
@@ -79,8 +196,8 @@
 	if !l.isUrgent(now) {
 		return sendWithin
 	}
-	untilExpiry := l.confirmedAt + l.maxAge - now
-	return min(cmp.Or(sendWithin, untilExpiry), untilExpiry)
+	_, until := l.use(now)
+	return min(cmp.Or(sendWithin, until-now), until-now)
 }
 
 // ListAge returns the time since the endpoint list was last confirmed; 0 if a watch delivers all changes.
--- a/balance/listage_test.go
+++ b/balance/listage_test.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -131,47 +132,209 @@
 
 // Guards against new clients for draining servers where lists are pushed: what the agent has received
 // counts as received by the node, from the start of its process on and while it has no watch. While the
-// agent is down it receives nothing, so the list stays in use.
+// agent is down it receives nothing, so a list that was up to date stays in use, but not one of unknown age,
+// nor one that lacks what a silent watch has missed for longer than the report delay.
 func TestPushedListIsUsedOnlyWhileCurrentOrAgentDown(t *testing.T) {
+	const startedAt = 2 * time.Minute
 	keptWaiting := EndpointUpdate{Kind: WatchFailed, ServiceWait: 2 * time.Second}
 	refused := EndpointUpdate{Kind: WatchFailed, ServiceWait: ms}
 	list := EndpointUpdate{Kind: ListDelta}
-	ended := EndpointUpdate{Kind: WatchBroken}
-	silent := EndpointUpdate{Kind: WatchBroken, Silent: true, ConfirmedAt: time.Minute}
+	ended := EndpointUpdate{Kind: WatchBroken, ConfirmedAt: startedAt - time.Second}
+	silent := EndpointUpdate{Kind: WatchBroken, Silent: true, ConfirmedAt: startedAt - 2400*ms}
 	unanswered := EndpointUpdate{Kind: WatchFailed, Silent: true, ServiceWait: 3 * time.Second}
+	delayed := EndpointUpdate{Kind: ListDelayed, WatchedUntil: startedAt - 100*ms,
+		ConfirmedAt: startedAt - time.Second}
+	const never, atOnce, untilMaxAge, later = 0, 1, 3, 4 // the number of checks at which requests are placed
 	for name, test := range map[string]struct {
-		updates  []EndpointUpdate
-		mayPlace bool
+		updates []EndpointUpdate
+		placed  int
 	}{
-		"started":                       {nil, false},
-		"first call kept waiting":       {[]EndpointUpdate{keptWaiting}, false},
-		"first call refused":            {[]EndpointUpdate{refused}, true},
-		"first call unanswered":         {[]EndpointUpdate{unanswered}, true},
-		"list":                          {[]EndpointUpdate{list}, true},
-		"watch ended":                   {[]EndpointUpdate{list, ended}, true},
-		"agent down, then kept waiting": {[]EndpointUpdate{list, ended, keptWaiting}, true},
-		"watch silent":                  {[]EndpointUpdate{list, silent}, true},
-		"watch silent, kept waiting":    {[]EndpointUpdate{list, silent, keptWaiting}, false},
+		"started":                       {nil, never},
+		"first call kept waiting":       {[]EndpointUpdate{keptWaiting}, never},
+		"first call refused":            {[]EndpointUpdate{refused}, never},
+		"first call unanswered":         {[]EndpointUpdate{unanswered}, never},
+		"watch ended":                   {[]EndpointUpdate{list, ended}, atOnce},
+		"watch ended, refused":          {[]EndpointUpdate{list, ended, refused}, atOnce},
+		"agent down, then kept waiting": {[]EndpointUpdate{list, ended, refused, keptWaiting}, atOnce},
+		"watch silent":                  {[]EndpointUpdate{list, silent}, untilMaxAge},
+		"watch silent, kept waiting":    {[]EndpointUpdate{list, silent, keptWaiting}, never},
+		"list delayed":                  {[]EndpointUpdate{list, delayed}, atOnce},
+		"list delayed and complete":     {[]EndpointUpdate{list, delayed, list}, later},
 	} {
 		config := testConfig()
-		config.MaxListAge, config.HealthChecksAllowed = 200*ms, true
-		n := &testNode{Balancer: New(config, 7), now: 2 * time.Minute, nextID: 1}
-		startedWith := EndpointUpdate{Kind: ListCached, Servers: readyServers(1),
-			ConfirmedAt: n.now - config.MaxListAge}
-		n.handle(startedWith)
+		config.PushedListAge, config.MaxListAge = 200*ms, testReportDelay+200*ms
+		config.HealthChecksAllowed = true
+		n := &testNode{Balancer: New(config, 7), now: startedAt, nextID: 1}
+		n.handle(EndpointUpdate{Kind: ListCached, Servers: readyServers(1), AgeUnknown: true})
 		for _, update := range test.updates {
 			n.handle(update)
 		}
-		check := func(when string, want bool) {
-			if _, actions := n.request("safe", when); slices.ContainsFunc(actions, isListAwaited) == want {
-				t.Errorf("%s, %s: %v", name, when, actions)
+		for i, at := range []time.Duration{0, 200 * ms, testReportDelay - 2400*ms + 199*ms,
+			testReportDelay + 200*ms} {
+			n.now = startedAt + at
+			_, actions := n.request("safe", fmt.Sprint("client-", i))
+			if isPlaced := !slices.ContainsFunc(actions, isListAwaited); isPlaced != (i < test.placed) {
+				t.Errorf("%s, after %v: %v", name, at, actions)
 			}
 		}
-		check("at once", test.mayPlace)
-		n.now += config.MaxListAge
-		endsWithAgeLimit := name == "first call refused" || name == "watch ended" ||
-			name == "agent down, then kept waiting"
-		check("later", test.mayPlace && !endsWithAgeLimit)
+	}
+}
+
+// newNodeInOutage returns a node whose watch fell silent just before the discovery service went down, and
+// which has two servers. Changes from the time between may be missing from its list.
+func newNodeInOutage(config Config) (n *testNode, silentSince time.Duration) {
+	n = newNodeWithList(config)
+	silentSince = n.now
+	n.now += 1300 * ms
+	n.handle(EndpointUpdate{Kind: WatchBroken, ConfirmedAt: silentSince})
+	n.now += 200 * ms
+	n.refuseCall()
+	return n, silentSince
+}
+
+// refuseCall passes a call to the node that failed at once.
+func (n *testNode) refuseCall() { n.handle(EndpointUpdate{Kind: WatchFailed, ServiceWait: ms}) }
+
+// Guards against calls that fail at once, which renewed the age of a list that may lack a change from before
+// the outage; and against rejected clients where a server has shown in the outage that it accepts them.
+func TestRefusedCallsDoNotConfirmList(t *testing.T) {
+	n, silentSince := newNodeInOutage(listAgeConfig(1))
+	accepted, s := n.establish("safe", "early")
+	rejected, other := RequestID(0), ServerID(0)
+	for i := 0; other == 0 || other == s; i++ {
+		rejected, other = n.place("safe", fmt.Sprint("other-", i))
+	}
+	n.handle(AttemptEnded{ID: rejected, Server: other, Outcome: AtCapacity})
+	n.end(accepted, s)
+	for n.now < silentSince+n.config.MaxListAge-200*ms {
+		n.now += 200 * ms
+		n.refuseCall()
+	}
+	n.now = silentSince + n.config.MaxListAge
+	for i := range 50 {
+		if _, got := n.place("safe", fmt.Sprint("late-", i)); got != s {
+			t.Fatalf("placed on server %d, want %d, which has accepted a client", got, s)
+		}
+	}
+	n.handle(EndpointUpdate{Kind: WatchFailed, ServiceWait: 2 * time.Second})
+	outageEnd := n.now - 200*ms
+	n.now = outageEnd + n.config.MaxListAge - ms
+	if _, actions := n.request("safe", "after the outage"); slices.ContainsFunc(actions, isListAwaited) {
+		t.Errorf("within the limit after the outage: %v", actions)
+	}
+	n.now += 201 * ms
+	if _, actions := n.request("safe", "last"); !slices.ContainsFunc(actions, isListAwaited) {
+		t.Errorf("over the limit after the outage: %v", actions)
+	}
+}
+
+// Guards against placing requests by an old list where no server has shown in the outage that it accepts
+// clients, and against a wait of any length: from the age of an outage on the list is used, and its age
+// counts from the last refused call.
+func TestListIsUsedInLongOutage(t *testing.T) {
+	n, silentSince := newNodeInOutage(listAgeConfig(1))
+	n.now = silentSince + n.config.MaxListAge
+	n.refuseCall()
+	if _, actions := n.request("safe", "key"); !slices.ContainsFunc(actions, isListAwaited) {
+		t.Errorf("without evidence: %v", actions)
+	}
+	n.now = silentSince + n.config.OutageListAge
+	n.refuseCall()
+	n.now += n.config.MaxListAge - ms
+	n.handle(EndpointUpdate{Kind: WatchFailed, ServiceWait: 2 * time.Second})
+	if _, s := n.place("safe", "long outage"); s == 0 {
+		t.Error("the list is not used in a long outage")
+	}
+	n.now += ms
+	if _, actions := n.request("safe", "after it"); !slices.ContainsFunc(actions, isListAwaited) {
+		t.Errorf("after the outage: %v", actions)
+	}
+}
+
+// Guards against an upgrade in an outage after which requests wait because the new process does not know
+// which servers have accepted clients meanwhile.
+func TestHandoverKeepsServersThatAcceptInOutage(t *testing.T) {
+	config := listAgeConfig(1)
+	n, silentSince := newNodeInOutage(config)
+	_, s := n.establish("safe", "early")
+	n.now = silentSince + config.MaxListAge
+	n.refuseCall()
+	n.now += 100 * ms
+	state := n.HandoverState(n.now)
+	successor := &testNode{Balancer: New(config, 8), now: n.now + time.Hour, nextID: 1}
+	successor.handle(EndpointUpdate{Kind: ListCached, Servers: readyServers(1, 2),
+		ConfirmedAt: successor.now - n.ListAge(n.now)})
+	successor.Restore(successor.now, state)
+	for i := range 20 {
+		if _, got := successor.place("safe", fmt.Sprint("late-", i)); got != s {
+			t.Fatalf("placed on server %d, want %d, which has accepted a client", got, s)
+		}
+	}
+	successor.refuseCall()
+	if _, got := successor.place("safe", "refused"); got != s {
+		t.Errorf("after another call: placed on server %d, want %d", got, s)
+	}
+}
+
+// Guards against requests that are rejected, or sent to a draining server, after a start in an outage where
+// lists are pushed: each server has to pass a health check first, and one that passes gets no other.
+func TestReadinessChecksInOutage(t *testing.T) {
+	config := testConfig()
+	config.PushedListAge, config.MaxListAge = 200*ms, testReportDelay+200*ms
+	config.OutageListAge, config.ReadinessChecksAllowed = 20*time.Second, true
+	n := &testNode{Balancer: New(config, 7), now: time.Minute, nextID: 1}
+	n.handle(EndpointUpdate{Kind: ListCached, Servers: readyServers(1, 2), AgeUnknown: true})
+	id, actions := n.request("safe", "key")
+	if !slices.ContainsFunc(actions, isListAwaited) || len(checkedServers(actions)) > 0 {
+		t.Fatalf("before the first call: %v", actions)
+	}
+	actions = n.handle(EndpointUpdate{Kind: WatchFailed, ServiceWait: ms})
+	checked := checkedServers(actions)
+	if len(checked) != 1 || sentTo(actions) != 0 {
+		t.Fatalf("in the outage: %v", actions)
+	}
+	draining, accepting := checked[0], 3-checked[0]
+	actions = n.handle(HealthCheckResult{Server: draining, Outcome: ServerError})
+	if checked = checkedServers(actions); !slices.Equal(checked, []ServerID{accepting}) {
+		t.Fatalf("with a draining server: %v", actions)
+	}
+	passed := HealthCheckResult{Server: accepting, Outcome: OK, Report: &LoadReport{Utilisation: -1}}
+	if actions = n.handle(passed); sentTo(actions) != accepting {
+		t.Errorf("request %d, with a server that accepts clients: %v", id, actions)
+	}
+	for i := range 50 {
+		n.now += 100 * ms
+		n.refuseCall()
+		_, actions := n.request("safe", fmt.Sprint("client-", i))
+		if s := sentTo(actions); s == draining {
+			t.Fatal("placed on the draining server")
+		} else if s == 0 {
+			n.handle(HealthCheckResult{Server: draining, Outcome: ServerError})
+		}
+	}
+	if n.servers[accepting].hasFreshReport(n.now) {
+		t.Error("a health check without a load report counts as a report")
+	}
+}
+
+// Guards against a health check that was not carried out, which counts as evidence that a server accepts
+// clients.
+func TestMissingHealthCheckIsNoEvidence(t *testing.T) {
+	config := listAgeConfig(1)
+	config.ReadinessChecksAllowed = true
+	n, silentSince := newNodeInOutage(config)
+	n.now = silentSince + n.config.MaxListAge
+	n.refuseCall()
+	_, actions := n.request("safe", "key")
+	for range maxHealthChecks {
+		checked := checkedServers(actions)
+		if len(checked) != 1 {
+			t.Fatalf("got %v", actions)
+		}
+		actions = n.handle(HealthCheckResult{Server: checked[0], Outcome: OK})
+	}
+	if sentTo(actions) != 0 || finalAnswer(actions) != "" || !slices.ContainsFunc(actions, isListAwaited) {
+		t.Errorf("without evidence: %v", actions)
 	}
 }
 
--- a/balance/ranking.go
+++ b/balance/ranking.go
@@ -173,6 +173,9 @@
 	// If the list is stale the server may be draining, which a health check would reveal.
 	unconfirmed := b.now >= b.listStaleAt && b.config.HealthChecksAllowed && !b.config.EndpointsPushed &&
 		!b.loadUnknown(r, s) && !s.hasFreshReport(b.now)
+	if b.listAge.excludes(s, b.now) && !b.mayCheckReadiness(r, s) {
+		return false
+	}
 	if b.inSlowStart(s) && (!b.slowStartAllows(r, s) || b.handedOver) || alreadyTried || unconfirmed {
 		return false
 	}
--- a/balance/retry.go
+++ b/balance/retry.go
@@ -69,6 +69,9 @@
 	delete(a.server.requests, r.ID)
 	a.server.connectionsSinceReport--
 	b.openConnections--
+	if ev.Outcome == AtCapacity {
+		a.server.acceptedAt = 0 // it may be draining
+	}
 	switch {
 	case ev.Outcome == OK:
 		a.server.consecutiveFailures = 0
--- a/balance/silentwatches_test.go
+++ b/balance/silentwatches_test.go
@@ -60,6 +60,9 @@
 	draining []Server
 	events   fleetQueue
 
+	drainingReject bool // draining servers reject clients
+	rejections     map[RequestID]int
+
 	requests, rejected, lateAttempts int
 	listed                           int
 	lastListAt                       time.Duration
@@ -85,7 +88,8 @@
 	f := &silentFleet{rng: rand.New(rand.NewPCG(uint64(nodes), uint64(allCalls))),
 		service: discoveryService{callDuration: min(allCalls/time.Duration(nodes), maxCallDuration),
 			callTimeout: callTimeout, skipsLate: true},
-		firstRejections: map[int]time.Duration{}, rejectingNodes: map[int]bool{}}
+		rejections: map[RequestID]int{}, firstRejections: map[int]time.Duration{},
+		rejectingNodes: map[int]bool{}}
 	var ids []ServerID
 	for id := range ServerID(fleetServers) {
 		ids = append(ids, id+1)
@@ -163,11 +167,21 @@
 			if a.Server <= drainingServers && now > testReportDelay+testDrainGrace {
 				f.lateAttempts++
 			}
-			f.schedule(now, node, AttemptAccepted{ID: a.ID, Server: a.Server})
+			f.schedule(now, node, f.answer(now, a))
 		}
 	}
 }
 
+// answer returns the outcome of an attempt.
+func (f *silentFleet) answer(now time.Duration, a Attempt) Event {
+	number := f.rejections[a.ID]
+	if f.drainingReject && a.Server <= drainingServers && now >= drainStart {
+		f.rejections[a.ID]++
+		return AttemptEnded{ID: a.ID, Attempt: number, Server: a.Server, Outcome: AtCapacity}
+	}
+	return AttemptAccepted{ID: a.ID, Attempt: number, Server: a.Server}
+}
+
 // reject counts a rejection by a node.
 func (f *silentFleet) reject(now time.Duration, node int) {
 	f.rejected++
@@ -212,3 +226,6 @@
 	*q = (*q)[:len(*q)-1]
 	return last
 }
+
+// restore puts the events in order after a change of their times.
+func (q *fleetQueue) restore() { heap.Init(q) }
--- a/balance/state.go
+++ b/balance/state.go
@@ -17,10 +17,20 @@
 	ConnectionRate float64       `json:"rate"` // new connections per second
 	RateUpdatedAt  time.Duration `json:"rated"`
 
+	// Outage is the last outage of the discovery service, nil if there was none since the list was received.
+	Outage *OutageRecord `json:"outage,omitempty"`
+
 	Servers    []ServerRecord   `json:"servers"`
 	Affinities []AffinityRecord `json:"clients"`
 }
 
+// OutageRecord is an outage of the discovery service.
+type OutageRecord struct {
+	StartedAt  time.Duration `json:"started"` // of the first call that failed at once
+	LastCallAt time.Duration `json:"last"`    // of the last such call
+	Ongoing    bool          `json:"ongoing"` // no other call has been made since
+}
+
 // ServerRecord is the state of a server that its entry in the endpoint list does not contain.
 type ServerRecord struct {
 	ID                  ServerID      `json:"id"`
@@ -35,6 +45,8 @@
 	LatestStart time.Duration `json:"started"` // latest time at which the server may have started
 	// StartLearnedAt is the time at which the node learned of that start; 0 if it did not.
 	StartLearnedAt time.Duration `json:"told"`
+	// AcceptedAt is a time in the outage after which the server has accepted clients; 0 if it has not.
+	AcceptedAt time.Duration `json:"accepted,omitempty"`
 }
 
 // AffinityRecord is a client's entry in the affinity table.
@@ -50,9 +62,14 @@
 	b.updateConnectionRate(0)
 	state := HandoverState{
 		TakenAt: now, ConnectionRate: b.connectionRate, RateUpdatedAt: b.connectionRateUpdatedAt,
+		Outage: b.listAge.record(),
 	}
 	for _, id := range slices.Sorted(maps.Keys(b.servers)) {
-		state.Servers = append(state.Servers, b.servers[id].record())
+		record := b.servers[id].record()
+		if state.Outage != nil && b.servers[id].acceptedAt >= state.Outage.StartedAt {
+			record.AcceptedAt = b.servers[id].acceptedAt
+		}
+		state.Servers = append(state.Servers, record)
 	}
 	for _, key := range slices.Sorted(maps.Keys(b.affinity.entries)) {
 		state.Affinities = append(state.Affinities, b.affinity.entries[key].record(now))
@@ -92,6 +109,9 @@
 	if state.ConnectionRate >= 0 && state.RateUpdatedAt <= now {
 		b.connectionRate, b.connectionRateUpdatedAt = state.ConnectionRate, state.RateUpdatedAt
 	}
+	if o := state.Outage; o != nil && o.StartedAt <= o.LastCallAt && o.LastCallAt <= now {
+		b.listAge.restore(*o)
+	}
 	for _, record := range state.Servers {
 		if s := b.servers[record.ID]; s != nil && s.StartedAt == record.StartedAt {
 			b.restoreServer(s, record, now)
@@ -112,6 +132,9 @@
 	}
 	s.ejectedUntil = min(record.EjectedUntil, now+freshnessWindow<<maxEjectionDoublings)
 	s.consecutiveFailures = min(max(record.ConsecutiveFailures, 0), maxEjectionDoublings)
+	if record.AcceptedAt <= now {
+		b.listAge.observeAccepted(s, record.AcceptedAt)
+	}
 	if record.ReportedAt <= now && record.Utilisation >= 0 {
 		s.utilisation, s.reportedAt = record.Utilisation, max(record.ReportedAt, 0)
 		s.inheritedSinceReport = max(record.ConnectionsSinceReport, 0)
@@ -143,12 +166,17 @@
 		}
 	}
 	shift(&s.RateUpdatedAt)
+	if s.Outage != nil {
+		shift(&s.Outage.StartedAt)
+		shift(&s.Outage.LastCallAt)
+	}
 	for i := range s.Servers {
 		record := &s.Servers[i]
 		shift(&record.EjectedUntil)
 		shift(&record.ReportedAt)
 		shift(&record.LatestStart)
 		shift(&record.StartLearnedAt)
+		shift(&record.AcceptedAt)
 	}
 	for i := range s.Affinities {
 		shift(&s.Affinities[i].ExpiresAt)
--- a/node/endpoints.go
+++ b/node/endpoints.go
@@ -20,10 +20,10 @@
 type endpointState struct {
 	discovery         *discovery.Client
 	discoveryAddr     string
-	listVersion       int64 // numbered by the discovery service that sent the list
+	listVersion       int64     // numbered by the discovery service that sent the list
+	listConfirmedAt   time.Time // when a watch last delivered a list or a heartbeat; zero before the first one
 	logsEndpointLists bool
 
-	maxListAge      time.Duration // as configured for the balancer
 	endpointsPushed bool          // the site pushes changes, so a watch is always open
 	listUsable      chan struct{} // closed once requests do not have to wait for a list
 	isWatching      bool          // a watch is open or waits for its quota
@@ -49,7 +49,6 @@
 		discoveryAddr:        cfg.Discovery,
 		listVersion:          cfg.InitialEndpoints.Version,
 		logsEndpointLists:    cfg.TestOptions.LogEndpointLists,
-		maxListAge:           balanceConfig.MaxListAge,
 		endpointsPushed:      balanceConfig.EndpointsPushed,
 		listUsable:           make(chan struct{}),
 		initialEndpoints:     cfg.InitialEndpoints.EndpointUpdate(balance.ListCached),
--- a/node/handover_state.go
+++ b/node/handover_state.go
@@ -60,6 +60,7 @@
 	if message.State != nil {
 		s.balancerState.ConnectionRate, s.balancerState.RateUpdatedAt = message.State.ConnectionRate,
 			message.State.RateUpdatedAt
+		s.balancerState.Outage = message.State.Outage
 		s.balancerState.Servers = append(s.balancerState.Servers, message.State.Servers...)
 		s.balancerState.Affinities = append(s.balancerState.Affinities, message.State.Affinities...)
 	}
@@ -77,6 +78,7 @@
 		}
 		appendState := func(state balance.HandoverState) {
 			state.ConnectionRate, state.RateUpdatedAt = balancerState.ConnectionRate, balancerState.RateUpdatedAt
+			state.Outage = balancerState.Outage
 			messages = append(messages, upgrade.Message{Kind: upgrade.KindState, State: &state})
 		}
 		for chunk := range slices.Chunk(balancerState.Servers, upgrade.MaxEntries) {
--- a/node/listage.go
+++ b/node/listage.go
@@ -10,7 +10,7 @@
 
 const (
 	// reportDelay is the time after which a change of the endpoint list counts as received, even if it did not
-	// arrive; see reportDelayFor.
+	// arrive. Where lists are pushed, it counts as received at once if the agent has it.
 	reportDelay = 6 * time.Second
 	// reloadReportDelay takes its place after a change of the discovery address, in either case.
 	reloadReportDelay = 4 * time.Second
@@ -25,41 +25,35 @@
 	maxReadyDelay = 5 * time.Second
 )
 
-// reportDelayFor returns the time after which a change counts as received: at once where lists are pushed.
-func reportDelayFor(endpointsPushed bool) time.Duration {
-	if endpointsPushed {
-		return 0
-	}
-	return reportDelay
-}
-
 // limitListAge limits the age of the endpoint list so that no server gets requests once its drain counts as received
 // and the grace period is over. There is no limit if only drains that this node has received count.
 func limitListAge(config *balance.Config, site *settings.Site) {
 	if site.Servers.KeepUnlistedServers {
 		return
 	}
-	grace := settings.Microseconds(site.Servers.DrainGraceMicros)
-	maxAge := reportDelayFor(config.EndpointsPushed) + grace - maxSuspension
-	config.MaxListAge, config.OutageListAge = max(maxAge, minListAge), outageListAge
+	grace := settings.Microseconds(site.Servers.DrainGraceMicros) - maxSuspension
+	config.MaxListAge, config.PushedListAge = max(reportDelay+grace, minListAge), max(grace, minListAge)
+	config.OutageListAge = outageListAge
 }
 
-// initialConfirmation returns the time from which the age of the initial list counts. A list that the predecessor has
-// handed over has the age that it had there. Where lists are pushed, changes that were made before the start of the
-// process count as received when it starts.
-func (l *loop) initialConfirmation(state *inheritedState) time.Duration {
-	switch {
-	case state != nil:
-		return l.now() - state.listAge()
-	case l.endpointsPushed:
-		return l.now() - l.maxListAge
+// startList passes the initial list to the balancer. A list that the predecessor has handed over has the age that it
+// had there. Where lists are pushed, any change that was made before the start of the process counts as received when
+// it starts, so that an initial list of another origin has no known age.
+func (l *loop) startList(state *inheritedState) {
+	if state != nil {
+		l.initialEndpoints.ConfirmedAt = l.now() - state.listAge()
+	} else {
+		l.initialEndpoints.AgeUnknown = l.endpointsPushed
 	}
-	return l.now()
+	l.handle(l.initialEndpoints)
 }
 
-// reloadConfirmation returns the time from which the age of the list counts after a change of the discovery address.
-func (l *loop) reloadConfirmation() time.Duration {
-	return l.now() + reloadReportDelay - reportDelayFor(l.endpointsPushed)
+// reloadUpdate returns the update that starts the age of the list after a change of the discovery address. What the new
+// service has counts as received after reloadReportDelay.
+func (l *loop) reloadUpdate() balance.EndpointUpdate {
+	countsAt := l.now() + reloadReportDelay
+	return balance.EndpointUpdate{Kind: balance.WatchBroken, ConfirmedAt: countsAt - reportDelay,
+		WatchedUntil: countsAt}
 }
 
 // awaitUsableList waits until requests can be placed without a wait for the endpoint list, but not for long: other
--- a/node/listage_test.go
+++ b/node/listage_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -56,6 +57,30 @@
 	n.waitFor("the node to be ready", func() bool { return n.lifecycle.isReady() })
 }
 
+// Guards against new clients for a server that drained before this process started, where lists are pushed and the
+// agent refuses calls: that shows nothing of the time before. Clients go to servers that pass a health check, also
+// where health checks return no load.
+func TestRestartInOutageChecksServers(t *testing.T) {
+	srv, other := newTestServer(t, "s-1"), newTestServer(t, "s-2")
+	srv.isDraining.Store(true)
+	discoveryServer := newFakeDiscovery(t, 1000)
+	cfg := testConfig(t, discoveryServer, srv, other)
+	cfg.Settings.MembershipMode, cfg.Settings.Report.Via = "pushed", "none"
+	cfg.Settings.Servers.DrainGraceMicros = 500_000
+	n := runNode(t, cfg, discoveryServer)
+	n.waitFor("the node to be ready", func() bool { return n.lifecycle.isReady() })
+	for i := range 40 {
+		client := n.open(fmt.Sprint("k", i), "")
+		server, _ := other.accept(t)
+		server.send("UP r-1\r\n")
+		client.expect("UP r-1\r\n")
+		time.Sleep(50 * time.Millisecond)
+	}
+	if len(srv.conns) > 0 {
+		t.Error("the draining server got a client")
+	}
+}
+
 // Guards against a list that counts as up to date for longer than it may be after a reload, or in the process that an
 // upgrade starts.
 func TestListAgeAfterReloadAndUpgrade(t *testing.T) {
@@ -77,9 +102,10 @@
 		}
 	}
 	n.inLoop(func() {
-		age := n.loop.now() - n.loop.initialConfirmation(&successor)
-		if age < 40*time.Millisecond || age > n.loop.balancer.ListAge(n.loop.now()) {
-			t.Errorf("in the successor the list counts as %v old", age)
+		ageHere := n.loop.balancer.ListAge(n.loop.now())
+		n.loop.startList(&successor)
+		if age := n.loop.balancer.ListAge(n.loop.now()); age < 40*time.Millisecond || age > ageHere+time.Millisecond {
+			t.Errorf("in the successor the list counts as %v old, here as %v", age, ageHere)
 		}
 	})
 }
--- a/node/loop.go
+++ b/node/loop.go
@@ -105,8 +105,7 @@
 // run handles events until the loop's context is done. state is that of the predecessor, or nil.
 func (l *loop) run(state *inheritedState) {
 	l.restoreEndpoints(state)
-	l.initialEndpoints.ConfirmedAt = l.initialConfirmation(state)
-	l.handle(l.initialEndpoints)
+	l.startList(state)
 	if state != nil {
 		l.balancer.Restore(l.now(), state.balancerState)
 	}
--- a/node/testserver_test.go
+++ b/node/testserver_test.go
@@ -54,6 +54,7 @@
 	conns      chan *testConn
 	firstLines chan string
 	load       string
+	isDraining atomic.Bool    // health checks are answered with ERR
 	handlers   sync.WaitGroup // of connections that wait for their first line
 }
 
@@ -101,6 +102,10 @@
 			srv.conns <- conn
 			return
 		}
+		if srv.isDraining.Load() {
+			fmt.Fprint(conn, "ERR\r\n")
+			continue
+		}
 		fmt.Fprintf(conn, "PONG eps=0,x0=%s\r\n", srv.load)
 	}
 }
--- a/node/watch.go
+++ b/node/watch.go
@@ -93,8 +93,7 @@
 		OnEvent: func(list *discovery.EndpointList) {
 			receivedAt := time.Now()
 			post(func() {
-				w.confirmedAt = receivedAt
-				l.onWatchEvent(w, list)
+				l.onWatchEvent(w, list, receivedAt)
 			})
 		},
 		OnAlive: func() { post(func() { l.onWatchAlive(w) }) },
@@ -138,7 +137,13 @@
 func (l *loop) onWatchHeartbeat(w *watch, receivedAt time.Time) {
 	isFirst := w.confirmedAt.IsZero()
 	w.confirmedAt = receivedAt
-	if isFirst && w == l.currentWatch && w.addr == l.discoveryAddr && w.sinceVersion > 0 {
+	if w != l.currentWatch || w.addr != l.discoveryAddr {
+		return
+	}
+	if l.listVersion > 0 {
+		l.listConfirmedAt = receivedAt
+	}
+	if isFirst && w.sinceVersion > 0 {
 		l.handle(balance.EndpointUpdate{Kind: balance.ListDelta})
 	}
 }
@@ -151,7 +156,8 @@
 
 // onWatchEvent applies an event of a watch. A new watch may repeat events that the previous watch of the same service
 // received after the new one was opened. Those have an older version and are dropped, because they could undo a drain.
-func (l *loop) onWatchEvent(w *watch, list *discovery.EndpointList) {
+func (l *loop) onWatchEvent(w *watch, list *discovery.EndpointList, receivedAt time.Time) {
+	w.confirmedAt = receivedAt
 	if w == l.currentWatch {
 		l.closePreviousWatch()
 	}
@@ -166,7 +172,7 @@
 	case list.Version < l.listVersion && w.sinceVersion < l.listVersion:
 		return
 	default:
-		l.listVersion = list.Version
+		l.listVersion, l.listConfirmedAt = list.Version, receivedAt
 	}
 	l.checkWallClock()
 	l.applyEndpointList(list, w.addr != l.discoveryAddr)
@@ -180,7 +186,6 @@
 	if w.isBroken || w != l.currentWatch {
 		return
 	}
-	l.logBrokenWatch(w, err)
 	w.isBroken, l.isWatching = true, false
 	if !l.endpointsPushed { // pushed changes count as received once the watch recovers, so it must stay open
 		w.stop()
@@ -195,18 +200,19 @@
 	}
 	update := balance.EndpointUpdate{Kind: kind, ServiceWait: elapsed, DataReceived: w.hasData,
 		Silent: errors.Is(err, errDiscoverySilent)}
-	if update.Silent && !w.confirmedAt.IsZero() {
-		update.ConfirmedAt = l.timeAt(w.confirmedAt)
+	if !l.listConfirmedAt.IsZero() {
+		update.ConfirmedAt = l.timeAt(l.listConfirmedAt)
 	}
 	l.handle(update)
+	l.logBrokenWatch(w, err)
 }
 
 // logBrokenWatch logs the end or silence of a watch with the age of its call and of its last list or heartbeat.
 // Together they tell a service that cannot be reached or rejects calls at once from one that keeps calls waiting and
-// from a silent watch.
+// from a silent watch. The age of the list is the one by which requests are placed from now on.
 func (l *loop) logBrokenWatch(w *watch, err error) {
 	fields := []zap.Field{zap.String("discovery", w.addr), zap.Error(err), zap.Int64("version", l.listVersion),
-		zap.Duration("call_age", time.Since(w.openedAt))}
+		zap.Duration("call_age", time.Since(w.openedAt)), zap.Duration("list_age", l.balancer.ListAge(l.now()))}
 	if !w.confirmedAt.IsZero() {
 		fields = append(fields, zap.Duration("confirmed_ago", time.Since(w.confirmedAt)))
 	}
@@ -222,7 +228,7 @@
 	l.log.Info("discovery address changed", zap.String("discovery", addr))
 	l.discoveryAddr, l.listVersion, l.isWatching = addr, 0, false
 	// Failures of the former service must not delay retries.
-	l.handle(balance.EndpointUpdate{Kind: balance.WatchBroken, ConfirmedAt: l.reloadConfirmation()})
+	l.handle(l.reloadUpdate())
 	l.subscribe()
 	l.control.SendRequests()
 }
--- a/node/watch_test.go
+++ b/node/watch_test.go
@@ -186,7 +186,7 @@
 	second.cancel = func() { isStopped[second] = true }
 	sendEvent := func(w *watch, version int64, state string) {
 		n.loop.onWatchEvent(w, &discovery.EndpointList{Version: version,
-			Servers: []discovery.Endpoint{srv.endpoint(state)}})
+			Servers: []discovery.Endpoint{srv.endpoint(state)}}, time.Now())
 	}
 	isExpected := make(chan bool, 3)
 	n.loop.post(func() {
