--- a/balance/admission.go
+++ b/balance/admission.go
@@ -78,7 +78,7 @@
 		return
 	}
 	timeout, sendWithin := b.attemptLimits(r)
-	sendWithin = b.listAge.limitSending(b.now, sendWithin)
+	sendWithin = b.listAge.limitSending(b.now, s, sendWithin)
 	if b.inSlowStart(s) {
 		b.countSlowStartAttempt(s)
 	}
--- a/balance/listage.go
+++ b/balance/listage.go
@@ -12,8 +12,8 @@
 // even if the report did not arrive.
 //
 // Only a list or a heartbeat confirms the list. A call that fails at once does not: it shows that the service
-// cannot be reached, so that no further change counts as reported, but changes from before may be missing.
-// During such an outage a server is known not to drain if it has shown in the outage that it accepts clients.
+// cannot be reached, so that no further change counts as reported, but changes from before may be missing. A
+// server that has accepted a client did not drain at that time, whatever is missing from the list.
 type listAge struct {
 	maxAge        time.Duration // Config.MaxListAge
 	pushedAge     time.Duration // Config.PushedListAge
@@ -22,6 +22,7 @@
 	checksAllowed bool          // Config.ReadinessChecksAllowed
 
 	isCurrent   bool          // a watch delivers all changes
+	isDelayed   bool          // a watch that had delivered all changes delivers the next ones slowly
 	isUnknown   bool          // nothing is known of the age of the list
 	confirmedAt time.Duration // all changes that were made until then are in the list
 	watchedAt   time.Duration // where lists are pushed: until then a watch was open or calls were refused
@@ -55,6 +56,7 @@
 
 // observe applies an endpoint update.
 func (l *listAge) observe(now time.Duration, ev EndpointUpdate) {
+	l.isDelayed = l.isCurrent && ev.Kind == ListDelayed
 	switch ev.Kind {
 	case ListDelta, ListSnapshot:
 		l.isCurrent, l.isUnknown, l.inOutage, l.agentSilent, l.outageEnd = true, false, false, false, 0
@@ -100,6 +102,14 @@
 	}
 }
 
+// recordAccepted returns the time after which a server has accepted clients, 0 if that is of no use.
+func (l *listAge) recordAccepted(now time.Duration, s *server) time.Duration {
+	if l.maxAge == 0 || now >= l.acceptingUntil(s.acceptedAt) {
+		return 0
+	}
+	return s.acceptedAt
+}
+
 // record returns the last outage since the list was up to date, nil if there was none or the age of the list
 // is not limited.
 func (l *listAge) record() *OutageRecord {
@@ -137,46 +147,68 @@
 
 const (
 	useList        listUse = iota // on any server
-	useAccepting                  // only on servers that have accepted clients in the outage
+	useAccepting                  // only on servers that have shown that they accept clients
 	waitForNewList                // not before the next list
 )
 
-// use returns how requests are placed now, and the time at which that changes unless another update arrives.
-func (l *listAge) use(now time.Duration) (use listUse, until time.Duration) {
-	const noEnd = 1<<63 - 1
-	if l.isCurrent || l.maxAge == 0 || l.isLongOutage(now) {
-		return useList, noEnd
-	}
-	// Where lists are pushed, an agent may have a change as soon as it can be reached again.
-	limit := time.Duration(noEnd)
-	if l.pushed && !l.agentSilent {
-		limit = l.watchedAt + l.pushedAge
-	}
-	confirmedUntil, outageUntil := min(l.confirmedAt+l.maxAge, limit), min(l.outageEnd+l.maxAge, limit)
+// use returns how requests are placed now.
+func (l *listAge) use(now time.Duration) listUse {
 	switch {
-	case !l.isUnknown && now < confirmedUntil:
-		return useList, confirmedUntil
-	case l.outageEnd > 0 && now < outageUntil && (l.checksAllowed || l.acceptedAt >= l.outageStart):
-		return useAccepting, outageUntil
+	case l.isCurrent || l.maxAge == 0 || l.isLongOutage(now) || now < l.confirmedUntil():
+		return useList
+	case l.pushed && now >= l.pushedUntil():
+		return waitForNewList
+	case now < l.acceptingUntil(l.acceptedAt), l.checksAllowed && (l.inOutage || l.isDelayed):
+		return useAccepting
 	}
-	return waitForNewList, noEnd
+	return waitForNewList
 }
 
-// isExpired reports whether requests have to wait for a list.
-func (l *listAge) isExpired(now time.Duration) bool {
-	use, _ := l.use(now)
-	return use == waitForNewList
+// noEnd is later than any time.
+const noEnd time.Duration = 1<<63 - 1
+
+// pushedUntil returns the time until which, where lists are pushed, the agent cannot have a change that is
+// missing from the list, apart from those that a silent watch has missed. An agent may have changes as soon
+// as it can be reached again.
+func (l *listAge) pushedUntil() time.Duration {
+	if !l.pushed || l.agentSilent {
+		return noEnd
+	}
+	return l.watchedAt + l.pushedAge
 }
 
-// isRestricted reports whether only servers that have accepted clients in the outage may get requests.
-func (l *listAge) isRestricted(now time.Duration) bool {
-	use, _ := l.use(now)
-	return use == useAccepting
+// confirmedUntil returns the time until which the list that a watch last confirmed may be used.
+func (l *listAge) confirmedUntil() time.Duration {
+	if l.isUnknown {
+		return 0
+	}
+	return min(l.confirmedAt+l.maxAge, l.pushedUntil())
 }
 
+// acceptingUntil returns the time until which a server may be used, whatever the age of the list, that has
+// accepted clients after acceptedAt, and so did not drain then. While a list arrives, a drain counts as
+// reported some time after it began; in an outage it does not. All that a silent watch misses counts as
+// reported at the same time, so there this is of no use.
+func (l *listAge) acceptingUntil(acceptedAt time.Duration) time.Duration {
+	var until time.Duration
+	if l.isDelayed && acceptedAt > 0 {
+		until = acceptedAt + l.maxAge
+	}
+	if l.outageEnd > 0 && acceptedAt >= l.outageStart {
+		until = max(until, l.outageEnd+l.maxAge)
+	}
+	return min(until, l.pushedUntil())
+}
+
+// isExpired reports whether requests have to wait for a list.
+func (l *listAge) isExpired(now time.Duration) bool { return l.use(now) == waitForNewList }
+
+// isRestricted reports whether only servers that have shown that they accept clients may get requests.
+func (l *listAge) isRestricted(now time.Duration) bool { return l.use(now) == useAccepting }
+
 // excludes reports whether a server may not get requests because it may have begun to drain.
 func (l *listAge) excludes(s *server, now time.Duration) bool {
-	return s.acceptedAt < l.outageStart && l.isRestricted(now)
+	return l.isRestricted(now) && now >= l.acceptingUntil(s.acceptedAt)
 }
 
 // isUrgent reports whether requests have to wait, now or soon, unless a list arrives.
@@ -190,14 +222,14 @@
 	return l.outageAge > 0 && now >= l.confirmedAt+l.outageAge && !isRecovering
 }
 
-// limitSending returns the time within which an attempt has to be sent: sendWithin, or the time until the
-// list expires if that is shorter. 0 means no limit.
-func (l *listAge) limitSending(now, sendWithin time.Duration) time.Duration {
+// limitSending returns the time within which an attempt on a server has to be sent: sendWithin, or the time
+// until the server may no longer be used if that is shorter. 0 means no limit.
+func (l *listAge) limitSending(now time.Duration, s *server, sendWithin time.Duration) time.Duration {
 	if !l.isUrgent(now) {
 		return sendWithin
 	}
-	_, until := l.use(now)
-	return min(cmp.Or(sendWithin, until-now), until-now)
+	timeLeft := max(l.confirmedUntil(), l.acceptingUntil(s.acceptedAt)) - now
+	return min(cmp.Or(sendWithin, timeLeft), timeLeft)
 }
 
 // ListAge returns the time since the endpoint list was last confirmed; 0 if a watch delivers all changes.
--- a/balance/listage_test.go
+++ b/balance/listage_test.go
@@ -276,6 +276,42 @@
 	}
 }
 
+// Guards against requests that wait or are rejected while a list arrives slowly though a server has shown
+// that it does not drain, and against requests for a server whose drain may count as reported. A watch that
+// falls silent with half a list is like any silent watch.
+func TestDelayedList(t *testing.T) {
+	n := newNodeWithList(listAgeConfig(1))
+	confirmedAt := n.now
+	n.now += time.Second
+	n.handle(EndpointUpdate{Kind: ListDelayed, ConfirmedAt: confirmedAt, WatchedUntil: n.now - 100*ms})
+	n.now = confirmedAt + n.config.MaxListAge - time.Second
+	acceptedAt := n.now
+	_, s := n.establish("safe", "early")
+	n.now = confirmedAt + n.config.MaxListAge
+	for i := range 50 {
+		if _, got := n.place("safe", fmt.Sprint("late-", i)); got != s {
+			t.Fatalf("placed on server %d, want %d, which has accepted a client", got, s)
+		}
+	}
+	n.now = acceptedAt + n.config.MaxListAge
+	if _, actions := n.request("safe", "too late"); !slices.ContainsFunc(actions, isListAwaited) {
+		t.Errorf("when a drain of each server may count as reported: %v", actions)
+	}
+	if actions := n.handle(EndpointUpdate{Kind: ListDelta}); sentTo(actions) == 0 {
+		t.Errorf("with the list: %v", actions)
+	}
+	confirmedAt = n.now
+	n.handle(EndpointUpdate{Kind: ListDelayed, ConfirmedAt: confirmedAt})
+	n.now += 4 * time.Second
+	n.establish("safe", "before the silence")
+	n.handle(EndpointUpdate{Kind: WatchBroken, ConfirmedAt: confirmedAt, Silent: true})
+	n.handle(EndpointUpdate{Kind: ListDelayed})
+	n.now = confirmedAt + n.config.MaxListAge
+	if _, actions := n.request("safe", "silent"); !slices.ContainsFunc(actions, isListAwaited) {
+		t.Errorf("after the silence: %v", actions)
+	}
+}
+
 // Guards against requests that are rejected, or sent to a draining server, after a start in an outage where
 // lists are pushed: each server has to pass a health check first, and one that passes gets no other.
 func TestReadinessChecksInOutage(t *testing.T) {
--- a/balance/state.go
+++ b/balance/state.go
@@ -45,7 +45,7 @@
 	LatestStart time.Duration `json:"started"` // latest time at which the server may have started
 	// StartLearnedAt is the time at which the node learned of that start; 0 if it did not.
 	StartLearnedAt time.Duration `json:"told"`
-	// AcceptedAt is a time in the outage after which the server has accepted clients; 0 if it has not.
+	// AcceptedAt is a time after which the server has accepted clients; 0 if it has not for long.
 	AcceptedAt time.Duration `json:"accepted,omitempty"`
 }
 
@@ -66,9 +66,7 @@
 	}
 	for _, id := range slices.Sorted(maps.Keys(b.servers)) {
 		record := b.servers[id].record()
-		if state.Outage != nil && b.servers[id].acceptedAt >= state.Outage.StartedAt {
-			record.AcceptedAt = b.servers[id].acceptedAt
-		}
+		record.AcceptedAt = b.listAge.recordAccepted(now, b.servers[id])
 		state.Servers = append(state.Servers, record)
 	}
 	for _, key := range slices.Sorted(maps.Keys(b.affinity.entries)) {
--- a/internal/discovery/errors.go
+++ b/internal/discovery/errors.go
@@ -11,6 +11,9 @@
 // ErrWatchEnded reports a watch that the discovery service closed.
 var ErrWatchEnded = errors.New("the discovery service closed the watch")
 
+// ErrListTooSlow reports a list whose parts took longer than maxListTime to arrive.
+var ErrListTooSlow = errors.New("the discovery service sent a list too slowly")
+
 // EndpointError reports an endpoint with an invalid field.
 type EndpointError struct {
 	Index   int    // in the list
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -23,6 +23,10 @@
 	// first list they do so only if that has not arrived within firstListTime of the response header. It may be nil.
 	OnHeartbeat func()
 
+	// OnDelay is called once for a list or a set of changes that has begun to arrive at begunAt and is not complete
+	// after listDelay. OnEvent for it is called later. It may be nil.
+	OnDelay func(begunAt time.Time)
+
 	// OnSilence is called each time that no data has arrived for the client's SilenceTimeout, or for
 	// responseTimeFactor of that before the first data.
 	OnSilence func()
@@ -63,11 +67,17 @@
 		handler.OnEvent(list)
 		return nil
 	}
-	body := &listReader{onData: onData, onHeartbeat: handler.OnHeartbeat}
-	err := c.watch(context.WithValue(ctx, startDeadlineKey{}, startDeadline), addr, sinceVersion, body,
-		handler.OnDate, accept)
-	if ctxErr := ctx.Err(); ctxErr != nil {
-		err = ctxErr
+	callCtx, cancel := context.WithCancelCause(context.WithValue(ctx, startDeadlineKey{}, startDeadline))
+	defer cancel(nil)
+	progress := &listProgress{onDelay: handler.OnDelay, onTimeout: func() { cancel(ErrListTooSlow) }}
+	if progress.onDelay == nil {
+		progress.onDelay = func(time.Time) {}
+	}
+	defer progress.end()
+	body := &listReader{onData: onData, onHeartbeat: handler.OnHeartbeat, progress: progress}
+	err := c.watch(callCtx, addr, sinceVersion, body, handler.OnDate, accept)
+	if callCtx.Err() != nil {
+		err = context.Cause(callCtx)
 	}
 	c.Counters.Failures.Add(1)
 	return err
@@ -111,6 +121,7 @@
 		case err != nil:
 			return &ListError{Err: err}
 		}
+		body.progress.end()
 		if err := list.Validate(); err != nil {
 			return &ListError{Err: err}
 		}
@@ -131,6 +142,7 @@
 	onData      func() // called when bytes arrive
 	onHeartbeat func() // called when an empty line confirms the list; may be nil
 	respondedAt time.Time
+	progress    *listProgress
 	hasList     bool  // a list was read
 	listBytes   int   // bytes since the last list
 	readErr     error // the read error that ended the body, other than io.EOF
@@ -143,7 +155,9 @@
 // list.
 func (r *listReader) startList(buffered io.Reader) {
 	text, _ := io.ReadAll(buffered) // a reader of memory, which cannot fail
-	r.listBytes = len(bytes.TrimSpace(text))
+	if r.listBytes = len(bytes.TrimSpace(text)); r.listBytes > 0 {
+		r.progress.begin()
+	}
 }
 
 func (r *listReader) Read(p []byte) (int, error) {
@@ -151,9 +165,13 @@
 	if n > 0 {
 		r.onData()
 	}
-	if len(bytes.Trim(p[:n], "\r\n")) > 0 {
+	switch {
+	case len(bytes.TrimSpace(p[:n])) > 0:
+		r.progress.begin()
+		r.listBytes += n
+	case len(bytes.Trim(p[:n], "\r\n")) > 0: // white space before or within a list
 		r.listBytes += n
-	} else if n > 0 {
+	case n > 0:
 		r.readEmptyLine()
 	}
 	if r.listBytes > maxListBytes {
@@ -167,7 +185,7 @@
 
 // readEmptyLine reports a heartbeat, unless the line belongs to a list or precedes the first one.
 func (r *listReader) readEmptyLine() {
-	isBetweenLists := r.listBytes == 0 && (r.hasList || time.Since(r.respondedAt) >= firstListTime)
+	isBetweenLists := !r.progress.hasBegun() && (r.hasList || time.Since(r.respondedAt) >= firstListTime)
 	if isBetweenLists && r.onHeartbeat != nil {
 		r.onHeartbeat()
 	}
--- a/node/fakediscovery_test.go
+++ b/node/fakediscovery_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -16,6 +17,7 @@
 type fakeDiscovery struct {
 	addr          string
 	lines         chan string
+	parts         chan string // of lines, sent without a line ending
 	mu            sync.Mutex
 	failingCalls  int
 	failureDelay  time.Duration // before a failing call is answered
@@ -59,8 +61,8 @@
 }
 
 func newFakeDiscovery(t *testing.T, failures int) *fakeDiscovery {
-	d := &fakeDiscovery{lines: make(chan string, 100), failingCalls: failures, silent: make(chan struct{}),
-		resumed: make(chan struct{})}
+	d := &fakeDiscovery{lines: make(chan string, 100), parts: make(chan string), failingCalls: failures,
+		silent: make(chan struct{}), resumed: make(chan struct{})}
 	httpServer := httptest.NewServer(http.HandlerFunc(d.serve))
 	t.Cleanup(func() { // closing the connections ends the handlers too
 		httpServer.CloseClientConnections()
@@ -116,12 +118,24 @@
 			return
 		case line := <-d.lines:
 			fmt.Fprintln(w, line)
+		case part := <-d.parts:
+			fmt.Fprint(w, part)
 		case <-time.After(time.Second):
 			fmt.Fprintln(w)
 		}
 	}
 }
 
+// sendListInParts sends a list in parts over a time. A heartbeat would interrupt it.
+func (d *fakeDiscovery) sendListInParts(over time.Duration, version int, full bool, entries ...string) {
+	const parts = 20
+	list := fmt.Sprintf(`{"version":%d,"full":%v,"servers":[%s]}`, version, full, strings.Join(entries, ","))
+	for part := range slices.Chunk([]byte(list), len(list)/parts) {
+		d.parts <- string(part)
+		time.Sleep(over / (parts + 1))
+	}
+}
+
 // sendList sends a list with entries in JSON to a watch.
 func (d *fakeDiscovery) sendList(version int, full bool, entries ...string) {
 	d.lines <- fmt.Sprintf(`{"version":%d,"full":%v,"servers":[%s]}`, version, full, strings.Join(entries, ","))
--- a/node/listage_test.go
+++ b/node/listage_test.go
@@ -81,6 +81,41 @@
 	}
 }
 
+// Guards against new clients for a server while the change that it drains arrives in parts: the change counts as
+// received some time after the service had it, or where lists are pushed at once, also if it is not complete.
+func TestDelayedListHoldsNewClients(t *testing.T) {
+	for mode, countsAfter := range map[string]time.Duration{"on_request": reportDelay, "pushed": 0} {
+		t.Run(mode, func(t *testing.T) {
+			t.Parallel()
+			srv, other := newTestServer(t, "s-1"), newTestServer(t, "s-2")
+			discoveryServer := newFakeDiscovery(t, 0)
+			cfg := testConfig(t, discoveryServer, srv)
+			withoutHealthChecks(&cfg)
+			cfg.Settings.MembershipMode, cfg.Settings.Servers.DrainGraceMicros = mode, 250_000
+			n := runNode(t, cfg, discoveryServer)
+			n.loop.post(n.loop.subscribe)
+			n.awaitFirstList()
+			n.establish(srv)
+			sent := make(chan struct{})
+			go func() {
+				defer close(sent)
+				discoveryServer.sendListInParts(countsAfter+1500*time.Millisecond, 3, false,
+					srv.endpointJSON("draining"), other.endpointJSON("up"))
+			}()
+			time.Sleep(countsAfter + 300*time.Millisecond)
+			client := n.open("k", "")
+			select {
+			case <-srv.conns:
+				t.Error("the draining server got a client")
+			case <-sent:
+			}
+			server, _ := other.accept(t)
+			server.send("UP r-1\r\n")
+			client.expect("UP r-1\r\n")
+		})
+	}
+}
+
 // Guards against a list that counts as up to date for longer than it may be after a reload, or in the process that an
 // upgrade starts.
 func TestListAgeAfterReloadAndUpgrade(t *testing.T) {
--- a/node/watch.go
+++ b/node/watch.go
@@ -101,6 +101,7 @@
 			receivedAt := time.Now()
 			post(func() { l.onWatchHeartbeat(w, receivedAt) })
 		},
+		OnDelay:   func(begunAt time.Time) { post(func() { l.onListDelayed(w, begunAt) }) },
 		OnSilence: func() { post(func() { l.onWatchBroken(w, errDiscoverySilent) }) },
 		OnDate: func(date, requestedAt, respondedAt time.Time) {
 			lead := l.leadOver(date, requestedAt, respondedAt)
@@ -148,6 +149,21 @@
 	}
 }
 
+// onListDelayed handles a list or a set of changes that arrives slowly. Until it is complete, changes are missing from
+// the list at hand.
+func (l *loop) onListDelayed(w *watch, begunAt time.Time) {
+	if w.addr != l.discoveryAddr {
+		return
+	}
+	update := balance.EndpointUpdate{Kind: balance.ListDelayed, WatchedUntil: l.timeAt(begunAt)}
+	if !l.listConfirmedAt.IsZero() {
+		update.ConfirmedAt = l.timeAt(l.listConfirmedAt)
+	}
+	l.handle(update)
+	l.log.Info("endpoint list delayed", zap.String("discovery", w.addr), zap.Int64("version", l.listVersion),
+		zap.Duration("list_age", l.balancer.ListAge(l.now())))
+}
+
 // closePreviousWatch closes the previous watch, if any.
 func (l *loop) closePreviousWatch() {
 	l.previousWatch.stop()
