A connection that floods a node with lines no longer delays other clients

Cause: with one processor the scheduler looks for readable sockets only when nothing is runnable, else once in 10 ms, and the goroutine of a flood always is. A request waits for sockets some five times.

Change: internal/lines/pacer.go. A direction of a connection may have 500 lines a second and 100 at once; what exceeds that shares 10,000 a second for each core with all others, with pauses of at least 2 ms, in which the scheduler sees the other sockets.

--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -19,7 +19,9 @@
 
 // relayClientLines reads from the client until its connection ends or another process continues it.
 func (x *Exchange) relayClientLines() {
+	flow := x.limits.Pacer.NewFlow()
 	for drainedBytes := 0; ; {
+		flow.Await()
 		line, transferred, err := x.readClientLine()
 		if transferred {
 			return
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -54,8 +54,9 @@
 	HandedOver   Reason = "handed_over"   // another process of this node continues the connection
 )
 
-// Limits holds the time limits of an exchange.
+// Limits holds the limits of an exchange.
 type Limits struct {
+	Pacer              *lines.Pacer  // of the lines in both directions; nil for no limit
 	ResponseTimeout    time.Duration // for a response to a message
 	LateReportInterval time.Duration // between two reports of a message without a response
 	CloseTimeout       time.Duration // for an ended connection to close, and for a write to a peer that does not read
--- a/internal/exchange/server.go
+++ b/internal/exchange/server.go
@@ -32,7 +32,9 @@
 func (x *Exchange) relayServerLines(parseReport func([]byte) *balance.LoadReport) (
 	balance.Outcome, *balance.LoadReport) {
 	result := serverResult{outcome: balance.Reset, reason: ServerReset} // without BYE or MOVE
+	flow := x.limits.Pacer.NewFlow()
 	for {
+		flow.Await()
 		line, err := x.server.ReadLine()
 		if errors.Is(err, os.ErrDeadlineExceeded) {
 			if done, outcome, report := x.handleServerTimeout(result); done {
--- a/internal/frontend/request.go
+++ b/internal/frontend/request.go
@@ -56,7 +56,9 @@
 // readFirstLine answers PING lines and returns the first other line. PING lines do not extend the handshake: a client
 // that sends nothing else is rejected in the same way as one that sends nothing.
 func (s *Server) readFirstLine(conn *lines.Conn) (line []byte, code exchange.Reason) {
+	flow := s.cfg.ExchangeLimits.Pacer.NewFlow()
 	for code = NoFirstLine; ; code = PingOnly {
+		flow.Await()
 		line, err := conn.ReadLine()
 		switch {
 		case errors.Is(err, lines.ErrTooLong):
--- a/node/node.go
+++ b/node/node.go
@@ -24,6 +24,7 @@
 	"brassmux/internal/backend"
 	"brassmux/internal/exchange"
 	"brassmux/internal/frontend"
+	"brassmux/internal/lines"
 	"brassmux/internal/settings"
 	"brassmux/internal/upgrade"
 )
@@ -128,6 +129,7 @@
 		ClassCounters:    func(name []byte) *exchange.ClassCounters { return n.loop.classCounters[string(name)] },
 		IsInService:      n.lifecycle.acceptsClients,
 		ExchangeLimits: exchange.Limits{
+			Pacer:              lines.NewPacer(n.cfg.cores()),
 			ResponseTimeout:    milliseconds(timeouts.ResponseSilenceMS),
 			LateReportInterval: milliseconds(timeouts.LateNoticeMS),
 			CloseTimeout:       milliseconds(timeouts.CloseMS),
@@ -138,6 +140,14 @@
 // Addr returns the address on which clients connect.
 func (n *Node) Addr() net.Addr { return n.listener.Addr() }
 
+// cores returns the number of processor cores that the process may use.
+func (c *Config) cores() float64 {
+	if c.Limits.Cores > 0 {
+		return c.Limits.Cores
+	}
+	return float64(runtime.GOMAXPROCS(0))
+}
+
 // ApplyLimits applies the configured cores and memory to the Go runtime of this process. A program that does other work
 // besides running a node should not call it.
 func (n *Node) ApplyLimits() {
