A head with hundreds of fields takes no more memory than any other

Cause: ParseHead kept the names in a map, to find one that is given twice: 56,180 bytes for each head, garbage when it returns.

Change: the names are in a table of 4 KB on the stack, by their offsets in the line. A line over the limit of lines is malformed here too (a hand-over could bring one).

--- a/internal/exchange/head.go
+++ b/internal/exchange/head.go
@@ -8,6 +8,8 @@
 	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"brassmux/internal/lines"
 )
 
@@ -42,7 +44,7 @@
 	text, ok := lines.TrimPrintable(line)
 	if string(lines.FirstWord(line)) != "OPEN" {
 		return nil, ErrUnknown
-	} else if !ok {
+	} else if !ok || len(line) > lines.MaxLength {
 		return nil, ErrMalformed
 	}
 	fields := bytes.Split(text, []byte(" "))
@@ -51,13 +53,12 @@
 	}
 	head := &Head{line: line, ID: fields[1], Key: fields[2]}
 	offset := len(text) - len(fields[3])
-	seen := map[string]bool{}
+	var names nameSet
 	for pair := range bytes.SplitSeq(fields[3], []byte(",")) {
 		name, value, ok := bytes.Cut(pair, []byte("="))
-		if !ok || len(name) == 0 || seen[string(name)] {
+		if !ok || len(name) == 0 || !names.add(text, offset, len(name)) {
 			return nil, ErrMalformed
 		}
-		seen[string(name)] = true
 		if !head.setAttribute(string(name), value, offset+len(name)+1) {
 			return nil, ErrMalformed
 		}
@@ -69,6 +70,28 @@
 	return head, nil
 }
 
+// nameSetSize exceeds the number of attributes that fit in a line, so that a nameSet is never full.
+const nameSetSize = lines.MaxLength / 2
+
+// nameSet is a hash table of the attribute names in a line. It takes no memory beyond its own, so that lines with very
+// many attributes cost no more than others.
+type nameSet [nameSetSize]uint16 // offsets of names in the line, 0 for none: the first name follows the ID
+
+// add adds the name of a length at an offset of text. It returns false if the set contains the name.
+func (s *nameSet) add(text []byte, offset, length int) bool {
+	name := text[offset : offset+length]
+	for i := xxhash.Sum64(name); ; i++ {
+		slot := &s[i%nameSetSize]
+		if *slot == 0 {
+			*slot = uint16(offset)
+			return true
+		}
+		if other := text[*slot:]; len(other) > length && other[length] == '=' && bytes.Equal(other[:length], name) {
+			return false
+		}
+	}
+}
+
 // setAttribute sets the attribute whose value begins at the offset in the line. It returns false for an invalid value.
 // Unknown attributes are ignored, since the server may know them.
 func (h *Head) setAttribute(name string, value []byte, offset int) bool {
--- a/internal/exchange/head_test.go
+++ b/internal/exchange/head_test.go
@@ -3,9 +3,14 @@
 import (
 	"bytes"
 	"errors"
+	"fmt"
+	"runtime"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
+
+	"brassmux/internal/lines"
 )
 
 func TestWithTimeoutReplacesOnlyTimeout(t *testing.T) {
@@ -117,3 +122,59 @@
 		}
 	})
 }
+
+// manyAttributes returns a first line with a number of further attributes, whose names have a length of 1 to 3 bytes.
+func manyAttributes(count int) []byte {
+	line := []byte("OPEN id key c=chat,d=2000")
+	for i := range count {
+		line = fmt.Appendf(line, ",%s=1", strconv.FormatInt(int64(i), 36)+"-")
+	}
+	return append(line, "\r\n"...)
+}
+
+// Guards against memory that grows with the number of attributes: many clients at once that send very many short ones
+// exceeded the limit of a small machine.
+func TestParseHeadWithManyAttributesAllocatesLittle(t *testing.T) {
+	const attributes, rounds, maxBytes = 540, 200, 1 << 10
+	line := manyAttributes(attributes)
+	if len(line) > lines.MaxLength {
+		t.Fatalf("%d bytes", len(line))
+	}
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	for range rounds {
+		if _, err := ParseHead(line); err != nil {
+			t.Fatal(err)
+		}
+	}
+	runtime.ReadMemStats(&after)
+	if perHead := (after.TotalAlloc - before.TotalAlloc) / rounds; perHead > maxBytes {
+		t.Errorf("%d bytes for a line with %d attributes, want at most %d", perHead, attributes, maxBytes)
+	}
+}
+
+// Guards against an attribute that is given twice and accepted, or given once and rejected, among any number of others.
+func TestParseHeadFindsRepeatedAttribute(t *testing.T) {
+	for _, count := range []int{0, 1, 10, 540} {
+		line := bytes.TrimSuffix(manyAttributes(count), []byte("\r\n"))
+		for repeated, want := range map[string]error{"": nil, ",zz-=1": nil, ",z=1": nil, ",c=chat": ErrMalformed,
+			",d=1": ErrMalformed} {
+			if _, err := ParseHead(fmt.Appendf(nil, "%s%s\r\n", line, repeated)); err != want {
+				t.Errorf("%d attributes and %q: %v, want %v", count, repeated, err, want)
+			}
+		}
+		for i := range min(count, 300) {
+			repeated := strconv.FormatInt(int64(i), 36) + "-"
+			if _, err := ParseHead(fmt.Appendf(nil, "%s,%s=2\r\n", line, repeated)); err != ErrMalformed {
+				t.Fatalf("%d attributes and %s again: %v", count, repeated, err)
+			}
+		}
+	}
+	full := []byte("OPEN i k c=x,d=1")
+	for i := 0; len(full) < lines.MaxLength-8; i++ {
+		full = fmt.Appendf(full, ",%c=", rune(0x100+i))
+	}
+	if _, err := ParseHead(append(full, "\r\n"...)); err != nil {
+		t.Errorf("a line full of attributes: %v", err)
+	}
+}
