Clients under ever new keys take an eighth of the memory limit at most

Cause: the affinity table remembers clients for 30 s and was bounded by the open requests that a site allows, a million and more. One client's connections left a record each for 30 s as well.

Change: with limits.memory_mb the table has room for an eighth of it, 49,152 clients on 192 MB, so that the 30 s hold at up to 1,638 new clients a second; the longest idle are forgotten first. Outdated records are removed each time that their number may have doubled.

The new test kept 10,000 records before.

--- a/balance/affinity.go
+++ b/balance/affinity.go
@@ -2,18 +2,23 @@
 
 import (
 	"cmp"
+	"slices"
 	"time"
 )
 
 // affinityTTL is the time for which the server of a client is remembered after the client's last connection.
 const affinityTTL = 30 * time.Second
 
+// minIdleCompaction is the least length of affinityTable.idle at which outdated elements are removed.
+const minIdleCompaction = 64
+
 // affinityTable maps each client to its server while the client has a connection and for affinityTTL after
 // that. When it has maxEntries entries, those that have been idle longest are evicted.
 type affinityTable struct {
 	maxEntries int
 	entries    map[string]*affinityEntry
 	idle       []affinityEntry // copies in order of expiry; one that differs from its entry is outdated
+	compactAt  int             // length of idle at which outdated elements are removed
 }
 
 // affinityEntry records the server of one client.
@@ -58,14 +63,30 @@
 	if e.connections--; e.connections == 0 {
 		e.expiresAt = now + affinityTTL
 		t.idle = append(t.idle, *e)
+		t.compact()
 	}
 }
 
+// compact removes the outdated elements of idle each time that their number may have doubled.
+func (t *affinityTable) compact() {
+	if len(t.idle) < t.compactAt {
+		return
+	}
+	t.idle = slices.DeleteFunc(t.idle, t.isOutdated)
+	t.compactAt = 2*len(t.idle) + minIdleCompaction
+}
+
+// isOutdated reports whether an element of idle differs from its entry.
+func (t *affinityTable) isOutdated(idle affinityEntry) bool {
+	e := t.entries[idle.key]
+	return e == nil || *e != idle
+}
+
 // expire removes expired entries, and while the table is full the entries that expire next.
 func (t *affinityTable) expire(now time.Duration) {
 	for len(t.idle) > 0 && (t.idle[0].expiresAt <= now || len(t.entries) >= t.maxEntries) {
-		if e := t.entries[t.idle[0].key]; e != nil && *e == t.idle[0] {
-			t.remove(e)
+		if !t.isOutdated(t.idle[0]) {
+			t.remove(t.entries[t.idle[0].key])
 		}
 		t.idle = t.idle[1:]
 	}
--- a/balance/affinity_test.go
+++ b/balance/affinity_test.go
@@ -66,3 +66,31 @@
 		t.Errorf("wrong entries were evicted: %d left", len(n.affinity.entries))
 	}
 }
+
+// Guards against memory that grows with every connection of one client, and with every client beyond the
+// limit of the table.
+func TestAffinityTableIsBounded(t *testing.T) {
+	config := testConfig()
+	config.MaxAffinities = 100
+	n := newTestNode(config, readyServers(1)...)
+	for range 10_000 {
+		id, s := n.establish("safe", "always the same")
+		n.end(id, s)
+		n.now += ms
+	}
+	if count := len(n.affinity.idle); count > 2*minIdleCompaction {
+		t.Errorf("%d records of one client", count)
+	}
+	for i := range 10_000 {
+		id, s := n.establish("safe", fmt.Sprint("client-", i))
+		n.end(id, s)
+	}
+	entries, idle := len(n.affinity.entries), len(n.affinity.idle)
+	if entries > config.MaxAffinities || idle > 4*entries+minIdleCompaction {
+		t.Errorf("%d entries and %d records of idle clients, want at most %d entries", entries, idle,
+			config.MaxAffinities)
+	}
+	if n.affinity.entries["client-9999"] == nil || n.affinity.entries["client-1"] != nil {
+		t.Error("the clients that are remembered are not the last ones")
+	}
+}
--- a/balance/api.go
+++ b/balance/api.go
@@ -106,9 +106,11 @@
 	HealthChecksAllowed bool
 	// MaxRetryAfter is the longest Reject.RetryAfter that clients honour; 0 means that none is sent.
 	MaxRetryAfter time.Duration
-	// MaxOpenRequests is the number of requests that may be open at once. It also bounds the affinity table.
-	// 0 means defaultMaxOpenRequests.
+	// MaxOpenRequests is the number of requests that may be open at once. 0 means defaultMaxOpenRequests.
 	MaxOpenRequests int
+	// MaxAffinities bounds the clients whose server is remembered. If more have come within affinityTTL,
+	// those that have been idle longest are forgotten. 0 means MaxOpenRequests.
+	MaxAffinities int
 	// TickInterval is the shortest time between two events. A request is retried only if more than this is
 	// left until its deadline.
 	TickInterval time.Duration
--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -79,7 +79,7 @@
 		servers:               map[ServerID]*server{},
 		rankings:              map[string][]*server{},
 		requests:              map[RequestID]*request{},
-		affinity:              newAffinityTable(config.MaxOpenRequests),
+		affinity:              newAffinityTable(cmp.Or(max(config.MaxAffinities, 0), config.MaxOpenRequests)),
 		listStaleAt:           math.MaxInt64,
 		listAge:               newListAge(config),
 		utilisationLimit:      1,
--- a/node/loop.go
+++ b/node/loop.go
@@ -59,6 +59,7 @@
 	balanceConfig := cfg.Settings.BalanceConfig()
 	balanceConfig.ClockUntrusted = true
 	limitListAge(&balanceConfig, &cfg.Settings)
+	balanceConfig.MaxAffinities = cfg.Limits.maxAffinities(balanceConfig.MaxOpenRequests)
 	balanceConfig.GossipEnabled = false        // nodes have no transport for gossip
 	balanceConfig.LateMessagesReported = false // not reported over sockets; servers may echo at once under any load
 	l := &loop{
