A request ID does not run twice across an upgrade, nor within a minute

Cause: each process remembered the IDs of its last 2,048 to 4,096 ended requests, and told no other process.

Change: IDs are held as hashes, for 60 s at least while there is memory for them: a 32nd of limits.memory_mb, which is 131,072 IDs or 2,184 requests a second on 192 MB. The counter ids_held_ms says for how long they are held now. The state of an upgrade has them; until the link ends both processes tell each other each ID at its beginning and its end (node/peer.go, with the orders). A connection that is handed over is accepted though its ID is known from the other process.

Left: an ID that comes to both processes within the time of one message.

--- a/internal/frontend/request.go
+++ b/internal/frontend/request.go
@@ -24,7 +24,7 @@
 	if err != nil {
 		return nil, nil, s.reject(conn, Malformed, err.Error())
 	}
-	switch code := s.reserveRequest(head); code {
+	switch code := s.reserveRequest(head, s.IDs.begin); code {
 	case AtCapacity:
 		s.Counters.AtCapacity.Add(1)
 		counters.Rejected.Add(1)
@@ -105,14 +105,15 @@
 	io.Copy(io.Discard, io.LimitReader(conn.TCPConn, exchange.MaxDrainBytes))
 }
 
-// reserveRequest reserves a slot and the ID of a request. If it cannot it returns the code of the rejection.
-func (s *Server) reserveRequest(head *exchange.Head) exchange.Reason {
+// reserveRequest reserves a slot and the ID of a request, the latter by begin. If it cannot it returns the code of the
+// rejection.
+func (s *Server) reserveRequest(head *exchange.Head, begin func(id []byte) bool) exchange.Reason {
 	select {
 	case s.requestSlots <- struct{}{}:
 	default:
 		return AtCapacity
 	}
-	if !s.requestIDs.begin(string(head.ID)) {
+	if !begin(head.ID) {
 		<-s.requestSlots
 		return IDInUse
 	}
@@ -121,6 +122,6 @@
 
 // releaseRequest releases the slot and the ID that reserveRequest reserved.
 func (s *Server) releaseRequest(head *exchange.Head) {
-	s.requestIDs.end(string(head.ID))
+	s.IDs.end(head.ID)
 	<-s.requestSlots
 }
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -32,6 +32,9 @@
 	MaxRequests      int           // limit on open requests; further requests are answered with BUSY
 	MaxHandshakes    int           // limit on connections without a request yet or being rejected
 	ExchangeLimits   exchange.Limits
+	// MaxRememberedIDs is the number of ended requests whose IDs are remembered at least; the memory for them is for
+	// twice as many. 0 selects a default.
+	MaxRememberedIDs int
 
 	ClassCounters func(name []byte) *exchange.ClassCounters // returns the counters of a class, nil if unknown
 	IsInService   func() bool                               // reports whether a PING is answered with PONG
@@ -56,10 +59,10 @@
 	onRequest      func(*exchange.Exchange)
 	requestSlots   chan struct{} // holds an element for each open request
 	handshakeSlots chan struct{} // holds an element for each connection without a request
-	requestIDs     *requestIDs
 	connections    sync.WaitGroup
 	acceptDeadline atomic.Pointer[time.Time] // set by AcceptRemaining
 	Counters       Counters
+	IDs            *RequestIDs
 
 	mu               sync.Mutex    // guards the fields below; not held during I/O
 	handshakes       []handshake   // oldest first; without those that were shortened
@@ -76,7 +79,7 @@
 		onRequest:        onRequest,
 		requestSlots:     make(chan struct{}, cfg.MaxRequests),
 		handshakeSlots:   make(chan struct{}, cfg.MaxHandshakes),
-		requestIDs:       newRequestIDs(),
+		IDs:              newRequestIDs(cfg.MaxRememberedIDs),
 		firstLineTimeout: cfg.FirstLineTimeout,
 	}
 }
@@ -124,7 +127,7 @@
 	if counters == nil {
 		return false
 	}
-	if s.reserveRequest(head) != "" {
+	if s.reserveRequest(head, s.IDs.beginInherited) != "" {
 		return false
 	}
 	x := exchange.NewInherited(conn, head, client, server, counters, s.observer, s.cfg.ExchangeLimits, s.log)
--- a/internal/upgrade/golden_test.go
+++ b/internal/upgrade/golden_test.go
@@ -46,6 +46,9 @@
 		{Kind: KindHello, Orders: &Orders{}},
 		{Kind: KindStateEnd, OutOfService: true, Orders: orders},
 		{Kind: KindOrders, Orders: orders},
+		{Kind: KindState, IDs: IDs{1, 1<<64 - 1}},
+		{Kind: KindStateEnd, IDSeed: 1<<64 - 1},
+		{Kind: KindIDs, IDs: IDs{5}},
 	}
 }
 
--- a/internal/upgrade/message.go
+++ b/internal/upgrade/message.go
@@ -17,7 +17,8 @@
 // successor replies to each with KindAccepted or KindRejected, in the same order.
 //
 // After KindStateEnd either process sends KindOrders each time that the orders in force at it have changed, if the
-// KindHello or KindStateEnd of the other one had the field Orders. Processes of earlier builds lack that field.
+// KindHello or KindStateEnd of the other one had the field Orders. Processes of earlier builds lack that field. In the
+// same way it sends KindIDs for the requests that have begun or ended at it since.
 const (
 	KindHello      Kind = "hello"
 	KindState      Kind = "learned"
@@ -28,6 +29,7 @@
 	KindAccepted   Kind = "taken"
 	KindRejected   Kind = "not_taken"
 	KindOrders     Kind = "orders"
+	KindIDs        Kind = "ids"
 )
 
 // protocolVersion must be changed when the meaning of a message changes. Processes with different versions reject each
@@ -54,6 +56,11 @@
 	// they are empty and show that the sender understands KindOrders.
 	Orders *Orders `json:"orders,omitempty"`
 
+	// IDs are hashes of the IDs of requests, in messages of KindState and KindIDs, at most MaxIDs in one message.
+	// IDSeed is the seed of the hashes, in the message of KindStateEnd.
+	IDs    IDs    `json:"ids,omitempty"`
+	IDSeed uint64 `json:"id_seed,omitempty"`
+
 	// Connection describes the connection that a message of KindConnection transfers.
 	Connection *exchange.OpenConnection `json:"standing,omitempty"`
 }
@@ -68,6 +75,9 @@
 	// MaxEntries is the maximum number of clients, servers or endpoints in one message of KindState. An entry takes
 	// about 150 bytes, plus up to 128 bytes for its key, each of which JSON may escape as six bytes.
 	MaxEntries = 60
+
+	// MaxIDs is the maximum number of IDs in one message. An ID takes 11 bytes.
+	MaxIDs = 4096
 )
 
 // encode sets the protocol version and returns the JSON of the message, or a *SizeError if it exceeds maxMessageBytes.
@@ -105,7 +115,7 @@
 // validate checks the fields that the kind of the message requires.
 func (m *Message) validate() error {
 	switch m.Kind {
-	case KindHello, KindStateEnd, KindServing, KindReleased, KindAccepted, KindRejected:
+	case KindHello, KindStateEnd, KindServing, KindReleased, KindAccepted, KindRejected, KindIDs:
 		return nil
 	case KindState:
 		if m.Endpoints != nil {
--- a/node/handover.go
+++ b/node/handover.go
@@ -28,8 +28,8 @@
 	successorSlot chan struct{}             // a semaphore of one: successors are handled one at a time
 	successor     atomic.Pointer[successor] // the current successor, nil unless one serves
 
-	// successorOrders informs the process that has received the state of this one; nil if there is none.
-	successorOrders atomic.Pointer[orderSender]
+	// successorSender informs the process that has received the state of this one; nil if there is none.
+	successorSender atomic.Pointer[peerSender]
 
 	counters struct {
 		handedOver atomic.Int64 // connections that a successor has accepted
@@ -98,6 +98,23 @@
 		zap.Duration("list_age", milliseconds(end.ListAgeMillis))}
 }
 
+// inherit adopts the orders and IDs of the predecessor, and keeps it informed of those of this process until the
+// returned function is called.
+func (n *Node) inherit(predecessor *upgrade.Link, state *inheritedState) (stop func()) {
+	n.inheritOrders(state.orders())
+	if state.end.Orders == nil { // it is of an earlier build
+		return func() {}
+	}
+	n.frontend.IDs.Restore(state.end.IDSeed, state.ids)
+	sender, _, _ := n.newPeerSender(predecessor, *state.end.Orders)
+	ctx, cancel := context.WithCancel(n.ctx)
+	go sender.run(ctx)
+	return func() {
+		cancel()
+		sender.close()
+	}
+}
+
 // announceServing notifies the predecessor that this process serves. It returns nil if that is not acknowledged.
 func (n *Node) announceServing(link *upgrade.Link) *upgrade.Link {
 	if link == nil {
@@ -115,7 +132,7 @@
 	return link
 }
 
-// acceptTransfers takes over established connections, and follows orders that the predecessor receives, until that
+// acceptTransfers takes over established connections, and learns of the orders and IDs of the predecessor, until that
 // process ends.
 func (n *Node) acceptTransfers(link *upgrade.Link) {
 	defer link.Close()
@@ -129,12 +146,7 @@
 			}
 			return
 		}
-		switch message.Kind {
-		case upgrade.KindOrders:
-			n.orders.merge(*message.Orders)
-			continue
-		case upgrade.KindConnection:
-		default:
+		if n.onPeerMessage(message) || message.Kind != upgrade.KindConnection {
 			continue
 		}
 		answer := n.acceptTransfer(message.Connection, conns[0], conns[1])
--- a/node/handover_state.go
+++ b/node/handover_state.go
@@ -15,6 +15,7 @@
 type inheritedState struct {
 	endpoints     discovery.EndpointList
 	balancerState balance.HandoverState
+	ids           upgrade.IDs
 	end           *upgrade.Message // the last message of the state
 }
 
@@ -53,6 +54,7 @@
 
 // appendPart adds the contents of one message.
 func (s *inheritedState) appendPart(message *upgrade.Message) {
+	s.ids = append(s.ids, message.IDs...)
 	if message.Endpoints != nil {
 		s.endpoints.Version = message.Endpoints.Version
 		s.endpoints.Servers = append(s.endpoints.Servers, message.Endpoints.Servers...)
@@ -94,6 +96,17 @@
 	return messages
 }
 
+// insertIDs adds the remembered IDs of requests to the messages of a state, before the last one.
+func insertIDs(state []upgrade.Message, seed uint64, remembered []uint64) []upgrade.Message {
+	end := state[len(state)-1]
+	state = state[:len(state)-1]
+	for chunk := range slices.Chunk(upgrade.IDs(remembered), upgrade.MaxIDs) {
+		state = append(state, upgrade.Message{Kind: upgrade.KindState, IDs: chunk})
+	}
+	end.IDSeed = seed
+	return append(state, end)
+}
+
 // setReleased informs the balancer whether this node's slow-start budgets are used by its successor instead of this
 // process. A process that is stopping never uses them again.
 func (l *loop) setReleased(released bool) {
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"time"
+
 	"go.uber.org/zap"
 
 	"brassmux/balance"
@@ -33,7 +35,8 @@
 	return metrics
 }
 
-// Counters returns the node's counters as fields of a log line, in a fixed order. All except the gauges only increase.
+// Counters returns the node's counters as fields of a log line, in a fixed order. All except the gauges and ids_held_ms
+// only increase.
 func (n *Node) Counters() []zap.Field {
 	frontendCounters, backendCounters, discoveryCounters, loopCounters := &n.frontend.Counters,
 		&n.loop.backend.Counters, &n.loop.discovery.Counters, &n.loop.counters
@@ -70,6 +73,7 @@
 		add("admin_accept_errors", n.admin.Counters.AcceptErrors.Load())
 	}
 	n.loop.invariants.counters(add)
+	add("ids_held_ms", time.Since(n.frontend.IDs.HeldSince()).Milliseconds())
 	add("rule_unanswered", frontendCounters.Unanswered.Load())
 	n.loop.control.Counters(add)
 	for i, name := range outcomeNames {
--- a/node/node.go
+++ b/node/node.go
@@ -126,6 +126,7 @@
 		FirstLineTimeout: milliseconds(timeouts.FirstLineMS),
 		MaxRequests:      requests,
 		MaxHandshakes:    handshakes,
+		MaxRememberedIDs: n.cfg.Limits.maxRememberedIDs(),
 		ClassCounters:    func(name []byte) *exchange.ClassCounters { return n.loop.classCounters[string(name)] },
 		IsInService:      n.lifecycle.acceptsClients,
 		ExchangeLimits: exchange.Limits{
--- a/node/orders.go
+++ b/node/orders.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"context"
 	"sync"
 
 	"go.uber.org/zap"
@@ -95,48 +94,6 @@
 	o.changed = make(chan struct{})
 }
 
-// orderSender sends the orders in force to the other process of the node.
-type orderSender struct {
-	link   *upgrade.Link
-	orders *orders
-
-	mu   sync.Mutex
-	sent upgrade.Orders // those that the other process has been informed of
-}
-
-// sendPending informs the other process of the orders in force, unless that has been done. The sender may be nil.
-func (s *orderSender) sendPending() error {
-	if s == nil {
-		return nil
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	inForce, _ := s.orders.current()
-	if inForce.Equal(s.sent) {
-		return nil
-	}
-	if err := s.link.Send(upgrade.Message{Kind: upgrade.KindOrders, Orders: &inForce}, messageTimeout); err != nil {
-		return err
-	}
-	s.sent = inForce
-	return nil
-}
-
-// run informs the other process of each change until ctx is done.
-func (s *orderSender) run(ctx context.Context) {
-	for {
-		_, changed := s.orders.current()
-		if s.sendPending() != nil {
-			return // the link has failed, which its receiver reports
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-changed:
-		}
-	}
-}
-
 // inheritOrders follows the orders in force at the predecessor. It must be called before the loop runs.
 func (n *Node) inheritOrders(predecessor upgrade.Orders) {
 	if predecessor.Reload.Revision == 0 {
@@ -173,15 +130,3 @@
 	order.Revision = predecessor.Revision + 1
 	return order
 }
-
-// startOrderSender informs the process at the other end of a link of each change of the orders until ctx is done. known
-// are the orders that it knows already. If known is nil, that process does not understand orders, and the result is
-// nil.
-func (n *Node) startOrderSender(ctx context.Context, link *upgrade.Link, known *upgrade.Orders) *orderSender {
-	if known == nil {
-		return nil
-	}
-	sender := &orderSender{link: link, orders: n.orders, sent: *known}
-	go sender.run(ctx)
-	return sender
-}
--- a/node/orders_test.go
+++ b/node/orders_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"syscall"
 	"testing"
 	"time"
@@ -224,3 +225,45 @@
 		}
 	}
 }
+
+// Guards against a request that runs again, under the ID of one that has run, at the next process of an upgrade or at
+// the process before it: after its end, after its client has left, and while both processes serve.
+func TestIDRunsOnceInUpgrade(t *testing.T) {
+	srv := newTestServer(t, "s-1")
+	u := newUpgradedNode(t, srv)
+	old := u.start()
+	runs := acceptAll(t, srv)
+	run := func(id string) (answer string) {
+		client := old.dial()
+		defer client.Close()
+		client.send("OPEN " + id + " k c=chat,d=2000\r\n")
+		return client.readLine()
+	}
+	for i := range 20 {
+		if answer := run(fmt.Sprint("before-", i)); answer != "UP r\r\n" {
+			t.Fatal(answer)
+		}
+	}
+	next := u.start()
+	for i := range 20 {
+		if answer := run(fmt.Sprint("between-", i)); answer != "UP r\r\n" { // by either process
+			t.Fatal(answer)
+		}
+	}
+	time.Sleep(50 * time.Millisecond) // until both processes know the last ID
+	for i := range 20 {
+		run(fmt.Sprint("between-", i))
+	}
+	old.stop()
+	old.wait()
+	for i := range 20 {
+		run(fmt.Sprint("before-", i))
+		run(fmt.Sprint("between-", i))
+	}
+	if got := runs.Load(); got != 40 {
+		t.Errorf("%d runs of 40 requests", got)
+	}
+	if answer := run("after"); answer != "UP r\r\n" || next.counter("requests") == 0 {
+		t.Errorf("a new request is answered with %q", answer)
+	}
+}
--- a/node/run.go
+++ b/node/run.go
@@ -29,10 +29,7 @@
 	}
 	predecessor, state := n.dialPredecessor()
 	if state != nil {
-		n.inheritOrders(state.orders())
-		ctx, cancel := context.WithCancel(n.ctx)
-		defer cancel()
-		n.startOrderSender(ctx, predecessor, state.end.Orders)
+		defer n.inherit(predecessor, state)()
 	}
 	loopDone, acceptDone := make(chan struct{}), make(chan struct{})
 	go func() {
@@ -59,7 +56,7 @@
 	n.log.Info("serving", addrs...)
 	n.serveUntil(ctx)
 	n.shutDown(acceptDone)
-	n.handover.successorOrders.Load().sendPending()
+	n.handover.successorSender.Load().sendPending()
 	n.cancel()
 	<-loopDone
 	n.log.Info("stopped", n.Counters()...)
--- a/node/successor.go
+++ b/node/successor.go
@@ -179,7 +179,8 @@
 }
 
 // serveSuccessor sends the state of this process to its successor, switches to it once it serves, and handles its
-// answers until the link ends. From the state on, both processes inform each other of orders.
+// answers until the link ends. From the state on, both processes inform each other of orders
+// and IDs.
 func (n *Node) serveSuccessor(link *upgrade.Link) {
 	defer link.Close()
 	// A process that starts just after another successor has failed waits until that one is gone, because it would
@@ -201,7 +202,14 @@
 		return
 	}
 	ordersInForce, _ := n.orders.current()
+	sender, idSeed, remembered := n.newPeerSender(link, ordersInForce)
+	defer sender.close()
+	if hello.Orders == nil { // it is of an earlier build
+		sender.close()
+		remembered = nil
+	}
 	messages := n.loop.exportState(ordersInForce)
+	messages = insertIDs(messages, idSeed, remembered)
 	defer n.loop.post(func() { n.loop.setReleased(false) })
 	for _, message := range messages {
 		if err := link.Send(message, messageTimeout); err != nil {
@@ -213,8 +221,9 @@
 	if hello.Orders != nil {
 		ctx, cancel := context.WithCancel(n.ctx)
 		defer cancel()
-		n.handover.successorOrders.Store(n.startOrderSender(ctx, link, &ordersInForce))
-		defer n.handover.successorOrders.Store(nil)
+		go sender.run(ctx)
+		n.handover.successorSender.Store(sender)
+		defer n.handover.successorSender.Store(nil)
 	}
 	if err := n.awaitKind(link, upgrade.KindServing, successorReadyTimeout); err != nil {
 		n.reportHandoverFailure(stepReadiness, err)
@@ -223,7 +232,7 @@
 	n.switchToSuccessor(link)
 }
 
-// awaitKind waits for a message of a kind within a timeout. It follows the orders that arrive before it.
+// awaitKind waits for a message of a kind within a timeout. It handles the orders and IDs that arrive before it.
 func (n *Node) awaitKind(link *upgrade.Link, kind upgrade.Kind, timeout time.Duration) error {
 	for deadline := time.Now().Add(timeout); ; {
 		message, _, err := link.Receive(deadline)
@@ -232,10 +241,9 @@
 			return err
 		case message.Kind == kind:
 			return nil
-		case message.Kind != upgrade.KindOrders:
+		case !n.onPeerMessage(message):
 			return &unexpectedMessageError{message.Kind}
 		}
-		n.orders.merge(*message.Orders)
 	}
 }
 
@@ -266,10 +274,8 @@
 			}
 			return
 		}
-		if message.Kind == upgrade.KindOrders {
-			n.orders.merge(*message.Orders)
-			continue
+		if !n.onPeerMessage(message) {
+			s.resolve(message.Kind == upgrade.KindAccepted)
 		}
-		s.resolve(message.Kind == upgrade.KindAccepted)
 	}
 }
