A process that ends sends its successor no state and does not wait for it

A loop that has ended returns a state without messages, of which the last was taken (a crash while a process ends). A successor that does not receive could hold the end of the old process for a second. A sender went on collecting IDs after its link had ended.

Change: such a state is not sent; the last orders and IDs are sent for 50 ms at most; a sender ends with its link.

Result: the new test panics without the check.

--- a/node/handover_state.go
+++ b/node/handover_state.go
@@ -96,8 +96,12 @@
 	return messages
 }
 
-// insertIDs adds the remembered IDs of requests to the messages of a state, before the last one.
+// insertIDs adds the remembered IDs of requests to the messages of a state, before the last one. A state without
+// messages, which a loop that has ended returns, stays empty.
 func insertIDs(state []upgrade.Message, seed uint64, remembered []uint64) []upgrade.Message {
+	if len(state) == 0 {
+		return nil
+	}
 	end := state[len(state)-1]
 	state = state[:len(state)-1]
 	for chunk := range slices.Chunk(upgrade.IDs(remembered), upgrade.MaxIDs) {
--- a/node/handover_test.go
+++ b/node/handover_test.go
@@ -282,6 +282,16 @@
 	}
 }
 
+// Guards against a crash of a process that ends while a successor asks for its state.
+func TestStateOfEndedLoopIsEmpty(t *testing.T) {
+	n := startNode(t, nil, newTestServer(t, "s-1"))
+	n.stop()
+	n.wait()
+	if messages := insertIDs(n.loop.exportState(upgrade.Orders{}), 1, []uint64{1}); len(messages) > 0 {
+		t.Errorf("got %v", messages)
+	}
+}
+
 // Guards against a process that says it is ready before it listens for successors. An upgrade that starts at once would
 // hand over nothing.
 func TestReadyProcessListensForSuccessor(t *testing.T) {
--- a/node/peer.go
+++ b/node/peer.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync"
+	"time"
 
 	"brassmux/internal/upgrade"
 )
@@ -23,6 +24,9 @@
 	stopIDs func()        // ends the calls of addID
 }
 
+// finishTimeout limits the time that a process about to end waits for a successor that does not receive.
+const finishTimeout = 50 * time.Millisecond
+
 // maxPendingIDs bounds the IDs that wait to be sent to a process that does not receive.
 const maxPendingIDs = 1 << 17
 
@@ -60,6 +64,7 @@
 
 // run sends each change until ctx is done or the link fails, which its receiver reports.
 func (s *peerSender) run(ctx context.Context) {
+	defer s.close()
 	for {
 		_, ordersChanged := s.orders.current()
 		if s.sendPending() != nil {
@@ -96,8 +101,25 @@
 	return nil
 }
 
-// close ends the sender.
-func (s *peerSender) close() { s.stopIDs() }
+// finish sends what the other process does not know yet, for a limited time, because this process is about to end. The
+// sender may be nil.
+func (s *peerSender) finish() {
+	done := make(chan struct{})
+	go func() {
+		s.sendPending()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-time.After(finishTimeout):
+	}
+}
+
+// close ends the sender. It may be called again.
+func (s *peerSender) close() {
+	s.stopIDs()
+	s.takeIDs()
+}
 
 // onPeerMessage handles a message that either process may send at any time. It returns false for any other message.
 func (n *Node) onPeerMessage(message *upgrade.Message) bool {
--- a/node/run.go
+++ b/node/run.go
@@ -56,7 +56,7 @@
 	n.log.Info("serving", addrs...)
 	n.serveUntil(ctx)
 	n.shutDown(acceptDone)
-	n.handover.successorSender.Load().sendPending()
+	n.handover.successorSender.Load().finish()
 	n.cancel()
 	<-loopDone
 	n.log.Info("stopped", n.Counters()...)
--- a/node/successor.go
+++ b/node/successor.go
@@ -122,8 +122,10 @@
 		sender.close()
 		remembered = nil
 	}
-	messages := n.loop.exportState(ordersInForce)
-	messages = insertIDs(messages, idSeed, remembered)
+	messages := insertIDs(n.loop.exportState(ordersInForce), idSeed, remembered)
+	if len(messages) == 0 { // this process has ended
+		return
+	}
 	defer n.loop.post(func() { n.loop.setReleased(false) })
 	for _, message := range messages {
 		if err := link.Send(message, messageTimeout); err != nil {
